--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Targets for people and CI. Every tool comes from tools/go.mod.
+
+DEPLOYMENT ?= agencia
+TOOL = go tool -modfile=tools/go.mod
+
+.PHONY: build test lint generate demo
+
+build:
+	mkdir -p bin
+	go build -o bin/ ./cmd/...
+
+test:
+	go test -count=1 ./...
+
+lint:
+	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
+	go vet ./...
+	$(TOOL) staticcheck -checks all ./...
+
+generate:
+	$(TOOL) buf generate --template buf.gen.yaml
+	$(TOOL) buf generate --template buf.gen.peer.yaml
+	$(TOOL) buf generate --template buf.gen.datagram.yaml
+
+demo: build
+	scripts/demo.sh $(DEPLOYMENT)
