--- /dev/null
+++ b/gen/bramley/v1/doc.go
@@ -0,0 +1,2 @@
+// Package bramleyv1 is generated from the schemas under proto.
+package bramleyv1
