--- a/gen/bramley/v1/bramleyv1connect/call.connect.go
+++ b/gen/bramley/v1/bramleyv1connect/call.connect.go
@@ -2,7 +2,6 @@
 //
 // Source: bramley/v1/call.proto
 
-// Package bramley.v1 defines what callers, upstreams and the platform exchange with the system.
 package bramleyv1connect
 
 import (
