--- /dev/null
+++ b/internal/datagram/datagram.go
@@ -0,0 +1,97 @@
+// Package datagram frames the packets that balancers and agents exchange: the length of a header as
+// a varint, the header, and the caller's packet as it came.
+package datagram
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/encoding/protowire"
+
+	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
+)
+
+// MaxHeader is the largest encoded header that Split accepts, in bytes.
+const MaxHeader = 512
+
+// MaxPacket is the largest packet of a caller that is forwarded, in bytes.
+const MaxPacket = 2048
+
+// MaxDatagram bounds a whole datagram between a balancer and an agent, in bytes.
+const MaxDatagram = MaxPacket + MaxHeader + binary.MaxVarintLen16
+
+// Errors that Split and Addr return.
+const (
+	ErrLength  = errors.ConstError("header length is not valid")
+	ErrHeader  = errors.ConstError("header is not valid")
+	ErrAddress = errors.ConstError("address is not valid")
+)
+
+// Append appends the header and the payload to dst.
+func Append(dst []byte, h *bramleyv1.DatagramHeader, payload []byte) []byte {
+	size := h.SizeVT()
+	dst = protowire.AppendVarint(dst, uint64(size))
+	start := len(dst)
+	dst = append(dst, make([]byte, size)...)
+	// MarshalToSizedBufferVT fails only on unknown message types; the header has none.
+	if _, err := h.MarshalToSizedBufferVT(dst[start:]); err != nil {
+		panic(err)
+	}
+	return append(dst, payload...)
+}
+
+// Split decodes the header of b into h and returns the payload, which aliases b. It reuses the
+// memory of the fields of h.
+func Split(b []byte, h *bramleyv1.DatagramHeader) (payload []byte, err error) {
+	size, n := protowire.ConsumeVarint(b)
+	if n < 0 || size > MaxHeader || uint64(len(b)-n) < size {
+		return nil, ErrLength
+	}
+	b = b[n:]
+	reset(h)
+	if err := h.UnmarshalVT(b[:size]); err != nil {
+		return nil, ErrHeader
+	}
+	return b[size:], nil
+}
+
+// reset clears h and keeps the memory of its fields.
+func reset(h *bramleyv1.DatagramHeader) {
+	caller, balancer, candidates := h.Caller, h.Balancer, h.Candidates
+	h.Reset()
+	h.Caller, h.Balancer, h.Candidates = caller[:0], balancer[:0], candidates[:0]
+}
+
+// PutAddr returns the encoded form of an address: 4 or 16 bytes of IP and 2 bytes of port.
+func PutAddr(address netip.AddrPort) []byte {
+	return AppendAddr(nil, address)
+}
+
+// AppendAddr appends the encoded form of an address to dst.
+func AppendAddr(dst []byte, address netip.AddrPort) []byte {
+	ip := address.Addr().Unmap()
+	if ip.Is4() {
+		b := ip.As4()
+		dst = append(dst, b[:]...)
+	} else {
+		b := ip.As16()
+		dst = append(dst, b[:]...)
+	}
+	return binary.BigEndian.AppendUint16(dst, address.Port())
+}
+
+const portLength = 2
+
+// Addr decodes an address.
+func Addr(b []byte) (netip.AddrPort, error) {
+	if len(b) < portLength {
+		return netip.AddrPort{}, ErrAddress
+	}
+	split := len(b) - portLength
+	ip, ok := netip.AddrFromSlice(b[:split])
+	if !ok {
+		return netip.AddrPort{}, ErrAddress
+	}
+	return netip.AddrPortFrom(ip.Unmap(), binary.BigEndian.Uint16(b[split:])), nil
+}
--- /dev/null
+++ b/placement/rank.go
@@ -0,0 +1,98 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Candidate is one upstream that a flow may be placed on.
+type Candidate struct {
+	// Number identifies the upstream.
+	Number uint32
+	// Place is the availability zone of the upstream.
+	Place string
+	// Weight is the share of flows relative to the other candidates; zero or less ranks last.
+	Weight float64
+	// Leaving ranks the candidate after all that stay.
+	Leaving bool
+}
+
+// stackCandidates is the number of candidates that Rank orders without an allocation.
+const stackCandidates = 64
+
+type scored struct {
+	number uint32
+	class  uint8
+	score  float64
+}
+
+// Rank appends the numbers of all candidates to dst, best first, by weighted rendezvous hashing.
+// Candidates in place come before others, and leaving ones come last. An empty place prefers none.
+// The result does not depend on the order of candidates.
+func Rank(dst []uint32, flow uint64, place string, candidates []Candidate) []uint32 {
+	var buffer [stackCandidates]scored
+	ranked := buffer[:0]
+	if len(candidates) > stackCandidates {
+		ranked = make([]scored, 0, len(candidates))
+	}
+	for i := range candidates {
+		c := &candidates[i]
+		ranked = append(ranked, scored{number: c.Number, class: class(c, place), score: score(flow, c)})
+	}
+	slices.SortFunc(ranked, compareScored)
+	for i := range ranked {
+		dst = append(dst, ranked[i].number)
+	}
+	return dst
+}
+
+func compareScored(a, b scored) int {
+	if a.class != b.class {
+		return cmp.Compare(a.class, b.class)
+	}
+	if a.score != b.score {
+		return cmp.Compare(b.score, a.score)
+	}
+	return cmp.Compare(a.number, b.number)
+}
+
+func class(c *Candidate, place string) uint8 {
+	switch {
+	case c.Leaving:
+		return 2
+	case place != "" && c.Place != place:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// score is -weight/ln(u) for a uniform u in (0, 1), which makes the best score fall on a candidate
+// with a probability proportional to its weight.
+func score(flow uint64, c *Candidate) float64 {
+	if c.Weight <= 0 {
+		return 0
+	}
+	const mantissa = 1 << 53
+	u := (float64(mix(flow, uint64(c.Number))>>11) + 0.5) / mantissa
+	return -c.Weight / math.Log(u)
+}
+
+// mix combines two words and spreads them with the finalizer of SplitMix64.
+func mix(a, b uint64) uint64 {
+	const golden = 0x9e3779b97f4a7c15
+	x := a ^ (b+1)*golden
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// FlowHash returns the hash of a connection ID that ranks are computed from.
+func FlowHash(connectionID []byte) uint64 {
+	return xxhash.Sum64(connectionID)
+}
