--- /dev/null
+++ b/cmd/standin-fabric/main.go
@@ -0,0 +1,64 @@
+// Command standin-fabric stands in for the network fabric before the balancers.
+package main
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"slices"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bramleyrack/bramleyrack/internal/options"
+	"github.com/bramleyrack/bramleyrack/internal/standin/fabric"
+	"github.com/bramleyrack/bramleyrack/internal/standin/process"
+)
+
+// config holds the options of the program.
+type config struct {
+	services map[string]netip.AddrPort
+	control  netip.AddrPort
+	// seed fixes the random choice of balancers.
+	seed int
+	// record is the file that a trace of the packets goes to; empty records nothing.
+	record string
+}
+
+func main() {
+	var c config
+	set := options.New("standin-fabric")
+	set.Bindings(&c.services, "services", "", "address of each service that callers reach")
+	set.AddrPort(&c.control, "control", "", "address of the control interface")
+	set.Int(&c.seed, "seed", 1, "`seed` of the random choice of balancers")
+	set.String(&c.record, "record", "", "file for a trace of the forwarded packets")
+	set.Require("services", "control")
+	process.Parse(set)
+	process.Main(func(ctx context.Context) error { return run(ctx, c) })
+}
+
+func run(ctx context.Context, c config) error {
+	group, ctx := errgroup.WithContext(ctx)
+	var recorder *fabric.Recorder
+	if c.record != "" {
+		file, err := os.Create(c.record)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		recorder = fabric.NewRecorder()
+		group.Go(func() error { return recorder.Run(ctx.Done(), file) })
+	}
+	f := fabric.New(uint64(c.seed), recorder)
+	group.Go(func() error { return f.Run(ctx, services(c)) })
+	group.Go(func() error { return process.Serve(ctx, c.control, f.Handler()) })
+	return group.Wait()
+}
+
+func services(c config) []fabric.Service {
+	var list []fabric.Service
+	for name, address := range c.services {
+		list = append(list, fabric.Service{Name: name, Address: address})
+	}
+	slices.SortFunc(list, func(a, b fabric.Service) int { return a.Address.Compare(b.Address) })
+	return list
+}
--- /dev/null
+++ b/cmd/standin-upstream/main.go
@@ -0,0 +1,77 @@
+// Command standin-upstream stands in for a server of the users.
+package main
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bramleyrack/bramleyrack/internal/options"
+	"github.com/bramleyrack/bramleyrack/internal/standin/process"
+	"github.com/bramleyrack/bramleyrack/internal/standin/upstream"
+)
+
+// Defaults of the options.
+const (
+	defaultSlots         = 5
+	defaultWork          = 10 * time.Millisecond
+	defaultColdStart     = 2 * time.Second
+	defaultColdFactor    = 3
+	defaultObjectBytes   = 2 << 20
+	defaultChunkInterval = 20 * time.Millisecond
+	drainTimeout         = 10 * time.Second
+)
+
+// config holds the options of the program.
+type config struct {
+	listen, operator netip.AddrPort
+	number           int
+	health           string
+	upstream         upstream.Config
+}
+
+func main() {
+	var c config
+	u := &c.upstream
+	set := options.New("standin-upstream")
+	set.AddrPort(&c.listen, "listen", "", "address of the upstream service")
+	set.AddrPort(&c.operator, "operator", "", "address that reports the runs")
+	set.String(&u.Service, "service", "", "service that this upstream belongs to")
+	set.Int(&c.number, "number", 0, "`number` of the upstream in the settings tree")
+	set.Int(&u.Slots, "slots", defaultSlots, "`requests` that run at once")
+	set.Duration(&u.Work, "work", defaultWork, "mean time of a request")
+	set.Duration(&u.ColdStart, "cold-start", defaultColdStart, "time during which requests are slow after the start")
+	set.Int(&u.ColdFactor, "cold-factor", defaultColdFactor, "slowdown during the cold start in `times`")
+	set.Int(&u.ObjectBytes, "object-bytes", defaultObjectBytes, "size of each object for download in `bytes`")
+	set.Duration(&u.ChunkInterval, "chunk-interval", defaultChunkInterval, "pause after each chunk of a download")
+	set.String(&c.health, "health", string(upstream.HealthTrue), "what the health endpoint says: true, idle or busy")
+	set.Require("listen", "operator", "service")
+	process.Parse(set)
+	process.Main(func(ctx context.Context) error { return run(ctx, c) })
+}
+
+func run(ctx context.Context, c config) error {
+	c.upstream.Number = uint32(c.number)
+	c.upstream.Health = upstream.HealthMode(c.health)
+	u := upstream.New(c.upstream)
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, serving := errgroup.WithContext(serving)
+	group.Go(func() error { return process.Serve(serving, c.listen, u.Handler()) })
+	group.Go(func() error { return process.Serve(serving, c.operator, u.Operator()) })
+	select {
+	case <-ctx.Done():
+	case <-serving.Done():
+		return group.Wait()
+	}
+	drain, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	err := u.Drain(drain)
+	stop()
+	if waitErr := group.Wait(); waitErr != nil {
+		return waitErr
+	}
+	return err
+}
--- /dev/null
+++ b/internal/standin/upstream/runs.go
@@ -0,0 +1,82 @@
+package upstream
+
+import (
+	"sync"
+	"time"
+)
+
+// Run is one start of one request, as the upstream itself saw it.
+type Run struct {
+	RequestID  string `json:"request_id"`
+	Method     string `json:"method"`
+	Item       string `json:"item"`
+	Attempt    int    `json:"attempt"`
+	Idempotent bool   `json:"idempotent"`
+	// StartedMilliseconds is the time of the start since the Unix epoch.
+	StartedMilliseconds int64 `json:"started_ms"`
+}
+
+// Report is all that an upstream can say about its runs.
+type Report struct {
+	Service string `json:"service"`
+	Number  uint32 `json:"number"`
+	// Runs holds each start of a request that is not idempotent.
+	Runs []Run `json:"runs"`
+	// Started counts the starts of all requests.
+	Started uint64 `json:"started"`
+	// LastStartMilliseconds is the time of the newest start of any request, feed or download.
+	LastStartMilliseconds int64 `json:"last_start_ms"`
+	// Starts holds the time of each start of any work, in milliseconds since the Unix epoch.
+	Starts []int64 `json:"starts"`
+	// WrongService counts requests that were meant for another service.
+	WrongService uint64 `json:"wrong_service"`
+	// OverSlots counts requests that were turned away because every slot was busy.
+	OverSlots uint64 `json:"over_slots"`
+	// PeakBusy is the highest number of busy slots.
+	PeakBusy int `json:"peak_busy"`
+	// Canceled counts runs that the agent gave up.
+	Canceled uint64 `json:"canceled"`
+}
+
+// ledger counts runs at their start, before any work, so that no later failure hides one.
+type ledger struct {
+	mu     sync.Mutex
+	report Report
+}
+
+func (l *ledger) start(run Run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.report.Started++
+	l.note(run.StartedMilliseconds)
+	if !run.Idempotent {
+		l.report.Runs = append(l.report.Runs, run)
+	}
+}
+
+// startStream counts the start of a feed or download.
+func (l *ledger) startStream(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.note(now.UnixMilli())
+}
+
+func (l *ledger) note(ms int64) {
+	l.report.LastStartMilliseconds = ms
+	l.report.Starts = append(l.report.Starts, ms)
+}
+
+func (l *ledger) change(f func(*Report)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f(&l.report)
+}
+
+func (l *ledger) snapshot() Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	report := l.report
+	report.Runs = append([]Run{}, l.report.Runs...)
+	report.Starts = append([]int64{}, l.report.Starts...)
+	return report
+}
