Decide at the agent which new flows to accept, pass on or reset

A balancer's own place cannot order the ranks: the fabric may hand two packets of one handshake to balancers of two places, which would then start at two agents. Slow start is decided at the agent for the same reason, since clocks of balancers differ. Ruled out: load figures at the balancer, which lag.

--- /dev/null
+++ b/placement/acceptor.go
@@ -0,0 +1,323 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// Load is the work that an upstream holds.
+type Load struct {
+	// Flows is the number of open flows.
+	Flows uint32
+	// BusySlots and Slots count requests that run and that may run at once.
+	BusySlots uint32
+	Slots     uint32
+	// Weight is the share of flows relative to the peers; zero counts as one.
+	Weight float64
+	// Accepting is false for an upstream that is leaving or not ready.
+	Accepting bool
+}
+
+// PeerLoad is the load of another upstream of the same service.
+type PeerLoad struct {
+	Server uint32
+	Load   Load
+	// Heard is the time at which Load was received.
+	Heard time.Duration
+}
+
+// Action is what an agent does with the first packet of a flow.
+type Action uint8
+
+// The actions of an agent.
+const (
+	// ActionAccept makes the agent the owner of the flow.
+	ActionAccept Action = iota + 1
+	// ActionPass sends the packet to another agent.
+	ActionPass
+	// ActionRefuse drops the packet, because no agent takes new flows.
+	ActionRefuse
+	// ActionReset answers the packet with a stateless reset, because its owner is gone.
+	ActionReset
+)
+
+// Decision is an action and the server it concerns.
+type Decision struct {
+	Action Action
+	// Server is the number of the upstream to pass to.
+	Server uint32
+}
+
+// AcceptorConfig tunes the bounded load of the agents of one service.
+type AcceptorConfig struct {
+	// Server is the number of the upstream itself.
+	Server uint32
+	// Slack is ε: a flow is passed on above (1+ε) times the mean. Small values balance better and
+	// pass more packets.
+	Slack float64
+	// SlowStart is the time over which the share of a new upstream grows to its full value.
+	SlowStart time.Duration
+	// Settle is the time after the start for which new flows are passed on, so that processes on
+	// the previous revision and on the current one agree on the owner.
+	Settle time.Duration
+	// DeadAfter is the silence after which a peer gets no new flow.
+	DeadAfter time.Duration
+	// ResetAfter is the silence after which the flows of a peer are reset.
+	ResetAfter time.Duration
+	// Memory is how long the choice for a flow is remembered; it must cover a handshake.
+	Memory time.Duration
+	// MaxRemembered bounds the choices remembered. A choice takes about 50 bytes.
+	MaxRemembered int
+	// MaxHops bounds the passes of one packet for the sake of load.
+	MaxHops int
+}
+
+// DefaultAcceptorConfig returns the configuration of a server with the default policy.
+func DefaultAcceptorConfig(server uint32) AcceptorConfig {
+	return AcceptorConfig{
+		Server:        server,
+		Slack:         0.05,
+		SlowStart:     30 * time.Second,
+		Settle:        3 * time.Second,
+		DeadAfter:     2 * time.Second,
+		ResetAfter:    15 * time.Second,
+		Memory:        15 * time.Second,
+		MaxRemembered: 1 << 16,
+		MaxHops:       2,
+	}
+}
+
+// Acceptor decides, for one upstream, which new flows it owns. It is not safe for concurrent use.
+type Acceptor struct {
+	config  AcceptorConfig
+	started time.Duration
+	// warm says that the upstream was in service before the acceptor was created.
+	warm   bool
+	memory flowMemory
+	peers  map[uint32]*peerMemory
+}
+
+// peerMemory is what an acceptor adds to the reported load of a peer.
+type peerMemory struct {
+	// since is when the peer was first seen to accept flows.
+	since time.Duration
+	// passed counts the flows passed to the peer since heard.
+	passed uint32
+	heard  time.Duration
+}
+
+// NewAcceptor returns an acceptor of an upstream that starts now.
+func NewAcceptor(config AcceptorConfig, now time.Duration) *Acceptor {
+	return &Acceptor{
+		config:  config,
+		started: now,
+		memory:  newFlowMemory(config.Memory, config.MaxRemembered),
+		peers:   map[uint32]*peerMemory{},
+	}
+}
+
+// SkipSlowStart declares the upstream warm, as when a whole service starts at once.
+func (a *Acceptor) SkipSlowStart() {
+	a.warm = true
+}
+
+// Decide returns what to do with the first packet of a flow. candidates are the servers that follow
+// in rank; a passed packet carries Remaining of them, so that each pass shortens the list and no
+// loop can form.
+func (a *Acceptor) Decide(now time.Duration, flowKey uint64, own Load, peers []PeerLoad, candidates []uint32, hops int) Decision {
+	a.observe(now, peers)
+	if d, ok := a.memory.get(now, flowKey); ok && a.stillValid(now, d, peers, candidates) {
+		return d
+	}
+	d := a.decide(now, own, peers, candidates, hops)
+	if d.Action == ActionPass {
+		a.peers[d.Server].passed++
+	}
+	if d.Action != ActionRefuse {
+		a.memory.put(now, flowKey, d)
+	}
+	return d
+}
+
+// stillValid reports whether a remembered pass can be repeated.
+func (a *Acceptor) stillValid(now time.Duration, d Decision, peers []PeerLoad, candidates []uint32) bool {
+	if d.Action == ActionAccept {
+		return true
+	}
+	if !slices.Contains(candidates, d.Server) {
+		return false
+	}
+	peer := findPeer(peers, d.Server)
+	return peer != nil && now-peer.Heard <= a.config.DeadAfter
+}
+
+func (a *Acceptor) decide(now time.Duration, own Load, peers []PeerLoad, candidates []uint32, hops int) Decision {
+	if !own.Accepting {
+		return a.handOff(now, own, peers, candidates)
+	}
+	if hops >= a.config.MaxHops {
+		return Decision{Action: ActionAccept}
+	}
+	if a.settling(now) {
+		if peer := a.firstUsable(now, peers, candidates); peer != nil {
+			return Decision{Action: ActionPass, Server: peer.Server}
+		}
+		return Decision{Action: ActionAccept}
+	}
+	mean := a.meanLoad(now, own, peers)
+	full := !hasSlot(&own)
+	fits := a.fits(own.Flows, a.ownShare(now, &own), mean)
+	if fits && !full {
+		return Decision{Action: ActionAccept}
+	}
+	peer := a.firstFitting(now, mean, full, peers, candidates)
+	if peer == nil && !fits {
+		peer = a.lightest(now, a.relative(now, own), peers, candidates)
+	}
+	if peer == nil {
+		return Decision{Action: ActionAccept}
+	}
+	return Decision{Action: ActionPass, Server: peer.Server}
+}
+
+// handOff passes a flow on regardless of load, because the upstream takes none.
+func (a *Acceptor) handOff(now time.Duration, own Load, peers []PeerLoad, candidates []uint32) Decision {
+	mean := a.meanLoad(now, own, peers)
+	peer := a.firstFitting(now, mean, false, peers, candidates)
+	if peer == nil {
+		peer = a.lightest(now, maxRelative, peers, candidates)
+	}
+	if peer == nil {
+		return Decision{Action: ActionRefuse}
+	}
+	return Decision{Action: ActionPass, Server: peer.Server}
+}
+
+// firstFitting returns the first candidate that may take one more flow.
+func (a *Acceptor) firstFitting(now time.Duration, mean float64, needsSlot bool, peers []PeerLoad, candidates []uint32) *PeerLoad {
+	for _, server := range candidates {
+		peer := findPeer(peers, server)
+		if peer == nil || !a.usable(now, peer) {
+			continue
+		}
+		if needsSlot && !hasSlot(&peer.Load) {
+			continue
+		}
+		if a.fits(a.peerFlows(peer), a.peerShare(now, peer), mean) {
+			return peer
+		}
+	}
+	return nil
+}
+
+// lightest returns the candidate with the least relative load below limit.
+func (a *Acceptor) lightest(now time.Duration, limit float64, peers []PeerLoad, candidates []uint32) *PeerLoad {
+	var lightest *PeerLoad
+	for _, server := range candidates {
+		peer := findPeer(peers, server)
+		if peer == nil || !a.usable(now, peer) {
+			continue
+		}
+		if load := a.peerRelative(now, peer); load < limit {
+			lightest, limit = peer, load
+		}
+	}
+	return lightest
+}
+
+func (a *Acceptor) settling(now time.Duration) bool {
+	return !a.warm && now-a.started < a.config.Settle
+}
+
+func (a *Acceptor) firstUsable(now time.Duration, peers []PeerLoad, candidates []uint32) *PeerLoad {
+	for _, server := range candidates {
+		if peer := findPeer(peers, server); peer != nil && a.usable(now, peer) {
+			return peer
+		}
+	}
+	return nil
+}
+
+func (a *Acceptor) usable(now time.Duration, peer *PeerLoad) bool {
+	return peer.Load.Accepting && now-peer.Heard <= a.config.DeadAfter
+}
+
+// observe updates the memory of peers from their reports.
+func (a *Acceptor) observe(now time.Duration, peers []PeerLoad) {
+	since := now
+	if len(a.peers) == 0 {
+		// The acceptor is new itself and cannot tell old peers from new ones.
+		since = now - a.config.SlowStart
+	}
+	for i := range peers {
+		p := &peers[i]
+		known := a.peers[p.Server]
+		if known == nil {
+			known = &peerMemory{since: since}
+			a.peers[p.Server] = known
+		}
+		if p.Heard > known.heard {
+			known.heard = p.Heard
+			known.passed = 0
+		}
+	}
+}
+
+// LookUp returns what to do with a packet whose connection ID names owner. self is the owner that
+// the agent encodes in its own connection IDs.
+func (a *Acceptor) LookUp(now time.Duration, owner, self Owner, peers []PeerLoad, hops int) Decision {
+	if owner == self {
+		return Decision{Action: ActionAccept}
+	}
+	if owner.Service != self.Service {
+		return Decision{Action: ActionRefuse}
+	}
+	if owner.Server == self.Server {
+		return Decision{Action: ActionReset}
+	}
+	peer := findPeer(peers, owner.Server)
+	if peer == nil || now-peer.Heard > a.config.ResetAfter {
+		return Decision{Action: ActionReset}
+	}
+	if hops >= a.config.MaxHops {
+		return Decision{Action: ActionRefuse}
+	}
+	return Decision{Action: ActionPass, Server: owner.Server}
+}
+
+// Search returns what to do with a packet that names no owner and may belong to an established
+// flow. owned says that the agent has the flow. The candidates end with the best ranked server, so
+// that it receives the packet a second time, with no candidates, if no other agent owns the flow.
+func (a *Acceptor) Search(now time.Duration, owned bool, own Load, peers []PeerLoad, candidates []uint32) Decision {
+	if owned {
+		return Decision{Action: ActionAccept}
+	}
+	for _, server := range candidates {
+		peer := findPeer(peers, server)
+		if peer != nil && now-peer.Heard <= a.config.DeadAfter {
+			return Decision{Action: ActionPass, Server: server}
+		}
+	}
+	if !own.Accepting {
+		return Decision{Action: ActionRefuse}
+	}
+	return Decision{Action: ActionAccept}
+}
+
+// Remaining appends to dst the candidates that follow server.
+func Remaining(dst, candidates []uint32, server uint32) []uint32 {
+	i := slices.Index(candidates, server)
+	if i < 0 {
+		return dst
+	}
+	return append(dst, candidates[i+1:]...)
+}
+
+func findPeer(peers []PeerLoad, server uint32) *PeerLoad {
+	for i := range peers {
+		if peers[i].Server == server {
+			return &peers[i]
+		}
+	}
+	return nil
+}
