Run requests at most once: tickets, admission, executor and client

An owner's ledger decides what a ticket may still do, so at most once needs no agreement. Refusals say not run only where the owner, its successor, the upstream's own refusal or a failed dial proves it; all else is unknown.

--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,92 @@
+package admission
+
+import (
+	"container/heap"
+	"time"
+)
+
+type waiter struct {
+	id       uint64
+	deadline time.Duration
+	position int
+}
+
+// queue orders waiters by deadline and then by ID. It implements heap.Interface.
+type queue struct {
+	waiters []*waiter
+	byID    map[uint64]*waiter
+}
+
+func newQueue() queue {
+	return queue{byID: make(map[uint64]*waiter)}
+}
+
+func (q *queue) push(id uint64, deadline time.Duration) {
+	w := &waiter{id: id, deadline: deadline}
+	q.byID[id] = w
+	heap.Push(q, w)
+}
+
+func (q *queue) pop() (id uint64, deadline time.Duration) {
+	w := heap.Pop(q).(*waiter)
+	delete(q.byID, w.id)
+	return w.id, w.deadline
+}
+
+func (q *queue) remove(id uint64) bool {
+	w, ok := q.byID[id]
+	if !ok {
+		return false
+	}
+	delete(q.byID, id)
+	heap.Remove(q, w.position)
+	return true
+}
+
+// ahead counts the waiters that would get a slot before a new one with the given deadline.
+func (q *queue) ahead(deadline time.Duration) int {
+	count := 0
+	for _, w := range q.waiters {
+		if w.deadline <= deadline {
+			count++
+		}
+	}
+	return count
+}
+
+// Len returns the number of waiters.
+func (q *queue) Len() int {
+	return len(q.waiters)
+}
+
+// Less orders by deadline.
+func (q *queue) Less(i, j int) bool {
+	a, b := q.waiters[i], q.waiters[j]
+	if a.deadline != b.deadline {
+		return a.deadline < b.deadline
+	}
+	return a.id < b.id
+}
+
+// Swap exchanges two waiters.
+func (q *queue) Swap(i, j int) {
+	q.waiters[i], q.waiters[j] = q.waiters[j], q.waiters[i]
+	q.waiters[i].position = i
+	q.waiters[j].position = j
+}
+
+// Push appends a waiter, for container/heap.
+func (q *queue) Push(x any) {
+	w := x.(*waiter)
+	w.position = len(q.waiters)
+	q.waiters = append(q.waiters, w)
+}
+
+// Pop removes the last waiter, for container/heap.
+func (q *queue) Pop() any {
+	last := len(q.waiters) - 1
+	w := q.waiters[last]
+	q.waiters[last] = nil
+	q.waiters = q.waiters[:last]
+	return w
+}
--- /dev/null
+++ b/internal/request/call.go
@@ -0,0 +1,173 @@
+package request
+
+import (
+	"context"
+	"time"
+
+	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
+	"github.com/bramleyrack/bramleyrack/ticket"
+)
+
+const (
+	// replyShare is the part of the remaining time that is kept for the way of the answer.
+	replyShare = 20
+	// maxReplyTime bounds it.
+	maxReplyTime = 50 * time.Millisecond
+)
+
+// Call runs a request of a caller. Exactly one of the returned values is set.
+func (e *Executor) Call(ctx context.Context, req *bramleyv1.CallRequest) (*bramleyv1.CallResponse, *bramleyv1.Refusal) {
+	ctx, cancel := e.bound(ctx)
+	defer cancel()
+	r, replayed := e.serve(ctx, req)
+	return e.reply(r, replayed)
+}
+
+// bound shortens the deadline of ctx by the time that the answer needs on its way.
+func (e *Executor) bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	left := e.config.Deadline
+	if deadline, ok := ctx.Deadline(); ok {
+		left = deadline.Sub(e.config.Now())
+	}
+	return context.WithTimeout(ctx, left-min(left/replyShare, maxReplyTime))
+}
+
+func (e *Executor) serve(ctx context.Context, req *bramleyv1.CallRequest) (r result, replayed bool) {
+	if req.GetIdempotent() {
+		return e.runIdempotent(ctx, req), false
+	}
+	if len(req.GetTicket()) == 0 {
+		return result{outcome: bramleyv1.Outcome_OUTCOME_NOT_RUN, reason: "request carries no ticket", immediate: true}, false
+	}
+	t, err := e.sealer.Open(req.GetTicket())
+	if err != nil || t.Service != e.config.Service {
+		return unknown("ticket can not be verified"), false
+	}
+	if e.owns(t) {
+		return e.runOwned(ctx, req, t)
+	}
+	if v := e.archived(ctx, req, t); v.State != ticket.StateUnknown {
+		return fromVerdict(v)
+	}
+	return e.forward(ctx, req, t)
+}
+
+func (e *Executor) owns(t ticket.Ticket) bool {
+	return t.Server == e.config.Server && t.Incarnation == e.config.Incarnation
+}
+
+// runOwned runs a request whose ticket this executor owns, or settles a repeat of it.
+func (e *Executor) runOwned(ctx context.Context, req *bramleyv1.CallRequest, t ticket.Ticket) (result, bool) {
+	var v verdict
+	var j *job
+	err := e.do(ctx, func(c *core) {
+		v, j = c.claim(e.config.Now(), t, req)
+		if v.State == ticket.StateFresh {
+			e.launch(ctx, j)
+		}
+	})
+	switch {
+	case err != nil:
+		return unknown("server is overloaded or stopping"), false
+	case j == nil:
+		return fromVerdict(v)
+	}
+	return e.wait(ctx, j), v.State == ticket.StateClaimed
+}
+
+func (e *Executor) runIdempotent(ctx context.Context, req *bramleyv1.CallRequest) result {
+	var j *job
+	err := e.do(ctx, func(c *core) {
+		j = c.newJob(req)
+		e.launch(ctx, j)
+	})
+	if err != nil {
+		return unknown("server is overloaded or stopping")
+	}
+	return e.wait(ctx, j)
+}
+
+// launch starts the goroutine of a job. It outlives the first caller as long as others wait.
+func (e *Executor) launch(ctx context.Context, j *job) {
+	j.deadline, _ = ctx.Deadline()
+	jobCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), j.deadline)
+	j.cancel = cancel
+	go e.execute(jobCtx, j)
+}
+
+// wait returns the result of a job, or what is true of it when the caller gives up first.
+func (e *Executor) wait(ctx context.Context, j *job) result {
+	select {
+	case <-j.done:
+		return j.result
+	case <-e.stopped:
+		return unknown("server has stopped")
+	case <-ctx.Done():
+		return e.giveUp(ctx, j)
+	}
+}
+
+func (e *Executor) giveUp(ctx context.Context, j *job) result {
+	outcome := bramleyv1.Outcome_OUTCOME_UNKNOWN
+	settled := false
+	_ = e.do(context.Background(), func(c *core) {
+		if settled = j.finished; !settled {
+			outcome = c.leave(j)
+		}
+	})
+	switch {
+	case settled:
+		return j.result
+	case outcome == bramleyv1.Outcome_OUTCOME_NOT_RUN:
+		return notRun("caller gave up before the request started")
+	case outcome == bramleyv1.Outcome_OUTCOME_RUNNING:
+		return refused(outcome, "a copy of the request is running")
+	}
+	return abandoned(ctx)
+}
+
+// fromVerdict settles a repeat from the memory of its ticket.
+func fromVerdict(v verdict) (r result, replayed bool) {
+	switch v.State {
+	case ticket.StateAnswered:
+		return result{answer: v.Answer}, true
+	case ticket.StateNotRun:
+		return notRun("the ticket was refused before"), false
+	case ticket.StateRan:
+		return refused(bramleyv1.Outcome_OUTCOME_ALREADY_RUN, "the request ran and its answer is no longer held"), false
+	case ticket.StateUndecided:
+		return unknown("an earlier copy was started and its outcome is not known"), false
+	case ticket.StateMismatch:
+		return unknown("the ticket was spent on another request"), false
+	}
+	return unknown("the ticket is no longer remembered"), false
+}
+
+// reply turns a result into the message for the caller, with a fresh ticket.
+func (e *Executor) reply(r result, replayed bool) (*bramleyv1.CallResponse, *bramleyv1.Refusal) {
+	var next []byte
+	var retryAfter time.Duration
+	_ = e.do(context.Background(), func(c *core) {
+		next = c.mint(e.config.Now())
+		retryAfter = c.retryAfter()
+	})
+	if r.immediate {
+		retryAfter = 0
+	}
+	if r.answer != nil {
+		return &bramleyv1.CallResponse{
+			RequestId:  r.answer.GetRequestId(),
+			Body:       r.answer.GetBody(),
+			Digest:     r.answer.GetDigest(),
+			NextTicket: next,
+			Replayed:   replayed || r.answer.GetReplayed(),
+			Upstream:   r.answer.GetUpstream(),
+		}, nil
+	}
+	return nil, &bramleyv1.Refusal{
+		Outcome:      r.outcome,
+		RetryAfterMs: milliseconds(retryAfter),
+		NextTicket:   next,
+		Reason:       r.reason,
+	}
+}
--- /dev/null
+++ b/internal/request/core.go
@@ -0,0 +1,223 @@
+package request
+
+import (
+	"math/rand"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramleyrack/bramleyrack/admission"
+	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
+	"github.com/bramleyrack/bramleyrack/settings"
+	"github.com/bramleyrack/bramleyrack/ticket"
+)
+
+// source names the owner incarnation of adopted records.
+type source struct {
+	server      uint32
+	incarnation uint64
+}
+
+type (
+	ledger  = ticket.Ledger[*bramleyv1.CallResponse]
+	archive = ticket.Archive[*bramleyv1.CallResponse]
+	verdict = ticket.Verdict[*bramleyv1.CallResponse]
+	record  = ticket.Record[*bramleyv1.CallResponse]
+)
+
+// core is the state of an executor. Only the loop touches it; it starts no goroutine and reads no clock.
+type core struct {
+	started   time.Time
+	policy    settings.Policy
+	sealer    *ticket.Sealer
+	ledger    *ledger
+	archives  map[source]*archive
+	gate      *admission.Gate
+	budget    *admission.Budget
+	rnd       *rand.Rand
+	jobs      map[uint64]*job
+	bySeq     map[uint64]*job
+	inFlight  map[uint32]int
+	nextID    uint64
+	draining  bool
+	accepting bool
+	suspect   bool
+	warmSince time.Time
+}
+
+func newCore(c Config, sealer *ticket.Sealer, now time.Time) *core {
+	policy := c.Policy()
+	return &core{
+		started: now,
+		policy:  policy,
+		sealer:  sealer,
+		ledger: ticket.NewLedger[*bramleyv1.CallResponse](ticket.Config{
+			Service:        c.Service,
+			Server:         c.Server,
+			Incarnation:    c.Incarnation,
+			Lifetime:       policy.TicketLifetime,
+			AnswerLifetime: policy.RecordLifetime,
+			AnswerBytes:    policy.RecordBytes,
+			Window:         c.Window,
+		}),
+		archives: make(map[source]*archive),
+		gate: admission.NewGate(admission.Config{
+			Slots:              admission.SlowStart(policy.Slots, 0, policy.SlowStart),
+			QueueLength:        policy.QueueLength,
+			InitialServiceTime: defaultServiceTime,
+		}),
+		budget:    admission.NewBudget(policy.RetryBudget, retryBurst),
+		rnd:       c.Rand,
+		jobs:      make(map[uint64]*job),
+		bySeq:     make(map[uint64]*job),
+		inFlight:  make(map[uint32]int),
+		accepting: true,
+		warmSince: now,
+	}
+}
+
+func (c *core) age(now time.Time) time.Duration {
+	return now.Sub(c.started)
+}
+
+// tick takes a change of policy and the progress of the slow start into account.
+func (c *core) tick(now time.Time, policy settings.Policy) {
+	c.policy = policy
+	c.budget.Share = policy.RetryBudget
+	c.ledger.SetLimits(policy.TicketLifetime, policy.RecordLifetime, policy.RecordBytes)
+	slots := admission.SlowStart(policy.Slots, now.Sub(c.warmSince), policy.SlowStart)
+	c.apply(now, c.gate.SetLimits(c.age(now), slots, policy.QueueLength))
+}
+
+// mint returns a sealed ticket, or nil when this owner starts no more requests.
+func (c *core) mint(now time.Time) []byte {
+	if c.draining || !c.accepting {
+		return nil
+	}
+	return c.sealer.Seal(c.ledger.Mint(c.age(now)))
+}
+
+func (c *core) retryAfter() time.Duration {
+	return admission.RetryAfter(c.gate.ExpectedWait(), c.policy.RetryAfter, c.rnd)
+}
+
+// claim presents a ticket of this owner. The job is set for a fresh ticket, and for a copy of a request
+// that is still in progress.
+func (c *core) claim(now time.Time, t ticket.Ticket, req *bramleyv1.CallRequest) (verdict, *job) {
+	v := c.ledger.Claim(c.age(now), t, fingerprint(req))
+	switch v.State {
+	case ticket.StateFresh:
+		j := c.newJob(req)
+		j.ticketed = true
+		j.sequence = t.Sequence
+		c.bySeq[t.Sequence] = j
+		return v, j
+	case ticket.StateClaimed:
+		j := c.bySeq[t.Sequence]
+		j.callers++
+		return v, j
+	}
+	return v, nil
+}
+
+func (c *core) newJob(req *bramleyv1.CallRequest) *job {
+	c.nextID++
+	j := &job{
+		id:      c.nextID,
+		req:     req,
+		callers: 1,
+		grant:   make(chan bool, 1),
+		done:    make(chan struct{}),
+		tried:   make(map[uint32]bool),
+	}
+	c.jobs[j.id] = j
+	return j
+}
+
+// leave takes one caller of a job away. The last caller abandons the job: one that has not started never
+// will, and one that has started is canceled. It returns what is then true for the caller.
+func (c *core) leave(j *job) bramleyv1.Outcome {
+	j.callers--
+	if j.callers > 0 {
+		return bramleyv1.Outcome_OUTCOME_RUNNING
+	}
+	j.cancel()
+	j.abandoned = true
+	if j.started {
+		return bramleyv1.Outcome_OUTCOME_UNKNOWN
+	}
+	c.gate.Cancel(j.id)
+	return bramleyv1.Outcome_OUTCOME_NOT_RUN
+}
+
+// finish records how a job ended and wakes its callers.
+func (c *core) finish(now time.Time, j *job, r result) {
+	delete(c.jobs, j.id)
+	if r.answer != nil {
+		c.budget.Success()
+	}
+	if j.ticketed {
+		delete(c.bySeq, j.sequence)
+		c.settle(now, j, r)
+	}
+	j.result = r
+	j.finished = true
+	close(j.done)
+}
+
+func (c *core) settle(now time.Time, j *job, r result) {
+	switch {
+	case r.answer != nil:
+		c.ledger.Answer(c.age(now), j.sequence, r.answer, proto.Size(r.answer))
+	case r.outcome == bramleyv1.Outcome_OUTCOME_NOT_RUN:
+		c.ledger.Burn(j.sequence)
+	case r.outcome == bramleyv1.Outcome_OUTCOME_FAILED:
+		c.ledger.Ran(j.sequence)
+	default:
+		c.ledger.Undecided(j.sequence)
+	}
+}
+
+// apply tells waiting jobs what a change of the gate means for them.
+func (c *core) apply(now time.Time, change admission.Change) {
+	for _, id := range change.Shed {
+		c.jobs[id].grant <- false
+	}
+	for _, id := range change.Start {
+		c.start(now, c.jobs[id])
+	}
+}
+
+func (c *core) start(now time.Time, j *job) {
+	if c.forbidden(now, j) != "" {
+		j.grant <- false
+		c.apply(now, c.gate.Release(c.age(now)))
+		return
+	}
+	c.placedHere(now, j)
+	j.grant <- true
+}
+
+// release frees the slot of a job that the upstream has run for took.
+func (c *core) release(now time.Time, took time.Duration, whole bool) {
+	if whole {
+		c.apply(now, c.gate.Done(c.age(now), took))
+		return
+	}
+	c.apply(now, c.gate.Release(c.age(now)))
+}
+
+// cancelAll ends the goroutines of the jobs.
+func (c *core) cancelAll() {
+	for _, j := range c.jobs {
+		j.cancel()
+	}
+}
+
+func (c *core) load() *bramleyv1.Load {
+	return &bramleyv1.Load{
+		BusySlots: uint32(c.gate.Busy()),
+		Slots:     uint32(c.gate.Slots()),
+		Queued:    uint32(c.gate.Waiting()),
+	}
+}
--- /dev/null
+++ b/internal/request/executor_test.go
@@ -0,0 +1,262 @@
+package request_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"math/rand"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+
+	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
+	"github.com/bramleyrack/bramleyrack/gen/bramley/v1/bramleyv1connect"
+	"github.com/bramleyrack/bramleyrack/internal/request"
+	"github.com/bramleyrack/bramleyrack/settings"
+)
+
+// fakeUpstream counts the runs of each request.
+type fakeUpstream struct {
+	bramleyv1connect.UpstreamServiceClient
+	took time.Duration
+	// fail may replace the answer of the run with the given number, which starts at 1.
+	fail func(run int, req *bramleyv1.CallRequest) (*bramleyv1.CallResponse, error)
+
+	mu   sync.Mutex
+	runs map[string]int
+	n    int
+}
+
+func (u *fakeUpstream) Call(ctx context.Context, req *connect.Request[bramleyv1.CallRequest]) (*connect.Response[bramleyv1.CallResponse], error) {
+	u.mu.Lock()
+	u.n++
+	n := u.n
+	if u.runs == nil {
+		u.runs = make(map[string]int)
+	}
+	u.runs[req.Msg.GetRequestId()]++
+	u.mu.Unlock()
+	select {
+	case <-time.After(u.took):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if u.fail != nil {
+		if answer, err := u.fail(n, req.Msg); answer != nil || err != nil {
+			return connect.NewResponse(answer), err
+		}
+	}
+	return connect.NewResponse(answerTo(req.Msg)), nil
+}
+
+func (u *fakeUpstream) count(id string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.runs[id]
+}
+
+func answerTo(req *bramleyv1.CallRequest) *bramleyv1.CallResponse {
+	body := []byte("answer to " + req.GetRequestId())
+	digest := sha256.Sum256(body)
+	return &bramleyv1.CallResponse{RequestId: req.GetRequestId(), Body: body, Digest: digest[:]}
+}
+
+// fakePeers joins executors in one process. A server in cut is not reached; one in mute receives and
+// never answers.
+type fakePeers struct {
+	self    uint32
+	fleet   map[uint32]*request.Executor
+	cut     map[uint32]bool
+	mute    map[uint32]bool
+	silent  map[uint32]bool
+	sent    map[uint32]int
+	blocked chan struct{}
+}
+
+func (p *fakePeers) Execute(ctx context.Context, server uint32, req *bramleyv1.ExecuteRequest) (*bramleyv1.ExecuteResponse, error) {
+	peer := p.fleet[server]
+	if peer == nil || p.cut[server] {
+		return nil, fmt.Errorf("dial server %d: %w", server, request.ErrNotDelivered)
+	}
+	p.sent[server]++
+	answer := peer.Execute(ctx, req)
+	if p.mute[server] {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return answer, nil
+}
+
+func (p *fakePeers) Loads() []request.PeerLoad {
+	var loads []request.PeerLoad
+	for server := uint32(1); server <= 8; server++ {
+		peer := p.fleet[server]
+		if peer == nil || server == p.self {
+			continue
+		}
+		load := peer.Load()
+		loads = append(loads, request.PeerLoad{
+			Server:    server,
+			Busy:      int(load.GetBusySlots()),
+			Slots:     int(load.GetSlots()),
+			Queued:    int(load.GetQueued()),
+			Accepting: true,
+			Silent:    p.silent[server],
+		})
+	}
+	return loads
+}
+
+func testPolicy() settings.Policy {
+	policy := settings.DefaultPolicy()
+	policy.Slots = 2
+	policy.SlowStart = 0
+	return policy
+}
+
+func newExecutor(t *testing.T, server uint32, upstream *fakeUpstream, peers request.Peers, change ...func(*request.Config)) *request.Executor {
+	t.Helper()
+	config := request.Config{
+		Service:     1,
+		Server:      server,
+		Incarnation: 100,
+		Keys:        [2][]byte{make([]byte, 32), nil},
+		Upstream:    upstream,
+		Peers:       peers,
+		Policy:      testPolicy,
+		Now:         time.Now,
+		Rand:        rand.New(rand.NewSource(int64(server))),
+	}
+	for _, f := range change {
+		f(&config)
+	}
+	e := request.New(config)
+	t.Cleanup(e.Close)
+	return e
+}
+
+// newFleet starts executors with the given servers; the returned peers belong to the first of them.
+func newFleet(t *testing.T, upstream *fakeUpstream, servers ...uint32) (map[uint32]*request.Executor, map[uint32]*fakePeers) {
+	fleet := make(map[uint32]*request.Executor)
+	links := make(map[uint32]*fakePeers)
+	for _, server := range servers {
+		links[server] = &fakePeers{
+			self:   server,
+			fleet:  fleet,
+			cut:    make(map[uint32]bool),
+			mute:   make(map[uint32]bool),
+			silent: make(map[uint32]bool),
+			sent:   make(map[uint32]int),
+		}
+		fleet[server] = newExecutor(t, server, upstream, links[server])
+	}
+	return fleet, links
+}
+
+func order(id string, ticket []byte) *bramleyv1.CallRequest {
+	return &bramleyv1.CallRequest{RequestId: id, Method: "order", Ticket: ticket, Body: []byte(id)}
+}
+
+func freshTicket(t *testing.T, e *request.Executor) []byte {
+	t.Helper()
+	_, refusal := e.Call(t.Context(), order("first", nil))
+	if refusal.GetOutcome() != bramleyv1.Outcome_OUTCOME_NOT_RUN || len(refusal.GetNextTicket()) == 0 {
+		t.Fatalf("refusal %v", refusal)
+	}
+	return refusal.GetNextTicket()
+}
+
+func wantOutcome(t *testing.T, refusal *bramleyv1.Refusal, want bramleyv1.Outcome) {
+	t.Helper()
+	if refusal.GetOutcome() != want {
+		t.Fatalf("outcome %v (%s), want %v", refusal.GetOutcome(), refusal.GetReason(), want)
+	}
+}
+
+func TestRepeatIsAnsweredFromTheRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := &fakeUpstream{took: time.Second}
+		e := newExecutor(t, 1, upstream, nil)
+		req := order("a", freshTicket(t, e))
+		first, refusal := e.Call(t.Context(), req)
+		if refusal != nil || first.GetReplayed() || first.GetUpstream() != 1 {
+			t.Fatalf("first %v %v", first, refusal)
+		}
+		again, refusal := e.Call(t.Context(), req)
+		if refusal != nil || !again.GetReplayed() || string(again.GetBody()) != string(first.GetBody()) {
+			t.Fatalf("again %v %v", again, refusal)
+		}
+		if upstream.count("a") != 1 {
+			t.Fatalf("ran %d times", upstream.count("a"))
+		}
+	})
+}
+
+func TestCopiesJoinTheRunningRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := &fakeUpstream{took: time.Second}
+		e := newExecutor(t, 1, upstream, nil)
+		req := order("a", freshTicket(t, e))
+		var group sync.WaitGroup
+		for range 5 {
+			group.Go(func() {
+				if answer, refusal := e.Call(t.Context(), req); answer == nil {
+					t.Errorf("refusal %v", refusal)
+				}
+			})
+		}
+		group.Wait()
+		if upstream.count("a") != 1 {
+			t.Fatalf("ran %d times", upstream.count("a"))
+		}
+	})
+}
+
+func TestRefusedTicketNeverRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := &fakeUpstream{fail: func(run int, _ *bramleyv1.CallRequest) (*bramleyv1.CallResponse, error) {
+			if run == 1 {
+				return nil, wireRefusal(bramleyv1.Outcome_OUTCOME_NOT_RUN)
+			}
+			return nil, nil
+		}}
+		e := newExecutor(t, 1, upstream, nil)
+		req := order("a", freshTicket(t, e))
+		for range 2 {
+			_, refusal := e.Call(t.Context(), req)
+			wantOutcome(t, refusal, bramleyv1.Outcome_OUTCOME_NOT_RUN)
+		}
+		if upstream.count("a") != 1 {
+			t.Fatalf("sent %d times", upstream.count("a"))
+		}
+	})
+}
+
+func wireRefusal(outcome bramleyv1.Outcome) error {
+	err := connect.NewWireError(connect.CodeResourceExhausted, errors.New("refused"))
+	detail, _ := connect.NewErrorDetail(&bramleyv1.Refusal{Outcome: outcome})
+	err.AddDetail(detail)
+	return err
+}
+
+func TestCopyAtAnotherServerReachesItsOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := &fakeUpstream{took: time.Second}
+		fleet, links := newFleet(t, upstream, 1, 2)
+		req := order("a", freshTicket(t, fleet[1]))
+		if _, refusal := fleet[2].Call(t.Context(), req); refusal != nil {
+			t.Fatal(refusal)
+		}
+		answer, refusal := fleet[1].Call(t.Context(), req)
+		if refusal != nil || !answer.GetReplayed() || upstream.count("a") != 1 {
+			t.Fatalf("answer %v %v, ran %d times", answer, refusal, upstream.count("a"))
+		}
+		links[2].cut[1] = true
+		_, refusal = fleet[2].Call(t.Context(), order("b", freshTicket(t, fleet[1])))
+		wantOutcome(t, refusal, bramleyv1.Outcome_OUTCOME_NOT_DELIVERED)
+	})
+}
--- /dev/null
+++ b/internal/request/refusal.go
@@ -0,0 +1,61 @@
+package request
+
+import (
+	"errors"
+	"time"
+
+	"connectrpc.com/connect"
+
+	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
+)
+
+// RefusalError returns the Connect error that carries r as its detail.
+func RefusalError(r *bramleyv1.Refusal) *connect.Error {
+	err := connect.NewError(code(r.GetOutcome()), errors.New(r.GetReason()))
+	if detail, detailErr := connect.NewErrorDetail(r); detailErr == nil {
+		err.AddDetail(detail)
+	}
+	return err
+}
+
+func code(outcome bramleyv1.Outcome) connect.Code {
+	switch outcome {
+	case bramleyv1.Outcome_OUTCOME_NOT_RUN:
+		return connect.CodeResourceExhausted
+	case bramleyv1.Outcome_OUTCOME_NOT_DELIVERED:
+		return connect.CodeUnavailable
+	case bramleyv1.Outcome_OUTCOME_ALREADY_RUN:
+		return connect.CodeAlreadyExists
+	case bramleyv1.Outcome_OUTCOME_RUNNING:
+		return connect.CodeAborted
+	case bramleyv1.Outcome_OUTCOME_FAILED:
+		return connect.CodeInternal
+	default:
+		return connect.CodeUnknown
+	}
+}
+
+// refusalDetail returns the refusal that err carries from the wire, or nil.
+func refusalDetail(err error) *bramleyv1.Refusal {
+	var connectErr *connect.Error
+	if !errors.As(err, &connectErr) || !connect.IsWireError(err) {
+		return nil
+	}
+	for _, detail := range connectErr.Details() {
+		value, valueErr := detail.Value()
+		if valueErr != nil {
+			continue
+		}
+		if refusal, ok := value.(*bramleyv1.Refusal); ok {
+			return refusal
+		}
+	}
+	return nil
+}
+
+func milliseconds(d time.Duration) uint32 {
+	if d <= 0 {
+		return 0
+	}
+	return uint32((d + time.Millisecond - 1) / time.Millisecond)
+}
--- /dev/null
+++ b/internal/request/run.go
@@ -0,0 +1,212 @@
+package request
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"connectrpc.com/connect"
+
+	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
+)
+
+// silencePoll is how often a request at a peer checks that the peer is still heard from.
+const silencePoll = 250 * time.Millisecond
+
+// execute brings a job to its end.
+func (e *Executor) execute(ctx context.Context, j *job) {
+	defer j.cancel()
+	r := e.attempts(ctx, j)
+	_ = e.do(context.Background(), func(c *core) { c.finish(e.config.Now(), j, r) })
+}
+
+// attempts places the job until it has run or may not be tried again.
+func (e *Executor) attempts(ctx context.Context, j *job) result {
+	last := notRun("server has stopped")
+	for first := true; ; first = false {
+		d, err := e.placeJob(ctx, j)
+		if err != nil {
+			return last
+		}
+		if d.place == placeNowhere {
+			if first {
+				return notRun(d.reason)
+			}
+			return last
+		}
+		last = e.attempt(ctx, j, d)
+		if !retryable(j.req, last) {
+			return last
+		}
+	}
+}
+
+// retryable reports whether another run does no harm.
+func retryable(req *bramleyv1.CallRequest, r result) bool {
+	if r.answer != nil || r.outcome == bramleyv1.Outcome_OUTCOME_FAILED {
+		return false
+	}
+	return req.GetIdempotent() || r.provesNotRun()
+}
+
+func (e *Executor) attempt(ctx context.Context, j *job, d decision) result {
+	if d.place == placePeer {
+		return e.delegate(ctx, j, d.server)
+	}
+	return e.runHere(ctx, j.req, j.grantedAt)
+}
+
+// placeJob waits until the job is placed here, at a peer or nowhere.
+func (e *Executor) placeJob(ctx context.Context, j *job) (decision, error) {
+	var d decision
+	loads := e.config.Peers.Loads()
+	err := e.do(ctx, func(c *core) { d = c.place(e.config.Now(), j, loads) })
+	if err != nil || d.place != placeQueue {
+		return d, err
+	}
+	return e.awaitGrant(ctx, j), nil
+}
+
+func (e *Executor) awaitGrant(ctx context.Context, j *job) decision {
+	select {
+	case granted := <-j.grant:
+		return grantDecision(granted)
+	case <-e.stopped:
+		return decision{reason: "server has stopped"}
+	case <-ctx.Done():
+	}
+	d := decision{reason: "deadline passed in the queue"}
+	_ = e.do(context.Background(), func(c *core) {
+		c.gate.Cancel(j.id)
+		select {
+		case granted := <-j.grant:
+			d = grantDecision(granted)
+		default:
+		}
+	})
+	return d
+}
+
+func grantDecision(granted bool) decision {
+	if granted {
+		return decision{place: placeHere}
+	}
+	return decision{reason: "no slot becomes free before the deadline"}
+}
+
+// runHere runs a request that holds a slot, and frees the slot.
+func (e *Executor) runHere(ctx context.Context, req *bramleyv1.CallRequest, granted time.Time) result {
+	start := e.config.Now()
+	r := e.callUpstream(ctx, req, granted)
+	now := e.config.Now()
+	_ = e.do(context.Background(), func(c *core) { c.release(now, now.Sub(start), r.answer != nil) })
+	return r
+}
+
+func (e *Executor) callUpstream(ctx context.Context, req *bramleyv1.CallRequest, granted time.Time) result {
+	now := e.config.Now()
+	deadline, _ := ctx.Deadline()
+	if ctx.Err() != nil || !now.Before(deadline) {
+		return notRun("deadline passed before the request started")
+	}
+	if !req.GetIdempotent() && e.paused(granted, now) {
+		return notRun("server was paused before the request started")
+	}
+	response, err := e.config.Upstream.Call(ctx, connect.NewRequest(upstreamRequest(req)))
+	switch {
+	case err == nil:
+		r := verify(req, response.Msg)
+		if r.answer != nil {
+			r.answer.Upstream = e.config.Server
+		}
+		return r
+	case ctx.Err() != nil:
+		return abandoned(ctx)
+	}
+	return classify(err)
+}
+
+// upstreamRequest returns req without its ticket, which is no business of the upstream.
+func upstreamRequest(req *bramleyv1.CallRequest) *bramleyv1.CallRequest {
+	return &bramleyv1.CallRequest{
+		RequestId:  req.GetRequestId(),
+		Method:     req.GetMethod(),
+		Idempotent: req.GetIdempotent(),
+		Body:       req.GetBody(),
+	}
+}
+
+// delegate has a peer run the job once.
+func (e *Executor) delegate(ctx context.Context, j *job, server uint32) result {
+	r := e.executeAt(ctx, server, &bramleyv1.ExecuteRequest{Call: j.req, Delegated: true})
+	_ = e.do(context.Background(), func(c *core) { c.returned(server) })
+	if r.outcome == bramleyv1.Outcome_OUTCOME_NOT_DELIVERED {
+		return notRun(r.reason)
+	}
+	return r
+}
+
+// executeAt sends a request to a peer and stops waiting when the peer falls silent.
+func (e *Executor) executeAt(ctx context.Context, server uint32, req *bramleyv1.ExecuteRequest) result {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go e.cancelWhenSilent(ctx, cancel, server)
+	if deadline, ok := ctx.Deadline(); ok {
+		req.DeadlineMs = milliseconds(deadline.Sub(e.config.Now()))
+	}
+	req.From = &bramleyv1.Identity{
+		Service:     e.config.Service,
+		Server:      e.config.Server,
+		Incarnation: e.config.Incarnation,
+	}
+	response, err := e.config.Peers.Execute(ctx, server, req)
+	if err != nil {
+		return undelivered(err)
+	}
+	return peerResult(req.GetCall(), response)
+}
+
+func undelivered(err error) result {
+	if errors.Is(err, ErrNotDelivered) {
+		return refused(bramleyv1.Outcome_OUTCOME_NOT_DELIVERED, "server was not reached")
+	}
+	return unknown("server fell silent after the request was sent")
+}
+
+func peerResult(req *bramleyv1.CallRequest, response *bramleyv1.ExecuteResponse) result {
+	if answer := response.GetAnswer(); answer != nil {
+		return verify(req, answer)
+	}
+	refusal := response.GetRefusal()
+	if refusal.GetOutcome() == bramleyv1.Outcome_OUTCOME_UNSPECIFIED {
+		return unknown("peer sent an empty answer")
+	}
+	r := refused(refusal.GetOutcome(), refusal.GetReason())
+	r.answered = true
+	return r
+}
+
+func (e *Executor) cancelWhenSilent(ctx context.Context, cancel context.CancelCauseFunc, server uint32) {
+	ticker := time.NewTicker(silencePoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if e.silent(server) {
+				cancel(nil)
+				return
+			}
+		}
+	}
+}
+
+func (e *Executor) silent(server uint32) bool {
+	for _, load := range e.config.Peers.Loads() {
+		if load.Server == server {
+			return load.Silent
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/ticket/marks.go
@@ -0,0 +1,60 @@
+package ticket
+
+// mark is the two-bit memory of one ticket.
+type mark uint8
+
+const (
+	markUnused mark = iota
+	markBurned
+	markRan
+	markUndecided
+
+	markBits     = 2
+	marksPerByte = 8 / markBits
+	markMask     = 1<<markBits - 1
+)
+
+// marks is a ring that holds the mark of each sequence in [floor, next).
+type marks struct {
+	floor uint64
+	next  uint64
+	size  uint64
+	ring  []byte
+}
+
+func newMarks(window int) marks {
+	size := (window + marksPerByte - 1) / marksPerByte * marksPerByte
+	return marks{size: uint64(size), ring: make([]byte, size/marksPerByte)}
+}
+
+// extend adds a sequence, unused, and forgets the oldest when the ring is full.
+func (m *marks) extend() uint64 {
+	sequence := m.next
+	if m.next-m.floor == m.size {
+		m.floor++
+	}
+	m.next++
+	m.set(sequence, markUnused)
+	return sequence
+}
+
+func (m *marks) get(sequence uint64) (mark, bool) {
+	if sequence < m.floor || sequence >= m.next {
+		return markUnused, false
+	}
+	index, shift := m.position(sequence)
+	return mark(m.ring[index]>>shift) & markMask, true
+}
+
+func (m *marks) set(sequence uint64, value mark) {
+	if sequence < m.floor || sequence >= m.next {
+		return
+	}
+	index, shift := m.position(sequence)
+	m.ring[index] = m.ring[index]&^(markMask<<shift) | byte(value)<<shift
+}
+
+func (m *marks) position(sequence uint64) (index uint64, shift uint) {
+	slot := sequence % m.size
+	return slot / marksPerByte, uint(slot%marksPerByte) * markBits
+}
--- /dev/null
+++ b/ticket/ticket.go
@@ -0,0 +1,98 @@
+// Package ticket allows each request that is not idempotent to run at most once.
+//
+// A ticket is minted by one incarnation of one server, its owner, and only the owner may start the
+// request that carries it. The owner's Ledger remembers what became of each ticket, so no agreement
+// between servers is needed. The package is pure: the time is passed in as the owner's monotonic age.
+package ticket
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"time"
+)
+
+const (
+	// Size is the length of a sealed ticket in bytes.
+	Size = bodySize + macSize
+	// KeySize is the length of a sealing key in bytes.
+	KeySize = 32
+
+	bodySize = 32
+	macSize  = 16
+)
+
+// ErrInvalid means that a ticket is malformed or that no valid key sealed it.
+var ErrInvalid = errors.New("invalid ticket")
+
+// Ticket names one permitted run of a request.
+type Ticket struct {
+	Service     uint32
+	Server      uint32
+	Incarnation uint64
+	Sequence    uint64
+	// Issued is the age of the owner when it minted the ticket, in whole milliseconds.
+	Issued time.Duration
+}
+
+// Sealer seals and opens tickets with the current key; it opens those of the previous key too.
+type Sealer struct {
+	keys [][]byte
+}
+
+// NewSealer returns a Sealer. The previous key may be nil.
+func NewSealer(current, previous []byte) (*Sealer, error) {
+	s := &Sealer{keys: [][]byte{current}}
+	if previous != nil {
+		s.keys = append(s.keys, previous)
+	}
+	for _, key := range s.keys {
+		if len(key) != KeySize {
+			return nil, fmt.Errorf("ticket key has %d bytes, want %d", len(key), KeySize)
+		}
+	}
+	return s, nil
+}
+
+// Seal returns the wire form of t.
+func (s *Sealer) Seal(t Ticket) []byte {
+	b := make([]byte, 0, Size)
+	b = binary.BigEndian.AppendUint32(b, t.Service)
+	b = binary.BigEndian.AppendUint32(b, t.Server)
+	b = binary.BigEndian.AppendUint64(b, t.Incarnation)
+	b = binary.BigEndian.AppendUint64(b, t.Sequence)
+	b = binary.BigEndian.AppendUint64(b, uint64(t.Issued.Milliseconds()))
+	return append(b, authenticate(s.keys[0], b)...)
+}
+
+// Open returns the ticket in b, or ErrInvalid.
+func (s *Sealer) Open(b []byte) (Ticket, error) {
+	if len(b) != Size {
+		return Ticket{}, ErrInvalid
+	}
+	body, mac := b[:bodySize], b[bodySize:]
+	for _, key := range s.keys {
+		if hmac.Equal(mac, authenticate(key, body)) {
+			return decode(body), nil
+		}
+	}
+	return Ticket{}, ErrInvalid
+}
+
+func decode(body []byte) Ticket {
+	return Ticket{
+		Service:     binary.BigEndian.Uint32(body[0:]),
+		Server:      binary.BigEndian.Uint32(body[4:]),
+		Incarnation: binary.BigEndian.Uint64(body[8:]),
+		Sequence:    binary.BigEndian.Uint64(body[16:]),
+		Issued:      time.Duration(binary.BigEndian.Uint64(body[24:])) * time.Millisecond,
+	}
+}
+
+func authenticate(key, body []byte) []byte {
+	mac := hmac.New(sha256.New, key)
+	mac.Write(body)
+	return mac.Sum(make([]byte, 0, sha256.Size))[:macSize]
+}
