--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -116,7 +116,7 @@
 // Call runs one request in a slot.
 func (u *Upstream) Call(ctx context.Context, req *connect.Request[bramleyv1.CallRequest]) (*connect.Response[bramleyv1.CallResponse], error) {
 	if u.draining.Load() {
-		return nil, connect.NewError(connect.CodeUnavailable, errDraining)
+		return nil, notRun(connect.CodeUnavailable, errDraining)
 	}
 	body, err := content.DecodeBody(req.Msg.GetBody())
 	if err != nil {
@@ -128,7 +128,7 @@
 	}
 	if !u.slots.acquire() {
 		u.ledger.change(func(r *Report) { r.OverSlots++ })
-		return nil, connect.NewError(connect.CodeResourceExhausted, errBusy)
+		return nil, notRun(connect.CodeResourceExhausted, errBusy)
 	}
 	defer u.slots.release()
 	u.begin(req.Msg, body)
