--- /dev/null
+++ b/internal/balancer/counters.go
@@ -0,0 +1,37 @@
+package balancer
+
+import "sync/atomic"
+
+// counters counts the packets of a balancer.
+type counters struct {
+	routes           [routeKinds]atomic.Uint64
+	returned         atomic.Uint64
+	malformedReturns atomic.Uint64
+	unknownReturns   atomic.Uint64
+	writeFailures    atomic.Uint64
+	probes           atomic.Uint64
+}
+
+// takeFailed moves the failures of a writer into the counters.
+func (c *counters) takeFailed(w *writer) {
+	if w.failed > 0 {
+		c.writeFailures.Add(w.failed)
+		w.failed = 0
+	}
+}
+
+// Counters returns the counts since the start by name.
+func (b *Balancer) Counters() map[string]uint64 {
+	c := b.counts
+	counts := map[string]uint64{
+		"returned":          c.returned.Load(),
+		"malformed_returns": c.malformedReturns.Load(),
+		"unknown_returns":   c.unknownReturns.Load(),
+		"write_failures":    c.writeFailures.Load(),
+		"probes":            c.probes.Load(),
+	}
+	for kind, name := range routeNames {
+		counts["route_"+name] = c.routes[kind].Load()
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/balancer/forward.go
@@ -0,0 +1,94 @@
+package balancer
+
+import (
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"golang.org/x/net/ipv4"
+
+	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
+	"github.com/bramleyrack/bramleyrack/internal/datagram"
+)
+
+// forwarder carries the packets of callers of one service to agents.
+type forwarder struct {
+	service uint32
+	socket  *socket
+	agents  *socket
+	table   *atomic.Pointer[table]
+	router  router
+	header  bramleyv1.DatagramHeader
+	caller  []byte
+	writer  *writer
+	counts  *counters
+}
+
+func newForwarder(b *Balancer, service uint32, s *socket) *forwarder {
+	return &forwarder{
+		service: service,
+		socket:  s,
+		agents:  b.agents,
+		table:   &b.table,
+		router:  router{codec: b.config.Codec},
+		header: bramleyv1.DatagramHeader{
+			Kind:     bramleyv1.DatagramKind_DATAGRAM_KIND_FORWARD,
+			Service:  service,
+			Balancer: datagram.PutAddr(b.agents.localAddr()),
+		},
+		writer: newWriter(b.config.Batch),
+		counts: b.counts,
+	}
+}
+
+// run forwards until the socket is closed.
+func (f *forwarder) run() error {
+	messages := newMessages(len(f.writer.messages))
+	for {
+		n, err := f.socket.batch.ReadBatch(messages, 0)
+		if err != nil {
+			return err
+		}
+		f.forward(messages[:n])
+	}
+}
+
+func (f *forwarder) forward(messages []ipv4.Message) {
+	t := f.table.Load()
+	s := t.services[f.service]
+	if s == nil {
+		f.counts.routes[routeNoAgent].Add(uint64(len(messages)))
+		return
+	}
+	f.header.Revision = t.revision
+	for i := range messages {
+		f.forwardOne(s, &messages[i])
+	}
+	f.writer.flush(f.agents)
+	f.counts.takeFailed(f.writer)
+}
+
+func (f *forwarder) forwardOne(s *serviceTable, m *ipv4.Message) {
+	udp, ok := m.Addr.(*net.UDPAddr)
+	if !ok || m.N > datagram.MaxPacket {
+		f.counts.routes[routeMalformed].Add(1)
+		return
+	}
+	packet := m.Buffers[0][:m.N]
+	caller := unmapped(udp.AddrPort())
+	r := f.router.route(s, packet, caller)
+	f.counts.routes[r.kind].Add(1)
+	if r.agent == nil {
+		return
+	}
+	f.caller = datagram.AppendAddr(f.caller[:0], caller)
+	f.header.Caller = f.caller
+	f.header.Server = r.agent.server
+	f.header.Candidates = r.candidates
+	f.writer.add(datagram.Append(f.writer.next(), &f.header, packet), r.agent.udp)
+	r.agent.progress.forwarded.Add(1)
+}
+
+func unmapped(address netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
+}
--- /dev/null
+++ b/internal/balancer/keeper.go
@@ -0,0 +1,212 @@
+package balancer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
+	"github.com/bramleyrack/bramleyrack/internal/datagram"
+	"github.com/bramleyrack/bramleyrack/placement"
+	"github.com/bramleyrack/bramleyrack/settings"
+)
+
+// keepInterval is the time between two looks at the settings and at the progress of agents.
+const keepInterval = 100 * time.Millisecond
+
+// listenInterval is the time between two tries to open a socket that could not be opened.
+const listenInterval = time.Second
+
+// keeper owns the table, the sockets towards callers and the liveness of agents.
+type keeper struct {
+	balancer *Balancer
+	start    func(*forwarder)
+	liveness *placement.Liveness
+	tree     *settings.Tree
+	progress []placement.Progress
+	healths  []placement.Health
+	writer   *writer
+	probe    uint64
+	cutOff   bool
+	// listened is the last time at which the sockets were matched with the services.
+	listened time.Duration
+	// bound holds the address that each socket was opened for.
+	bound map[uint32]netip.AddrPort
+}
+
+func newKeeper(b *Balancer, start func(*forwarder)) *keeper {
+	return &keeper{
+		balancer: b,
+		start:    start,
+		liveness: placement.NewLiveness(b.config.Liveness, b.now()),
+		writer:   newWriter(b.config.Batch),
+		bound:    map[uint32]netip.AddrPort{},
+	}
+}
+
+// run keeps the table until the context ends, then closes every socket.
+func (k *keeper) run(ctx context.Context) error {
+	defer k.close()
+	ticker := time.NewTicker(keepInterval)
+	defer ticker.Stop()
+	for {
+		k.keep(k.balancer.now())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (k *keeper) keep(now time.Duration) {
+	changed := k.checkLiveness(now)
+	tree := k.balancer.config.View.Current()
+	if tree == nil {
+		return
+	}
+	if tree != k.tree || changed {
+		k.rebuild(now, tree)
+	}
+	if tree != k.tree {
+		k.tree = tree
+		k.listened = 0
+		k.balancer.config.Event("settings-in-force", "revision", tree.Revision)
+	}
+	if k.listened == 0 || now-k.listened >= listenInterval {
+		k.listened = now
+		k.listen(tree)
+	}
+}
+
+func (k *keeper) rebuild(now time.Duration, tree *settings.Tree) {
+	previous := k.balancer.table.Load()
+	next := buildTable(now, tree, previous, k.liveness.Health, k.balancer.config.Retention)
+	k.balancer.table.Store(next)
+}
+
+// checkLiveness steps the liveness of all agents and reports whether any changed.
+func (k *keeper) checkLiveness(now time.Duration) bool {
+	agents := k.balancer.table.Load().agents
+	k.progress = k.progress[:0]
+	k.healths = k.healths[:0]
+	for _, a := range agents {
+		k.progress = append(k.progress, placement.Progress{
+			Server:    a.server,
+			Forwarded: a.progress.forwarded.Load(),
+			Returned:  a.progress.returned.Load(),
+		})
+		k.healths = append(k.healths, k.liveness.Health(a.server))
+	}
+	k.ping(k.liveness.Step(now, k.progress))
+	k.reportCutOff()
+	return k.reportChanges(agents)
+}
+
+func (k *keeper) reportCutOff() {
+	if cutOff := k.liveness.CutOff(); cutOff != k.cutOff {
+		k.cutOff = cutOff
+		k.balancer.config.Event("cut-off", "cut_off", cutOff)
+	}
+}
+
+func (k *keeper) reportChanges(agents []*agent) bool {
+	changed := false
+	for i, a := range agents {
+		health := k.liveness.Health(a.server)
+		if health == k.healths[i] {
+			continue
+		}
+		changed = true
+		k.balancer.config.Event("agent-health", "server", a.server, "health", health.String())
+	}
+	return changed
+}
+
+// ping asks agents for a sign of life.
+func (k *keeper) ping(servers []uint32) {
+	t := k.balancer.table.Load()
+	for _, a := range t.agents {
+		if !slices.Contains(servers, a.server) {
+			continue
+		}
+		k.probe++
+		header := bramleyv1.DatagramHeader{
+			Kind:     bramleyv1.DatagramKind_DATAGRAM_KIND_PING,
+			Service:  a.service,
+			Server:   a.server,
+			Revision: t.revision,
+			Balancer: datagram.PutAddr(k.balancer.AgentAddress()),
+			Probe:    k.probe,
+		}
+		if k.writer.full() {
+			k.writer.flush(k.balancer.agents)
+		}
+		k.writer.add(datagram.Append(k.writer.next(), &header, nil), a.udp)
+		a.progress.forwarded.Add(1)
+		k.balancer.counts.probes.Add(1)
+	}
+	k.writer.flush(k.balancer.agents)
+	k.balancer.counts.takeFailed(k.writer)
+}
+
+// listen opens a socket for each service in force and closes those of other ones.
+func (k *keeper) listen(tree *settings.Tree) {
+	before := *k.balancer.listeners.Load()
+	after := map[uint32]*socket{}
+	for i := range tree.Services {
+		service := &tree.Services[i]
+		address := k.address(service)
+		if s := before[service.Number]; s != nil && k.bound[service.Number] == address {
+			after[service.Number] = s
+			continue
+		}
+		if s := k.open(service, address); s != nil {
+			after[service.Number] = s
+		}
+	}
+	k.balancer.listeners.Store(&after)
+	for number, s := range before {
+		if after[number] != s {
+			s.conn.Close()
+		}
+	}
+}
+
+func (k *keeper) address(service *settings.Service) netip.AddrPort {
+	if address, ok := k.balancer.config.Bind[service.Name]; ok {
+		return address
+	}
+	return service.Address
+}
+
+func (k *keeper) open(service *settings.Service, address netip.AddrPort) *socket {
+	s, err := listen(address, k.balancer.config.ReadBuffer)
+	if err != nil {
+		k.balancer.config.Event("listen-failed", "service", service.Name, "address", address, "error", err)
+		return nil
+	}
+	k.bound[service.Number] = address
+	k.start(newForwarder(k.balancer, service.Number, s))
+	k.balancer.config.Event("service-received", "service", service.Name, "address", s.localAddr())
+	return s
+}
+
+func (k *keeper) close() {
+	k.balancer.agents.conn.Close()
+	for _, s := range *k.balancer.listeners.Load() {
+		s.conn.Close()
+	}
+}
+
+// ignoreClosed hides the error of a socket that was closed on purpose.
+func ignoreClosed(ctx context.Context, err error) error {
+	if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/balancer/returns.go
@@ -0,0 +1,137 @@
+package balancer
+
+import (
+	"net"
+	"sync/atomic"
+
+	"golang.org/x/net/ipv4"
+
+	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
+	"github.com/bramleyrack/bramleyrack/internal/datagram"
+)
+
+// returner carries the packets of agents to callers and answers pings.
+type returner struct {
+	agents    *socket
+	view      View
+	table     *atomic.Pointer[table]
+	listeners *atomic.Pointer[map[uint32]*socket]
+	header    bramleyv1.DatagramHeader
+	pong      bramleyv1.DatagramHeader
+	callers   map[uint32]*writer
+	answers   *writer
+	batch     int
+	counts    *counters
+	// observed is the highest revision that was reported to the view.
+	observed uint64
+}
+
+func newReturner(b *Balancer) *returner {
+	return &returner{
+		agents:    b.agents,
+		view:      b.config.View,
+		table:     &b.table,
+		listeners: &b.listeners,
+		pong: bramleyv1.DatagramHeader{
+			Kind:     bramleyv1.DatagramKind_DATAGRAM_KIND_PONG,
+			Balancer: datagram.PutAddr(b.agents.localAddr()),
+		},
+		callers: map[uint32]*writer{},
+		answers: newWriter(b.config.Batch),
+		batch:   b.config.Batch,
+		counts:  b.counts,
+	}
+}
+
+// run returns packets until the socket is closed.
+func (r *returner) run() error {
+	messages := newMessages(r.batch)
+	for {
+		n, err := r.agents.batch.ReadBatch(messages, 0)
+		if err != nil {
+			return err
+		}
+		r.receive(messages[:n])
+	}
+}
+
+func (r *returner) receive(messages []ipv4.Message) {
+	t := r.table.Load()
+	for i := range messages {
+		r.receiveOne(t, &messages[i])
+	}
+	listeners := *r.listeners.Load()
+	for service, w := range r.callers {
+		if w.used == 0 {
+			continue
+		}
+		if s := listeners[service]; s != nil {
+			w.flush(s)
+		}
+		w.used = 0
+		r.counts.takeFailed(w)
+	}
+	r.answers.flush(r.agents)
+	r.counts.takeFailed(r.answers)
+}
+
+func (r *returner) receiveOne(t *table, m *ipv4.Message) {
+	udp, ok := m.Addr.(*net.UDPAddr)
+	if !ok {
+		return
+	}
+	payload, err := datagram.Split(m.Buffers[0][:m.N], &r.header)
+	if err != nil {
+		r.counts.malformedReturns.Add(1)
+		return
+	}
+	source := t.sources[unmapped(udp.AddrPort())]
+	if source != nil {
+		source.progress.returned.Add(1)
+		r.observe(t, source)
+	}
+	switch r.header.Kind {
+	case bramleyv1.DatagramKind_DATAGRAM_KIND_PING:
+		r.answer(t, udp)
+	case bramleyv1.DatagramKind_DATAGRAM_KIND_RETURN:
+		r.toCaller(source, payload)
+	}
+}
+
+// observe tells the view, once for each revision, that an agent has a higher one.
+func (r *returner) observe(t *table, source *agent) {
+	if r.header.Revision <= t.revision || r.header.Revision <= r.observed {
+		return
+	}
+	r.observed = r.header.Revision
+	r.view.Observe(r.header.Revision, source.peer)
+}
+
+func (r *returner) answer(t *table, to *net.UDPAddr) {
+	r.pong.Service = r.header.Service
+	r.pong.Server = r.header.Server
+	r.pong.Probe = r.header.Probe
+	r.pong.Revision = t.revision
+	r.answers.add(datagram.Append(r.answers.next(), &r.pong, nil), to)
+}
+
+// toCaller queues a packet if it comes from a known agent of the service that it names.
+func (r *returner) toCaller(source *agent, payload []byte) {
+	if source == nil || source.service != r.header.Service || source.server != r.header.Server {
+		r.counts.unknownReturns.Add(1)
+		return
+	}
+	caller, err := datagram.Addr(r.header.Caller)
+	if err != nil {
+		r.counts.malformedReturns.Add(1)
+		return
+	}
+	w := r.callers[source.service]
+	if w == nil {
+		w = newWriter(r.batch)
+		r.callers[source.service] = w
+	}
+	// The payload stays valid until the whole batch is written.
+	w.add(payload, net.UDPAddrFromAddrPort(caller))
+	r.counts.returned.Add(1)
+}
--- a/placement/liveness.go
+++ b/placement/liveness.go
@@ -174,7 +174,7 @@
 	for _, p := range progress {
 		a := l.agents[p.Server]
 		if a.waiting && now >= a.next {
-			a.next = now + l.config.ProbeInterval
+			a.next = now + l.probeDelay(a)
 			probes = append(probes, p.Server)
 		}
 	}
@@ -188,6 +188,16 @@
 	return probes
 }
 
+// goneProbeFactor lengthens the time between probes of an agent that is gone.
+const goneProbeFactor = 10
+
+func (l *Liveness) probeDelay(a *agentLiveness) time.Duration {
+	if a.health == HealthGone {
+		return goneProbeFactor * l.config.ProbeInterval
+	}
+	return l.config.ProbeInterval
+}
+
 // Health returns the health of an agent.
 func (l *Liveness) Health(server uint32) Health {
 	if a := l.agents[server]; a != nil {
@@ -200,3 +210,15 @@
 func (l *Liveness) CutOff() bool {
 	return l.cutOff
 }
+
+// String returns the name of a health for logs.
+func (h Health) String() string {
+	switch h {
+	case HealthSilent:
+		return "silent"
+	case HealthGone:
+		return "gone"
+	default:
+		return "live"
+	}
+}
