--- a/internal/balancer/config.go
+++ b/internal/balancer/config.go
@@ -38,6 +38,9 @@
 	ReadBuffer int
 	// Event reports what happens, as alternating keys and values; nil reports nothing.
 	Event func(op string, kv ...any)
+	// Placed reports the choice of an agent for the first packet of a flow; nil reports nothing and
+	// saves the reading of the clock.
+	Placed func(start, end time.Time, flow uint64, service, server uint32)
 }
 
 const (
--- a/internal/balancer/forward.go
+++ b/internal/balancer/forward.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/net/ipv4"
 
@@ -22,6 +23,7 @@
 	caller  []byte
 	writer  *writer
 	counts  *counters
+	placed  func(start, end time.Time, flow uint64, service, server uint32)
 }
 
 func newForwarder(b *Balancer, service uint32, s *socket) *forwarder {
@@ -38,6 +40,7 @@
 		},
 		writer: newWriter(b.config.Batch),
 		counts: b.counts,
+		placed: b.config.Placed,
 	}
 }
 
@@ -76,7 +79,7 @@
 	}
 	packet := m.Buffers[0][:m.N]
 	caller := unmapped(udp.AddrPort())
-	r := f.router.route(s, packet, caller)
+	r := f.route(s, packet, caller)
 	f.counts.routes[r.kind].Add(1)
 	if r.agent == nil {
 		return
@@ -89,6 +92,19 @@
 	r.agent.progress.forwarded.Add(1)
 }
 
+// route finds the route of a packet and reports that of a new flow.
+func (f *forwarder) route(s *serviceTable, packet []byte, caller netip.AddrPort) route {
+	if f.placed == nil {
+		return f.router.route(s, packet, caller)
+	}
+	start := time.Now()
+	r := f.router.route(s, packet, caller)
+	if r.kind == routeNew {
+		f.placed(start, time.Now(), r.flow, s.number, r.agent.server)
+	}
+	return r
+}
+
 func unmapped(address netip.AddrPort) netip.AddrPort {
 	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
 }
--- a/internal/balancer/route.go
+++ b/internal/balancer/route.go
@@ -37,8 +37,10 @@
 
 // route is where a packet goes. Its candidates are valid until the next call.
 type route struct {
-	kind       routeKind
-	agent      *agent
+	kind  routeKind
+	agent *agent
+	// flow is the hash that the ranks were computed from.
+	flow       uint64
 	candidates []uint32
 }
 
@@ -83,6 +85,7 @@
 	candidates := r.ranks[1:]
 	return route{
 		kind:       kind,
+		flow:       flow,
 		agent:      s.agents[r.ranks[0]],
 		candidates: candidates[:min(len(candidates), maxCandidates)],
 	}
