--- /dev/null
+++ b/cmd/standin-control/platform.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/subcommands"
+
+	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
+	"github.com/bramleyrack/bramleyrack/gen/bramley/v1/bramleyv1connect"
+	"github.com/bramleyrack/bramleyrack/internal/standin/control"
+	"github.com/bramleyrack/bramleyrack/internal/standin/platform"
+)
+
+// defaultWait bounds the waits for processes.
+const defaultWait = 10 * time.Second
+
+func platformControl(url string) bramleyv1connect.PlatformControlServiceClient {
+	return bramleyv1connect.NewPlatformControlServiceClient(http.DefaultClient, url)
+}
+
+// readyCommand waits for processes to be ready.
+type readyCommand struct {
+	operators string
+	timeout   time.Duration
+}
+
+func (*readyCommand) Name() string     { return "ready" }
+func (*readyCommand) Synopsis() string { return "wait until processes are ready" }
+func (*readyCommand) Usage() string    { return "ready --operators IP:PORT,... [--timeout 10s]\n" }
+func (c *readyCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.operators, "operators", "", "operator addresses of the processes")
+	f.DurationVar(&c.timeout, "timeout", defaultWait, "longest wait")
+}
+
+func (c *readyCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	return exit(control.NewClient().WaitReady(ctx, list(c.operators)))
+}
+
+// publishCommand publishes a tree and waits until it is in force.
+type publishCommand struct {
+	platform, key, operators string
+	timeout                  time.Duration
+}
+
+func (*publishCommand) Name() string     { return "publish" }
+func (*publishCommand) Synopsis() string { return "publish a value and wait until it is in force" }
+func (*publishCommand) Usage() string {
+	return "publish --platform URL [--operators IP:PORT,...] FILE\n"
+}
+func (c *publishCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.platform, "platform", "", "URL of the platform")
+	f.StringVar(&c.key, "key", "tree", "key of the value")
+	f.StringVar(&c.operators, "operators", "", "processes in which the value must come into force")
+	f.DurationVar(&c.timeout, "timeout", defaultWait, "longest wait")
+}
+
+func (c *publishCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return subcommands.ExitUsageError
+	}
+	return exit(c.publish(ctx, f.Arg(0)))
+}
+
+func (c *publishCommand) publish(ctx context.Context, path string) error {
+	value, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	start := time.Now()
+	published, err := platformControl(c.platform).Publish(ctx, connect.NewRequest(&bramleyv1.PublishRequest{Key: c.key, Value: value}))
+	if err != nil {
+		return err
+	}
+	revision := published.Msg.GetRevision()
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	if err := control.NewClient().WaitRevision(ctx, list(c.operators), revision); err != nil {
+		return err
+	}
+	fmt.Printf("revision=%d published_ms=%d in_force_ms=%d\n", revision, start.UnixMilli(), time.Since(start).Milliseconds())
+	return nil
+}
+
+// vmCommand changes the list of VMs.
+type vmCommand struct {
+	platform, name, place, address, role, state string
+	remove                                      bool
+}
+
+func (*vmCommand) Name() string     { return "vm" }
+func (*vmCommand) Synopsis() string { return "add, change or remove a VM of the list" }
+func (*vmCommand) Usage() string {
+	return "vm --platform URL --name NAME --place PLACE --address IP:PORT --role entry|upstream [--state leaving] [--remove]\n"
+}
+func (c *vmCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.platform, "platform", "", "URL of the platform")
+	f.StringVar(&c.name, "name", "", "name of the VM")
+	f.StringVar(&c.place, "place", "", "place of the VM")
+	f.StringVar(&c.address, "address", "", "address of the process on the VM")
+	f.StringVar(&c.role, "role", "entry", "entry or upstream")
+	f.StringVar(&c.state, "state", "live", "live or leaving")
+	f.BoolVar(&c.remove, "remove", false, "remove the VM")
+}
+
+func (c *vmCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	vm, err := platform.NewVM(c.name, c.place, c.address, c.role, c.state)
+	if err != nil {
+		return exit(err)
+	}
+	_, err = platformControl(c.platform).SetVM(ctx, connect.NewRequest(&bramleyv1.SetVMRequest{Vm: vm, Remove: c.remove}))
+	return exit(err)
+}
+
+// platformFaultsCommand sets the switches of the platform.
+type platformFaultsCommand struct {
+	platform          string
+	outage            bool
+	stale             uint64
+	listLag, answerIn time.Duration
+}
+
+func (*platformFaultsCommand) Name() string     { return "platform-faults" }
+func (*platformFaultsCommand) Synopsis() string { return "set every switch of the platform at once" }
+func (*platformFaultsCommand) Usage() string {
+	return "platform-faults --platform URL [--outage] [--stale REVISION] [--list-lag 5s] [--latency 10ms]\n"
+}
+func (c *platformFaultsCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.platform, "platform", "", "URL of the platform")
+	f.BoolVar(&c.outage, "outage", false, "make every read fail")
+	f.Uint64Var(&c.stale, "stale", 0, "answer with the newest value at or below this revision; 0 is off")
+	f.DurationVar(&c.listLag, "list-lag", 0, "delay of changes of the VM list")
+	f.DurationVar(&c.answerIn, "latency", 0, "delay of every answer")
+}
+
+func (c *platformFaultsCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	_, err := platformControl(c.platform).SetFault(ctx, connect.NewRequest(&bramleyv1.SetFaultRequest{
+		Outage:        c.outage,
+		StaleRevision: c.stale,
+		VmListLagMs:   uint32(c.listLag.Milliseconds()),
+		LatencyMs:     uint32(c.answerIn.Milliseconds()),
+	}))
+	return exit(err)
+}
+
+// platformStatsCommand prints how often readers called the platform.
+type platformStatsCommand struct {
+	platform string
+}
+
+func (*platformStatsCommand) Name() string     { return "platform-stats" }
+func (*platformStatsCommand) Synopsis() string { return "print the calls of all readers" }
+func (*platformStatsCommand) Usage() string    { return "platform-stats --platform URL\n" }
+func (c *platformStatsCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.platform, "platform", "", "URL of the platform")
+}
+
+func (c *platformStatsCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	stats, err := platformControl(c.platform).Stats(ctx, connect.NewRequest(&bramleyv1.StatsRequest{}))
+	if err != nil {
+		return exit(err)
+	}
+	fmt.Printf("platform_calls=%d platform_refused=%d platform_peak_per_second=%d platform_waiting=%d\n",
+		stats.Msg.GetCalls(), stats.Msg.GetRefused(), stats.Msg.GetPeakPerSecond(), stats.Msg.GetWaiting())
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/standin/caller/caller.go
@@ -0,0 +1,222 @@
+// Package caller is a stand-in for the callers of the users: it puts a bounded load of every kind of
+// call on a deployment, checks each answer against its own request, and keeps what it was told.
+package caller
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/bramleyrack/bramleyrack/client"
+	"github.com/bramleyrack/bramleyrack/internal/standin/content"
+)
+
+// Target is one service that the load goes to.
+type Target struct {
+	Service string
+	Address string
+}
+
+// Config sets the load.
+type Config struct {
+	// Desk takes orders, sheets and feeds; Store takes photos and downloads.
+	Desk, Store Target
+	TLS         *tls.Config
+	// Duration is how long new work is started.
+	Duration time.Duration
+	// Settle is how long running work may take after that.
+	Settle time.Duration
+	// Feeds, Orders, Sheets, Photos and Downloads count workers, each with a client of its own.
+	Feeds, Orders, Sheets, Photos, Downloads int
+	// Pause is the mean time between two requests of a worker.
+	Pause time.Duration
+	// PhotoBytes and ObjectBytes are the sizes of a photo sent and of an object fetched.
+	PhotoBytes, ObjectBytes int
+	// Seed fixes the pauses and the names of the items.
+	Seed uint64
+}
+
+// maxAttempts bounds the tries to place one order.
+const maxAttempts = 20
+
+// callTimeout is the deadline that a caller gives to one request.
+const callTimeout = 8 * time.Second
+
+// worker is one caller with its own connections.
+type worker struct {
+	config Config
+	name   string
+	target Target
+	client *client.Client
+	random *rand.Rand
+	tally  *tally
+	done   int
+}
+
+// job is the repeated work of one kind of worker. It ends with the first context; the second lives
+// until running work has settled.
+type job func(w *worker, starting, settling context.Context)
+
+// Run puts the load on the deployment and returns what the callers saw.
+func Run(ctx context.Context, config Config) (*Result, error) {
+	settling, cancel := context.WithTimeout(ctx, config.Duration+config.Settle)
+	defer cancel()
+	starting, stop := context.WithTimeout(settling, config.Duration)
+	defer stop()
+	t := &tally{start: time.Now()}
+	kinds := []struct {
+		name   string
+		count  int
+		target Target
+		job    job
+	}{
+		{"feed", config.Feeds, config.Desk, (*worker).feed},
+		{"order", config.Orders, config.Desk, (*worker).orders},
+		{"sheet", config.Sheets, config.Desk, (*worker).sheets},
+		{"photo", config.Photos, config.Store, (*worker).photos},
+		{"download", config.Downloads, config.Store, (*worker).downloads},
+	}
+	var group sync.WaitGroup
+	for kind, k := range kinds {
+		for i := range k.count {
+			w, err := newWorker(config, t, k.target, fmt.Sprintf("%s-%d-%d", k.name, config.Seed, i), uint64(kind<<32|i))
+			if err != nil {
+				return nil, err
+			}
+			group.Go(func() { w.run(starting, settling, k.job) })
+		}
+	}
+	group.Wait()
+	return &t.result, nil
+}
+
+func newWorker(config Config, t *tally, target Target, name string, stream uint64) (*worker, error) {
+	c, err := client.New(client.Config{Address: target.Address, TLS: config.TLS})
+	if err != nil {
+		return nil, err
+	}
+	return &worker{
+		config: config,
+		name:   name,
+		target: target,
+		client: c,
+		random: rand.New(rand.NewPCG(config.Seed, stream)),
+		tally:  t,
+	}, nil
+}
+
+func (w *worker) run(starting, settling context.Context, j job) {
+	defer w.client.Close()
+	w.pause(starting)
+	j(w, starting, settling)
+	if w.done == 0 {
+		w.tally.problem(func(r *Result) { r.IdleWorkers++ }, w.name+" completed nothing")
+	}
+}
+
+// pause waits between half and one and a half times the mean.
+func (w *worker) pause(ctx context.Context) {
+	select {
+	case <-time.After(w.config.Pause/2 + time.Duration(w.random.Int64N(int64(w.config.Pause)+1))):
+	case <-ctx.Done():
+	}
+}
+
+// orders places orders one after the other; an order is placed again only after a refusal that says
+// that it did not run.
+func (w *worker) orders(starting, settling context.Context) {
+	for n := 0; starting.Err() == nil; n++ {
+		w.order(starting, settling, fmt.Sprintf("%s-%d", w.name, n))
+		w.pause(starting)
+	}
+}
+
+func (w *worker) order(starting, settling context.Context, item string) {
+	for attempt := range maxAttempts {
+		body := content.Body{Service: w.target.Service, Item: item, Attempt: attempt}
+		outcome := w.call(settling, content.MethodOrder, false, body)
+		if outcome != OutcomeNotRun || starting.Err() != nil {
+			return
+		}
+		w.pause(starting)
+	}
+}
+
+func (w *worker) sheets(starting, settling context.Context) {
+	for n := 0; starting.Err() == nil; n++ {
+		body := content.Body{Service: w.target.Service, Item: fmt.Sprintf("%s-%d", w.name, n)}
+		w.call(settling, content.MethodSheet, true, body)
+		w.pause(starting)
+	}
+}
+
+func (w *worker) photos(starting, settling context.Context) {
+	for n := 0; starting.Err() == nil; n++ {
+		item := fmt.Sprintf("%s-%d", w.name, n)
+		padding := fmt.Sprintf("%0*x", w.config.PhotoBytes, n)
+		w.call(settling, content.MethodPhoto, true, content.Body{Service: w.target.Service, Item: item, Padding: padding})
+		w.pause(starting)
+	}
+}
+
+// call sends one request, checks the answer and keeps the outcome.
+func (w *worker) call(ctx context.Context, method string, idempotent bool, body content.Body) Outcome {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	data := body.Encode()
+	start := time.Now()
+	answer, err := w.client.Call(ctx, method, idempotent, data)
+	took := time.Since(start)
+	outcome := outcomeOf(err)
+	w.keep(method, body, outcome, err)
+	if err != nil {
+		return outcome
+	}
+	if string(answer.GetBody()) != string(content.Answer(method, data)) {
+		w.tally.problem(func(r *Result) { r.WrongAnswers++ }, body.Item+" got the answer to another request")
+		return outcome
+	}
+	w.done++
+	w.tally.change(func(r *Result) {
+		r.Calls++
+		r.CallMilliseconds = append(r.CallMilliseconds, float64(took.Microseconds())/1000)
+	})
+	return outcome
+}
+
+func (w *worker) keep(method string, body content.Body, outcome Outcome, err error) {
+	attempt := Attempt{Item: body.Item, Attempt: body.Attempt, Outcome: outcome}
+	if err != nil {
+		attempt.Detail = err.Error()
+		w.tally.problem(count(outcome), fmt.Sprintf("%s attempt %d: %v", body.Item, body.Attempt, err))
+	}
+	if method == content.MethodOrder {
+		w.tally.change(func(r *Result) { r.Attempts = append(r.Attempts, attempt) })
+	}
+}
+
+func count(outcome Outcome) func(*Result) {
+	if outcome == OutcomeUnknown {
+		return func(r *Result) { r.Unknown++ }
+	}
+	return func(r *Result) { r.Refused++ }
+}
+
+func outcomeOf(err error) Outcome {
+	switch {
+	case err == nil:
+		return OutcomeAnswered
+	case errors.Is(err, client.ErrNotRun):
+		return OutcomeNotRun
+	case errors.Is(err, client.ErrAlreadyRun):
+		return OutcomeAlreadyRun
+	case errors.Is(err, client.ErrFailed):
+		return OutcomeFailed
+	default:
+		return OutcomeUnknown
+	}
+}
--- a/internal/standin/upstream/runs.go
+++ b/internal/standin/upstream/runs.go
@@ -30,6 +30,8 @@
 	Starts []int64 `json:"starts"`
 	// WrongService counts requests that were meant for another service.
 	WrongService uint64 `json:"wrong_service"`
+	// ResumedDownloads counts downloads that continued one that was cut.
+	ResumedDownloads uint64 `json:"resumed_downloads"`
 	// OverSlots counts requests that were turned away because every slot was busy.
 	OverSlots uint64 `json:"over_slots"`
 	// PeakBusy is the highest number of busy slots.
--- a/internal/standin/upstream/streams.go
+++ b/internal/standin/upstream/streams.go
@@ -55,6 +55,9 @@
 		return connect.NewError(connect.CodeUnavailable, errDraining)
 	}
 	u.ledger.startStream(time.Now())
+	if req.Msg.GetOffset() > 0 {
+		u.ledger.change(func(r *Report) { r.ResumedDownloads++ })
+	}
 	data := content.Object(req.Msg.GetObject(), u.config.ObjectBytes)
 	offset := min(req.Msg.GetOffset(), uint64(len(data)))
 	for {
--- /dev/null
+++ b/internal/standin/verdict/verdict.go
@@ -0,0 +1,195 @@
+// Package verdict joins what callers were told with what upstreams ran.
+package verdict
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/bramleyrack/bramleyrack/internal/standin/caller"
+	"github.com/bramleyrack/bramleyrack/internal/standin/upstream"
+)
+
+// LeavingGrace is the time after which a leaving upstream must get no new work.
+const LeavingGrace = 3 * time.Second
+
+// InForceLimit is the time within which an accepted configuration must be in force everywhere.
+const InForceLimit = 6 * time.Second
+
+// Input is all that a verdict is based on.
+type Input struct {
+	Result  *caller.Result
+	Reports []upstream.Report
+	// Leaving is the number of the leaving upstream, and LeavingSince when the mark was published.
+	Leaving      uint32
+	LeavingSince time.Time
+	// Flows counts the flows of each upstream that takes new work, for each service.
+	Flows map[string][]int
+	// InForce is the longest time until a published revision was in force everywhere.
+	InForce time.Duration
+	// AllowBroken accepts broken flows, for scenarios that kill the owner of flows.
+	AllowBroken bool
+}
+
+// Verdict holds the figures of the closing line.
+type Verdict struct {
+	Calls, Feeds, Downloads   int
+	BrokenFlows, WrongAnswers int
+	RunTwice, FalseNotRun     int
+	LeavingNewWork            int
+	Imbalance                 float64
+	InForce                   time.Duration
+	Refused, Unknown          int
+	FeedSilenceMilliseconds   int64
+	// Broken lists the promises that were broken.
+	Broken []string
+}
+
+// New computes the verdict.
+func New(in Input) Verdict {
+	v := Verdict{
+		Calls:                   in.Result.Calls,
+		Feeds:                   in.Result.Feeds,
+		Downloads:               in.Result.Downloads,
+		BrokenFlows:             in.Result.BrokenFlows + resumedDownloads(in.Reports),
+		WrongAnswers:            in.Result.WrongAnswers + wrongService(in.Reports),
+		Imbalance:               imbalance(in.Flows),
+		InForce:                 in.InForce,
+		Refused:                 in.Result.Refused,
+		Unknown:                 in.Result.Unknown,
+		FeedSilenceMilliseconds: in.Result.FeedSilenceMilliseconds,
+	}
+	v.joinRuns(in)
+	v.LeavingNewWork = leavingNewWork(in)
+	v.judge(in)
+	return v
+}
+
+type attemptKey struct {
+	item    string
+	attempt int
+}
+
+// joinRuns compares each attempt with the runs that upstreams counted.
+func (v *Verdict) joinRuns(in Input) {
+	byItem := make(map[string]int)
+	byAttempt := make(map[attemptKey]int)
+	for _, report := range in.Reports {
+		for _, run := range report.Runs {
+			byItem[run.Item]++
+			byAttempt[attemptKey{run.Item, run.Attempt}]++
+		}
+	}
+	for _, runs := range byItem {
+		if runs > 1 {
+			v.RunTwice++
+		}
+	}
+	for _, attempt := range in.Result.Attempts {
+		runs := byAttempt[attemptKey{attempt.Item, attempt.Attempt}]
+		switch {
+		case attempt.Outcome == caller.OutcomeNotRun && runs > 0:
+			v.FalseNotRun++
+		case attempt.Outcome == caller.OutcomeAnswered && runs == 0:
+			v.WrongAnswers++
+		}
+	}
+}
+
+func wrongService(reports []upstream.Report) int {
+	var n uint64
+	for _, report := range reports {
+		n += report.WrongService
+	}
+	return int(n)
+}
+
+func resumedDownloads(reports []upstream.Report) int {
+	var n uint64
+	for _, report := range reports {
+		n += report.ResumedDownloads
+	}
+	return int(n)
+}
+
+func leavingNewWork(in Input) int {
+	if in.Leaving == 0 {
+		return 0
+	}
+	limit := in.LeavingSince.Add(LeavingGrace).UnixMilli()
+	n := 0
+	for _, report := range in.Reports {
+		if report.Number != in.Leaving {
+			continue
+		}
+		for _, start := range report.Starts {
+			if start > limit {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// imbalance returns the highest ratio of the largest to the mean count over the services.
+func imbalance(flows map[string][]int) float64 {
+	worst := 0.0
+	for _, counts := range flows {
+		sum, largest := 0, 0
+		for _, count := range counts {
+			sum += count
+			largest = max(largest, count)
+		}
+		if sum > 0 {
+			worst = max(worst, float64(largest*len(counts))/float64(sum))
+		}
+	}
+	return worst
+}
+
+// judge lists the promises that the figures break.
+func (v *Verdict) judge(in Input) {
+	zero := []struct {
+		name  string
+		count int
+	}{
+		{"wrong_answers", v.WrongAnswers},
+		{"run_twice", v.RunTwice},
+		{"false_not_run", v.FalseNotRun},
+		{"leaving_new_work", v.LeavingNewWork},
+		{"idle_workers", in.Result.IdleWorkers},
+	}
+	for _, z := range zero {
+		if z.count != 0 {
+			v.Broken = append(v.Broken, z.name)
+		}
+	}
+	if v.BrokenFlows != 0 && !in.AllowBroken {
+		v.Broken = append(v.Broken, "broken_flows")
+	}
+	if v.Calls == 0 || v.Feeds == 0 || v.Downloads == 0 {
+		v.Broken = append(v.Broken, "no_load")
+	}
+	if v.InForce <= 0 || v.InForce > InForceLimit {
+		v.Broken = append(v.Broken, "revision_in_force")
+	}
+}
+
+// Err returns an error that names the broken promises, or nil.
+func (v *Verdict) Err() error {
+	if len(v.Broken) == 0 {
+		return nil
+	}
+	return errors.New("broken promises: " + strings.Join(v.Broken, ", "))
+}
+
+// Line returns the closing line.
+func (v *Verdict) Line() string {
+	return fmt.Sprintf("calls=%d feeds=%d downloads=%d broken_flows=%d wrong_answers=%d run_twice=%d "+
+		"false_not_run=%d leaving_new_work=%d imbalance=%.2f revision_in_force_ms=%d refused=%d unknown=%d "+
+		"feed_silence_ms=%d",
+		v.Calls, v.Feeds, v.Downloads, v.BrokenFlows, v.WrongAnswers, v.RunTwice,
+		v.FalseNotRun, v.LeavingNewWork, v.Imbalance, v.InForce.Milliseconds(), v.Refused, v.Unknown,
+		v.FeedSilenceMilliseconds)
+}
