--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -8,6 +8,8 @@
 
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/bramleyrack/bramleyrack/internal/routing"
 )
 
 // Balancer forwards datagrams between callers and agents.
@@ -15,7 +17,7 @@
 	config Config
 	start  time.Time
 	agents *socket
-	table  atomic.Pointer[table]
+	table  atomic.Pointer[routing.Table]
 	// listeners holds the sockets towards callers by the number of the service.
 	listeners atomic.Pointer[map[uint32]*socket]
 	counts    *counters
@@ -35,7 +37,7 @@
 		return nil, errors.Annotate(err, "socket towards agents")
 	}
 	b := &Balancer{config: config, start: time.Now(), agents: agents, counts: &counters{}}
-	b.table.Store(emptyTable())
+	b.table.Store(routing.Empty())
 	b.listeners.Store(&map[uint32]*socket{})
 	return b, nil
 }
--- a/internal/balancer/counters.go
+++ b/internal/balancer/counters.go
@@ -1,10 +1,14 @@
 package balancer
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"github.com/bramleyrack/bramleyrack/internal/routing"
+)
 
 // counters counts the packets of a balancer.
 type counters struct {
-	routes           [routeKinds]atomic.Uint64
+	routes           [routing.Kinds]atomic.Uint64
 	returned         atomic.Uint64
 	malformedReturns atomic.Uint64
 	unknownReturns   atomic.Uint64
@@ -30,8 +34,8 @@
 		"write_failures":    c.writeFailures.Load(),
 		"probes":            c.probes.Load(),
 	}
-	for kind, name := range routeNames {
-		counts["route_"+name] = c.routes[kind].Load()
+	for kind := range routing.Kinds {
+		counts["route_"+kind.String()] = c.routes[kind].Load()
 	}
 	return counts
 }
--- a/internal/balancer/forward.go
+++ b/internal/balancer/forward.go
@@ -10,6 +10,7 @@
 
 	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
 	"github.com/bramleyrack/bramleyrack/internal/datagram"
+	"github.com/bramleyrack/bramleyrack/internal/routing"
 )
 
 // forwarder carries the packets of callers of one service to agents.
@@ -17,8 +18,8 @@
 	service uint32
 	socket  *socket
 	agents  *socket
-	table   *atomic.Pointer[table]
-	router  router
+	table   *atomic.Pointer[routing.Table]
+	router  *routing.Router
 	header  bramleyv1.DatagramHeader
 	caller  []byte
 	writer  *writer
@@ -32,7 +33,7 @@
 		socket:  s,
 		agents:  b.agents,
 		table:   &b.table,
-		router:  router{codec: b.config.Codec},
+		router:  routing.NewRouter(b.config.Codec),
 		header: bramleyv1.DatagramHeader{
 			Kind:     bramleyv1.DatagramKind_DATAGRAM_KIND_FORWARD,
 			Service:  service,
@@ -58,12 +59,12 @@
 
 func (f *forwarder) forward(messages []ipv4.Message) {
 	t := f.table.Load()
-	s := t.services[f.service]
+	s := t.Service(f.service)
 	if s == nil {
-		f.counts.routes[routeNoAgent].Add(uint64(len(messages)))
+		f.counts.routes[routing.NoAgent].Add(uint64(len(messages)))
 		return
 	}
-	f.header.Revision = t.revision
+	f.header.Revision = t.Revision
 	for i := range messages {
 		f.forwardOne(s, &messages[i])
 	}
@@ -71,36 +72,36 @@
 	f.counts.takeFailed(f.writer)
 }
 
-func (f *forwarder) forwardOne(s *serviceTable, m *ipv4.Message) {
+func (f *forwarder) forwardOne(s *routing.Service, m *ipv4.Message) {
 	udp, ok := m.Addr.(*net.UDPAddr)
 	if !ok || m.N > datagram.MaxPacket {
-		f.counts.routes[routeMalformed].Add(1)
+		f.counts.routes[routing.Malformed].Add(1)
 		return
 	}
 	packet := m.Buffers[0][:m.N]
 	caller := unmapped(udp.AddrPort())
 	r := f.route(s, packet, caller)
-	f.counts.routes[r.kind].Add(1)
-	if r.agent == nil {
+	f.counts.routes[r.Kind].Add(1)
+	if r.Agent == nil {
 		return
 	}
 	f.caller = datagram.AppendAddr(f.caller[:0], caller)
 	f.header.Caller = f.caller
-	f.header.Server = r.agent.server
-	f.header.Candidates = r.candidates
-	f.writer.add(datagram.Append(f.writer.next(), &f.header, packet), r.agent.udp)
-	r.agent.progress.forwarded.Add(1)
+	f.header.Server = r.Agent.Server
+	f.header.Candidates = r.Candidates
+	f.writer.add(datagram.Append(f.writer.next(), &f.header, packet), r.Agent.UDP)
+	r.Agent.Progress.Forwarded.Add(1)
 }
 
 // route finds the route of a packet and reports that of a new flow.
-func (f *forwarder) route(s *serviceTable, packet []byte, caller netip.AddrPort) route {
+func (f *forwarder) route(s *routing.Service, packet []byte, caller netip.AddrPort) routing.Route {
 	if f.placed == nil {
-		return f.router.route(s, packet, caller)
+		return f.router.Route(s, packet, caller)
 	}
 	start := time.Now()
-	r := f.router.route(s, packet, caller)
-	if r.kind == routeNew {
-		f.placed(start, time.Now(), r.flow, s.number, r.agent.server)
+	r := f.router.Route(s, packet, caller)
+	if r.Kind == routing.New {
+		f.placed(start, time.Now(), r.Flow, s.Number, r.Agent.Server)
 	}
 	return r
 }
--- a/internal/balancer/keeper.go
+++ b/internal/balancer/keeper.go
@@ -11,6 +11,7 @@
 
 	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
 	"github.com/bramleyrack/bramleyrack/internal/datagram"
+	"github.com/bramleyrack/bramleyrack/internal/routing"
 	"github.com/bramleyrack/bramleyrack/placement"
 	"github.com/bramleyrack/bramleyrack/settings"
 )
@@ -26,6 +27,7 @@
 	balancer *Balancer
 	start    func(*forwarder)
 	liveness *placement.Liveness
+	builder  routing.Builder
 	tree     *settings.Tree
 	progress []placement.Progress
 	healths  []placement.Health
@@ -39,10 +41,12 @@
 }
 
 func newKeeper(b *Balancer, start func(*forwarder)) *keeper {
+	liveness := placement.NewLiveness(b.config.Liveness, b.now())
 	return &keeper{
 		balancer: b,
 		start:    start,
-		liveness: placement.NewLiveness(b.config.Liveness, b.now()),
+		liveness: liveness,
+		builder:  routing.Builder{Health: liveness.Health, Retention: b.config.Retention},
 		writer:   newWriter(b.config.Batch),
 		bound:    map[uint32]netip.AddrPort{},
 	}
@@ -85,22 +89,21 @@
 
 func (k *keeper) rebuild(now time.Duration, tree *settings.Tree) {
 	previous := k.balancer.table.Load()
-	next := buildTable(now, tree, previous, k.liveness.Health, k.balancer.config.Retention)
-	k.balancer.table.Store(next)
+	k.balancer.table.Store(k.builder.Build(now, tree, previous))
 }
 
 // checkLiveness steps the liveness of all agents and reports whether any changed.
 func (k *keeper) checkLiveness(now time.Duration) bool {
-	agents := k.balancer.table.Load().agents
+	agents := k.balancer.table.Load().Agents()
 	k.progress = k.progress[:0]
 	k.healths = k.healths[:0]
 	for _, a := range agents {
 		k.progress = append(k.progress, placement.Progress{
-			Server:    a.server,
-			Forwarded: a.progress.forwarded.Load(),
-			Returned:  a.progress.returned.Load(),
+			Server:    a.Server,
+			Forwarded: a.Progress.Forwarded.Load(),
+			Returned:  a.Progress.Returned.Load(),
 		})
-		k.healths = append(k.healths, k.liveness.Health(a.server))
+		k.healths = append(k.healths, k.liveness.Health(a.Server))
 	}
 	k.ping(k.liveness.Step(now, k.progress))
 	k.reportCutOff()
@@ -114,15 +117,15 @@
 	}
 }
 
-func (k *keeper) reportChanges(agents []*agent) bool {
+func (k *keeper) reportChanges(agents []*routing.Agent) bool {
 	changed := false
 	for i, a := range agents {
-		health := k.liveness.Health(a.server)
+		health := k.liveness.Health(a.Server)
 		if health == k.healths[i] {
 			continue
 		}
 		changed = true
-		k.balancer.config.Event("agent-health", "server", a.server, "health", health.String())
+		k.balancer.config.Event("agent-health", "server", a.Server, "health", health.String())
 	}
 	return changed
 }
@@ -130,24 +133,24 @@
 // ping asks agents for a sign of life.
 func (k *keeper) ping(servers []uint32) {
 	t := k.balancer.table.Load()
-	for _, a := range t.agents {
-		if !slices.Contains(servers, a.server) {
+	for _, a := range t.Agents() {
+		if !slices.Contains(servers, a.Server) {
 			continue
 		}
 		k.probe++
 		header := bramleyv1.DatagramHeader{
 			Kind:     bramleyv1.DatagramKind_DATAGRAM_KIND_PING,
-			Service:  a.service,
-			Server:   a.server,
-			Revision: t.revision,
+			Service:  a.Service,
+			Server:   a.Server,
+			Revision: t.Revision,
 			Balancer: datagram.PutAddr(k.balancer.AgentAddress()),
 			Probe:    k.probe,
 		}
 		if k.writer.full() {
 			k.writer.flush(k.balancer.agents)
 		}
-		k.writer.add(datagram.Append(k.writer.next(), &header, nil), a.udp)
-		a.progress.forwarded.Add(1)
+		k.writer.add(datagram.Append(k.writer.next(), &header, nil), a.UDP)
+		a.Progress.Forwarded.Add(1)
 		k.balancer.counts.probes.Add(1)
 	}
 	k.writer.flush(k.balancer.agents)
--- a/internal/balancer/returns.go
+++ b/internal/balancer/returns.go
@@ -8,13 +8,14 @@
 
 	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
 	"github.com/bramleyrack/bramleyrack/internal/datagram"
+	"github.com/bramleyrack/bramleyrack/internal/routing"
 )
 
 // returner carries the packets of agents to callers and answers pings.
 type returner struct {
 	agents    *socket
 	view      View
-	table     *atomic.Pointer[table]
+	table     *atomic.Pointer[routing.Table]
 	listeners *atomic.Pointer[map[uint32]*socket]
 	header    bramleyv1.DatagramHeader
 	pong      bramleyv1.DatagramHeader
@@ -75,7 +76,7 @@
 	r.counts.takeFailed(r.answers)
 }
 
-func (r *returner) receiveOne(t *table, m *ipv4.Message) {
+func (r *returner) receiveOne(t *routing.Table, m *ipv4.Message) {
 	udp, ok := m.Addr.(*net.UDPAddr)
 	if !ok {
 		return
@@ -85,9 +86,9 @@
 		r.counts.malformedReturns.Add(1)
 		return
 	}
-	source := t.sources[unmapped(udp.AddrPort())]
+	source := t.Source(unmapped(udp.AddrPort()))
 	if source != nil {
-		source.progress.returned.Add(1)
+		source.Progress.Returned.Add(1)
 		r.observe(t, source)
 	}
 	switch r.header.Kind {
@@ -99,25 +100,25 @@
 }
 
 // observe tells the view, once for each revision, that an agent has a higher one.
-func (r *returner) observe(t *table, source *agent) {
-	if r.header.Revision <= t.revision || r.header.Revision <= r.observed {
+func (r *returner) observe(t *routing.Table, source *routing.Agent) {
+	if r.header.Revision <= t.Revision || r.header.Revision <= r.observed {
 		return
 	}
 	r.observed = r.header.Revision
-	r.view.Observe(r.header.Revision, source.peer)
+	r.view.Observe(r.header.Revision, source.Peer)
 }
 
-func (r *returner) answer(t *table, to *net.UDPAddr) {
+func (r *returner) answer(t *routing.Table, to *net.UDPAddr) {
 	r.pong.Service = r.header.Service
 	r.pong.Server = r.header.Server
 	r.pong.Probe = r.header.Probe
-	r.pong.Revision = t.revision
+	r.pong.Revision = t.Revision
 	r.answers.add(datagram.Append(r.answers.next(), &r.pong, nil), to)
 }
 
 // toCaller queues a packet if it comes from a known agent of the service that it names.
-func (r *returner) toCaller(source *agent, payload []byte) {
-	if source == nil || source.service != r.header.Service || source.server != r.header.Server {
+func (r *returner) toCaller(source *routing.Agent, payload []byte) {
+	if source == nil || source.Service != r.header.Service || source.Server != r.header.Server {
 		r.counts.unknownReturns.Add(1)
 		return
 	}
@@ -126,10 +127,10 @@
 		r.counts.malformedReturns.Add(1)
 		return
 	}
-	w := r.callers[source.service]
+	w := r.callers[source.Service]
 	if w == nil {
 		w = newWriter(r.batch)
-		r.callers[source.service] = w
+		r.callers[source.Service] = w
 	}
 	// The payload stays valid until the whole batch is written.
 	w.add(payload, net.UDPAddrFromAddrPort(caller))
--- /dev/null
+++ b/internal/routing/route.go
@@ -0,0 +1,128 @@
+package routing
+
+import (
+	"net/netip"
+
+	"github.com/bramleyrack/bramleyrack/placement"
+)
+
+// Kind says how the agent of a packet was found.
+type Kind uint8
+
+// The kinds of routes.
+const (
+	// Owner goes to the owner that the connection ID names.
+	Owner Kind = iota
+	// New goes to the first rank of a new flow.
+	New
+	// Orphan goes to a live agent, since the owner is gone or not known here. That agent passes the
+	// packet on or resets the flow.
+	Orphan
+	// Search goes along the ranks of all agents, since the packet names no owner.
+	Search
+	// Malformed is dropped.
+	Malformed
+	// OtherService is dropped, since the flow belongs to another service.
+	OtherService
+	// NoAgent is dropped, since the service has no upstream.
+	NoAgent
+	// Kinds is the number of kinds.
+	Kinds
+)
+
+var kindNames = [Kinds]string{
+	"owner", "new", "orphan", "search", "malformed", "other_service", "no_agent",
+}
+
+// String returns the name of a kind in counters.
+func (k Kind) String() string {
+	return kindNames[k]
+}
+
+// MaxCandidates bounds the ranks that follow the first one of a new flow.
+const MaxCandidates = 8
+
+// Route is where a packet goes. Its candidates are valid until the next call of the router.
+type Route struct {
+	Kind Kind
+	// Agent is nil if the packet is dropped.
+	Agent *Agent
+	// Flow is the hash that the ranks were computed from.
+	Flow uint64
+	// Candidates are the servers that follow in rank.
+	Candidates []uint32
+}
+
+// Router finds routes. It is not safe for concurrent use.
+type Router struct {
+	codec *placement.Codec
+	ranks []uint32
+}
+
+// NewRouter returns a router that decodes owners with codec.
+func NewRouter(codec *placement.Codec) *Router {
+	return &Router{codec: codec}
+}
+
+// Route returns the route of a caller's packet to a service.
+func (r *Router) Route(s *Service, packet []byte, caller netip.AddrPort) Route {
+	id, long, err := placement.DestinationConnectionID(packet)
+	if err != nil {
+		return Route{Kind: Malformed}
+	}
+	if owner, ok := r.codec.Decode(id); ok {
+		return r.owned(s, owner, id)
+	}
+	if !long {
+		return r.search(s, callerHash(caller))
+	}
+	return r.ranked(s, New, placement.FlowHash(id))
+}
+
+func (r *Router) owned(s *Service, owner placement.Owner, id []byte) Route {
+	if owner.Service != s.Number {
+		return Route{Kind: OtherService}
+	}
+	if a := s.agents[owner.Server]; a != nil && !a.gone {
+		return Route{Kind: Owner, Agent: a}
+	}
+	return r.ranked(s, Orphan, placement.FlowHash(id))
+}
+
+// ranked routes to the first rank. The place of the balancer does not count: packets of one
+// handshake may reach balancers of several places, and all must name the same agent.
+func (r *Router) ranked(s *Service, kind Kind, flow uint64) Route {
+	r.ranks = placement.Rank(r.ranks[:0], flow, "", s.candidates)
+	if len(r.ranks) == 0 {
+		return Route{Kind: NoAgent}
+	}
+	candidates := r.ranks[1:]
+	return Route{
+		Kind:       kind,
+		Agent:      s.agents[r.ranks[0]],
+		Flow:       flow,
+		Candidates: candidates[:min(len(candidates), MaxCandidates)],
+	}
+}
+
+// search routes along the ranks of all agents, and at last to the first rank again, which accepts
+// the flow if none owns it.
+func (r *Router) search(s *Service, flow uint64) Route {
+	r.ranks = placement.Rank(r.ranks[:0], flow, "", s.known)
+	if len(r.ranks) == 0 {
+		return Route{Kind: NoAgent}
+	}
+	first := r.ranks[0]
+	if len(r.ranks) > 1 {
+		r.ranks = append(r.ranks, first)
+	}
+	return Route{Kind: Search, Agent: s.agents[first], Flow: flow, Candidates: r.ranks[1:]}
+}
+
+func callerHash(caller netip.AddrPort) uint64 {
+	ip := caller.Addr().As16()
+	var key [18]byte
+	copy(key[:], ip[:])
+	key[16], key[17] = byte(caller.Port()>>8), byte(caller.Port())
+	return placement.FlowHash(key[:])
+}
--- /dev/null
+++ b/internal/routing/route_test.go
@@ -0,0 +1,151 @@
+package routing_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/bramleyrack/bramleyrack/internal/routing"
+	"github.com/bramleyrack/bramleyrack/placement"
+	"github.com/bramleyrack/bramleyrack/settings"
+)
+
+var caller = netip.MustParseAddrPort("127.0.0.1:5000")
+
+func live(uint32) placement.Health { return placement.HealthLive }
+
+// tree has services with the given number of upstreams each, numbered through.
+func tree(services, upstreams int) *settings.Tree {
+	t := &settings.Tree{Revision: 1}
+	for s := range services {
+		service := settings.Service{Number: uint32(s + 1)}
+		for u := range upstreams {
+			number := uint32(s*upstreams + u + 1)
+			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(number >> 16), byte(number >> 8), byte(number)}), 1)
+			service.Upstreams = append(service.Upstreams, settings.Upstream{Number: number, Agent: address, Policy: settings.DefaultPolicy()})
+		}
+		t.Services = append(t.Services, service)
+	}
+	return t
+}
+
+func newCodec() *placement.Codec {
+	codec, err := placement.NewCodec([]byte("0123456789abcdef"), []byte("fedcba9876543210"))
+	if err != nil {
+		panic(err)
+	}
+	return codec
+}
+
+func build(t *settings.Tree) *routing.Table {
+	b := routing.Builder{Health: live}
+	return b.Build(0, t, routing.Empty())
+}
+
+// established returns a packet of a flow that server owns.
+func established(codec *placement.Codec, service, server uint32) []byte {
+	id := codec.Encode(placement.Owner{Service: service, Server: server}, 1)
+	return append([]byte{0x40}, id[:]...)
+}
+
+func newFlow() []byte {
+	return []byte{0xc0, 0, 0, 0, 1, 8, 1, 2, 3, 4, 5, 6, 7, 8, 0}
+}
+
+func TestRouteAllocatesNothing(t *testing.T) {
+	codec := newCodec()
+	router := routing.NewRouter(codec)
+	service := build(tree(1, 10)).Service(1)
+	for name, packet := range map[string][]byte{"known": established(codec, 1, 3), "new": newFlow()} {
+		router.Route(service, packet, caller)
+		if n := testing.AllocsPerRun(1000, func() { router.Route(service, packet, caller) }); n != 0 {
+			t.Errorf("%s: %v allocations", name, n)
+		}
+	}
+}
+
+func TestHealthKeepsNewFlowsFromSilentAgents(t *testing.T) {
+	codec := newCodec()
+	router := routing.NewRouter(codec)
+	health := map[uint32]placement.Health{}
+	b := routing.Builder{Health: func(server uint32) placement.Health { return health[server] }}
+	first := router.Route(build(tree(1, 3)).Service(1), newFlow(), caller).Agent.Server
+
+	health[first] = placement.HealthSilent
+	silent := b.Build(0, tree(1, 3), routing.Empty()).Service(1)
+	if got := router.Route(silent, newFlow(), caller).Agent.Server; got == first {
+		t.Fatal("a silent agent got a new flow")
+	}
+	if got := router.Route(silent, established(codec, 1, first), caller); got.Kind != routing.Owner || got.Agent.Server != first {
+		t.Fatalf("a flow of a silent agent got %v", got)
+	}
+
+	health[first] = placement.HealthGone
+	gone := b.Build(0, tree(1, 3), routing.Empty()).Service(1)
+	if got := router.Route(gone, established(codec, 1, first), caller); got.Kind != routing.Orphan || got.Agent.Server == first {
+		t.Fatalf("a flow of an agent that is gone got %v", got)
+	}
+}
+
+func FuzzRoute(f *testing.F) {
+	codec := newCodec()
+	f.Add(established(codec, 1, 3))
+	f.Add(established(codec, 2, 3))
+	f.Add(newFlow())
+	f.Add([]byte{})
+	service := build(tree(2, 5)).Service(1)
+	f.Fuzz(func(t *testing.T, packet []byte) {
+		route := routing.NewRouter(codec).Route(service, packet, caller)
+		if route.Agent != nil && route.Agent.Service != 1 {
+			t.Fatalf("routed to service %d", route.Agent.Service)
+		}
+	})
+}
+
+func BenchmarkRouteKnown(b *testing.B) {
+	for _, services := range []int{1, 100, 6000} {
+		b.Run(fmt.Sprint("services=", services), func(b *testing.B) {
+			codec := newCodec()
+			router := routing.NewRouter(codec)
+			table := build(tree(services, 10))
+			packet := established(codec, 1, 3)
+			b.ReportAllocs()
+			for b.Loop() {
+				if router.Route(table.Service(1), packet, caller).Kind != routing.Owner {
+					b.Fatal("not routed to the owner")
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkRouteNew(b *testing.B) {
+	for _, upstreams := range []int{3, 10, 30, 60} {
+		b.Run(fmt.Sprint("upstreams=", upstreams), func(b *testing.B) {
+			router := routing.NewRouter(newCodec())
+			service := build(tree(1, upstreams)).Service(1)
+			packet := newFlow()
+			b.ReportAllocs()
+			for b.Loop() {
+				packet[6]++
+				if router.Route(service, packet, caller).Kind != routing.New {
+					b.Fatal("not routed as new")
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkBuild(b *testing.B) {
+	for _, services := range []int{10, 600, 6000} {
+		b.Run(fmt.Sprint("services=", services), func(b *testing.B) {
+			whole := tree(services, 10)
+			builder := routing.Builder{Health: live}
+			previous := builder.Build(0, whole, routing.Empty())
+			b.ReportAllocs()
+			for b.Loop() {
+				previous = builder.Build(0, whole, previous)
+			}
+		})
+	}
+}
