--- /dev/null
+++ b/internal/standin/upstream/upstream_test.go
@@ -0,0 +1,66 @@
+package upstream
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+
+	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
+	"github.com/bramleyrack/bramleyrack/internal/standin/content"
+)
+
+func order(service, item string) *connect.Request[bramleyv1.CallRequest] {
+	body := content.Body{Service: service, Item: item}.Encode()
+	return connect.NewRequest(&bramleyv1.CallRequest{RequestId: item, Method: content.MethodOrder, Body: body})
+}
+
+func newUpstream() *Upstream {
+	return New(Config{Service: "orders", Number: 1, Slots: 1, Work: time.Second, ColdFactor: 1})
+}
+
+func TestCanceledRunIsCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := newUpstream()
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		if _, err := u.Call(ctx, order("orders", "a")); err == nil {
+			t.Fatal("canceled run was answered")
+		}
+		report := u.Report()
+		if len(report.Runs) != 1 || report.Canceled != 1 {
+			t.Fatalf("report %+v", report)
+		}
+	})
+}
+
+func TestBusyUpstreamRunsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := newUpstream()
+		go func() { _, _ = u.Call(t.Context(), order("orders", "a")) }()
+		synctest.Wait()
+		_, err := u.Call(t.Context(), order("orders", "b"))
+		if connect.CodeOf(err) != connect.CodeResourceExhausted {
+			t.Fatalf("got %v", err)
+		}
+		if err := u.Drain(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		report := u.Report()
+		if len(report.Runs) != 1 || report.Runs[0].Item != "a" || report.OverSlots != 1 {
+			t.Fatalf("report %+v", report)
+		}
+	})
+}
+
+func TestRequestOfOtherServiceIsCounted(t *testing.T) {
+	u := newUpstream()
+	if _, err := u.Call(t.Context(), order("certificates", "a")); err == nil {
+		t.Fatal("request of another service was answered")
+	}
+	if report := u.Report(); report.WrongService != 1 || len(report.Runs) != 0 {
+		t.Fatalf("report %+v", report)
+	}
+}
