--- /dev/null
+++ b/internal/agent/peers.go
@@ -0,0 +1,120 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
+	"github.com/bramleyrack/bramleyrack/internal/peer"
+	"github.com/bramleyrack/bramleyrack/internal/request"
+	"github.com/bramleyrack/bramleyrack/internal/view"
+	"github.com/bramleyrack/bramleyrack/membership"
+	"github.com/bramleyrack/bramleyrack/placement"
+	"github.com/bramleyrack/bramleyrack/settings"
+)
+
+// peers reaches the other agents of the service and knows their loads.
+type peers struct {
+	view    *view.View
+	pool    *peer.Pool
+	service uint32
+	server  uint32
+}
+
+// Execute sends a request to the agent of a server.
+func (p *peers) Execute(ctx context.Context, server uint32, req *bramleyv1.ExecuteRequest) (*bramleyv1.ExecuteResponse, error) {
+	upstream := p.upstream(server)
+	if upstream == nil {
+		return nil, errors.Annotatef(request.ErrNotDelivered, "server %d is not in the settings", server)
+	}
+	client, err := p.pool.Client(ctx, upstream.Peer.String())
+	if err != nil {
+		return nil, errors.Wrap(err, request.ErrNotDelivered)
+	}
+	answer, err := client.Execute(ctx, req)
+	var dial *peer.DialError
+	if errors.As(err, &dial) {
+		return nil, errors.Wrap(err, request.ErrNotDelivered)
+	}
+	return answer, err
+}
+
+func (p *peers) upstream(server uint32) *settings.Upstream {
+	service := p.settings()
+	if service == nil {
+		return nil
+	}
+	return service.Upstream(server)
+}
+
+func (p *peers) settings() *settings.Service {
+	tree := p.view.Current()
+	if tree == nil {
+		return nil
+	}
+	return tree.Service(p.service)
+}
+
+// members calls f for each other agent of the service that the settings name.
+func (p *peers) members(f func(membership.Member, *settings.Upstream)) {
+	service := p.settings()
+	if service == nil {
+		return
+	}
+	for _, m := range p.view.Members() {
+		if m.Service != p.service || m.Server == p.server || m.State == membership.StateUnknown {
+			continue
+		}
+		if upstream := service.Upstream(m.Server); upstream != nil {
+			f(m, upstream)
+		}
+	}
+}
+
+// Loads returns the slots of the other agents.
+func (p *peers) Loads() []request.PeerLoad {
+	var loads []request.PeerLoad
+	p.members(func(m membership.Member, upstream *settings.Upstream) {
+		loads = append(loads, request.PeerLoad{
+			Server:    m.Server,
+			Busy:      int(m.Load.BusySlots),
+			Slots:     int(m.Load.Slots),
+			Queued:    int(m.Load.Queued),
+			Accepting: m.State == membership.StateAlive && !upstream.Leaving,
+			Silent:    m.State == membership.StateSuspect || m.State == membership.StateDead,
+		})
+	})
+	return loads
+}
+
+// flowLoads returns the flows of the other agents, with times on the clock of the receiver.
+func (p *peers) flowLoads(now, viewNow time.Duration) []placement.PeerLoad {
+	loads := []placement.PeerLoad{}
+	p.members(func(m membership.Member, upstream *settings.Upstream) {
+		loads = append(loads, placement.PeerLoad{
+			Server: m.Server,
+			Heard:  now - (viewNow - m.LastHeard),
+			Load: placement.Load{
+				Flows:     m.Load.Flows,
+				BusySlots: m.Load.BusySlots,
+				Slots:     m.Load.Slots,
+				Weight:    upstream.Policy.Weight,
+				Accepting: m.State == membership.StateAlive && !upstream.Leaving,
+			},
+		})
+	})
+	return loads
+}
+
+// successors returns the peer addresses of live agents of the service, for a hand-over.
+func (p *peers) successors() []string {
+	var addresses []string
+	p.members(func(m membership.Member, upstream *settings.Upstream) {
+		if m.State == membership.StateAlive && !upstream.Leaving {
+			addresses = append(addresses, upstream.Peer.String())
+		}
+	})
+	return addresses
+}
