--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -30,10 +30,8 @@
 	IdleTimeout time.Duration
 	// Capacity is how many idle links are kept. Zero means 64.
 	Capacity int
-	// Meter counts the bytes of messages by purpose; nil counts nothing.
+	// Meter counts the bytes of messages by purpose and keeps the node's budget; nil does neither.
 	Meter *traffic.Meter
-	// Shaper delays messages to keep the node's budget; nil delays nothing.
-	Shaper *traffic.Shaper
 }
 
 // Pool keeps links to peers. A link that makes no progress is closed, and the next call dials anew.
@@ -115,7 +113,7 @@
 func (c *meteredConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
 	purpose := purposeOf(rpc)
 	sent := messageSize(in)
-	if err := c.pool.config.Shaper.Wait(ctx, purpose, sent); err != nil {
+	if err := c.pool.config.Meter.Wait(ctx, purpose, sent); err != nil {
 		return errors.Annotatef(err, "waiting for the control budget of %s", purpose)
 	}
 	if _, ok := ctx.Deadline(); !ok {
--- a/internal/traffic/meter.go
+++ b/internal/traffic/meter.go
@@ -1,7 +1,11 @@
 // Package traffic counts and shapes the control traffic of a process.
 package traffic
 
-import "sync/atomic"
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+)
 
 // Purpose says what a control message is for.
 type Purpose int
@@ -33,9 +37,28 @@
 	return purposeNames[p]
 }
 
-// Meter counts bytes by purpose. A nil Meter counts nothing.
+// Meter counts bytes by purpose and delays what exceeds the budget of the node. A nil Meter does
+// neither. The zero Meter has the default budget.
 type Meter struct {
-	bytes [purposes]atomic.Uint64
+	bytes  [purposes]atomic.Uint64
+	once   sync.Once
+	shaper *Shaper
+}
+
+// NewMeter returns a meter with the given budget.
+func NewMeter(config ShaperConfig) *Meter {
+	m := &Meter{}
+	m.once.Do(func() { m.shaper = NewShaper(config) })
+	return m
+}
+
+// Wait blocks until a message of so many bytes may be sent.
+func (m *Meter) Wait(ctx context.Context, purpose Purpose, bytes int) error {
+	if m == nil {
+		return nil
+	}
+	m.once.Do(func() { m.shaper = NewShaper(DefaultShaperConfig()) })
+	return m.shaper.Wait(ctx, purpose, bytes)
 }
 
 // Add counts the bytes of one message.
--- a/internal/traffic/shaper.go
+++ b/internal/traffic/shaper.go
@@ -42,11 +42,8 @@
 }
 
 // Wait blocks until the message may be sent. Callers' requests and operators' questions are not
-// control traffic of the node and pass at once. A nil Shaper delays nothing.
+// control traffic of the node and pass at once.
 func (s *Shaper) Wait(ctx context.Context, purpose Purpose, bytes int) error {
-	if s == nil {
-		return nil
-	}
 	switch purpose {
 	case Liveness:
 		return waitBytes(ctx, s.liveness, bytes)
--- a/internal/view/handler.go
+++ b/internal/view/handler.go
@@ -38,7 +38,7 @@
 		}
 	}
 	size := proto.Size(response)
-	if err := v.config.Shaper.Wait(ctx, traffic.Configuration, size); err != nil {
+	if err := v.config.Meter.Wait(ctx, traffic.Configuration, size); err != nil {
 		return nil, err
 	}
 	v.config.Meter.Add(traffic.Configuration, size)
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -73,10 +73,8 @@
 	State func() bramleyv1.ProcessState
 	// Seed starts the random source; zero takes the incarnation.
 	Seed int64
-	// Meter counts control bytes by purpose; nil counts nothing.
+	// Meter counts control bytes by purpose and delays answers that carry a value; nil does neither.
 	Meter *traffic.Meter
-	// Shaper delays answers that carry a value; nil delays nothing.
-	Shaper *traffic.Shaper
 	// Event reports what happens, as alternating keys and values; nil reports nothing.
 	Event func(op string, kv ...any)
 }
