--- a/internal/view/owner.go
+++ b/internal/view/owner.go
@@ -210,6 +210,7 @@
 	if !o.follower.Adopt(now, value.revision, age) {
 		return
 	}
+	tree = settings.CarryRemoved(o.view.Current(), tree)
 	o.view.current.Store(&inForce{revision: value.revision, value: value.value, tree: tree})
 	o.view.notify(tree)
 	o.rebuild(now)
--- /dev/null
+++ b/settings/finding.go
@@ -0,0 +1,106 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	yamlparser "github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+)
+
+// Finding is one fault of a tree.
+type Finding struct {
+	// Path is the place in the tree, with dots between the levels; "$" is the whole tree.
+	Path   string
+	Reason string
+	// Line and Column are the place in the text, from 1. They are zero when it is not known.
+	Line   int
+	Column int
+}
+
+// String describes the finding on one line.
+func (f Finding) String() string {
+	if f.Line == 0 {
+		return f.Path + ": " + f.Reason
+	}
+	return fmt.Sprintf("%d:%d: %s: %s", f.Line, f.Column, f.Path, f.Reason)
+}
+
+// FindingsError reports every fault of a tree at once.
+type FindingsError struct {
+	Findings []Finding
+}
+
+// Error lists the findings, one a line.
+func (e *FindingsError) Error() string {
+	lines := make([]string, 0, len(e.Findings))
+	for _, f := range e.Findings {
+		lines = append(lines, f.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// syntaxFinding turns an error of the YAML library into a finding.
+func syntaxFinding(err error) Finding {
+	finding := Finding{Path: "$", Reason: err.Error()}
+	var located yaml.Error
+	if errors.As(err, &located) {
+		finding.Reason = located.GetMessage()
+		finding.Line, finding.Column = position(located.GetToken())
+	}
+	return finding
+}
+
+func position(t *token.Token) (line, column int) {
+	if t == nil || t.Position == nil {
+		return 0, 0
+	}
+	return t.Position.Line, t.Position.Column
+}
+
+// body returns the root node of a text, or nil if it has none.
+func body(data []byte) ast.Node {
+	file, err := yamlparser.ParseBytes(data, 0)
+	if err != nil || len(file.Docs) == 0 {
+		return nil
+	}
+	return file.Docs[0].Body
+}
+
+// located sorts findings by path and adds the place in the text to each that lacks it.
+func located(root ast.Node, findings []Finding) []Finding {
+	slices.SortStableFunc(findings, func(a, b Finding) int { return strings.Compare(a.Path, b.Path) })
+	for i, f := range findings {
+		if f.Line == 0 {
+			findings[i].Line, findings[i].Column = position(find(root, strings.Split(f.Path, ".")))
+		}
+	}
+	return findings
+}
+
+// find returns the token of the key at a path, or of the nearest level above it that exists.
+func find(node ast.Node, path []string) *token.Token {
+	var last *token.Token
+	for _, name := range path {
+		value := child(node, name)
+		if value == nil {
+			return last
+		}
+		last = value.Key.GetToken()
+		node = value.Value
+	}
+	return last
+}
+
+func child(node ast.Node, name string) *ast.MappingValueNode {
+	for _, value := range mappingValues(node) {
+		if value.Key.GetToken().Value == name {
+			return value
+		}
+	}
+	return nil
+}
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -3,35 +3,14 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"net/netip"
+	"reflect"
 	"slices"
-	"strings"
-	"time"
 
 	"github.com/goccy/go-yaml"
 )
 
-// Finding is one fault of a tree.
-type Finding struct {
-	// Path is the place in the tree, with dots between the levels.
-	Path   string
-	Reason string
-}
-
-// FindingsError reports every fault of a tree at once.
-type FindingsError struct {
-	Findings []Finding
-}
-
-// Error lists the findings, one a line.
-func (e *FindingsError) Error() string {
-	lines := make([]string, 0, len(e.Findings))
-	for _, f := range e.Findings {
-		lines = append(lines, f.Path+": "+f.Reason)
-	}
-	return strings.Join(lines, "\n")
-}
-
 type rawPolicy struct {
 	Slots          *int     `yaml:"slots"`
 	Weight         *float64 `yaml:"weight"`
@@ -82,117 +61,109 @@
 	Places   map[string]rawPlace   `yaml:"places"`
 }
 
+// parser turns the raw form of a tree into the typed one and collects findings on the way.
 type parser struct {
 	findings []Finding
+	// services, upstreams and addresses hold the path that uses each value first.
+	services  map[uint32]string
+	upstreams map[uint32]string
+	addresses map[netip.AddrPort]string
 }
 
 func (p *parser) add(path, format string, args ...any) {
 	p.findings = append(p.findings, Finding{Path: path, Reason: fmt.Sprintf(format, args...)})
 }
 
-// Parse reads and checks a whole tree. The error is a *FindingsError.
+// Parse reads and checks a whole tree. The error is a *FindingsError with every finding, sorted by
+// path. The outcome depends on the arguments alone, so that every process decides alike.
 func Parse(data []byte, revision uint64) (*Tree, error) {
 	var raw rawTree
-	if err := yaml.UnmarshalWithOptions(data, &raw, yaml.Strict()); err != nil {
-		return nil, &FindingsError{Findings: []Finding{{Path: "$", Reason: err.Error()}}}
+	if err := yaml.Unmarshal(data, &raw); err != nil {
+		return nil, &FindingsError{Findings: []Finding{syntaxFinding(err)}}
+	}
+	p := &parser{
+		services:  make(map[uint32]string),
+		upstreams: make(map[uint32]string),
+		addresses: make(map[netip.AddrPort]string),
 	}
-	p := &parser{}
 	tree := p.tree(&raw, revision)
+	root := body(data)
+	p.findings = append(p.findings, unknownFields(root, reflect.TypeFor[rawTree](), "")...)
 	if len(p.findings) > 0 {
-		return nil, &FindingsError{Findings: p.findings}
+		return nil, &FindingsError{Findings: located(root, p.findings)}
 	}
 	return tree, nil
 }
 
 func (p *parser) tree(raw *rawTree, revision uint64) *Tree {
 	tree := &Tree{Revision: revision, Firm: raw.Firm}
+	p.name("firm", raw.Firm)
 	tree.Policy = p.policy("policy", DefaultPolicy(), raw.Policy)
-	for name, rs := range raw.Services {
-		path := "services." + name
-		service := Service{Name: name, Number: rs.Number}
-		service.Address = p.address(path+".address", rs.Address)
-		service.Policy = p.policy(path+".policy", tree.Policy, rs.Policy)
-		tree.Services = append(tree.Services, service)
+	if len(raw.Services) == 0 {
+		p.add("services", "missing; a tree needs at least one service")
+	}
+	for _, name := range slices.Sorted(maps.Keys(raw.Services)) {
+		tree.Services = append(tree.Services, p.service(name, raw.Services[name], tree.Policy))
 	}
 	slices.SortFunc(tree.Services, func(a, b Service) int { return cmp.Compare(a.Number, b.Number) })
-	for name, place := range raw.Places {
+	for _, name := range slices.Sorted(maps.Keys(raw.Places)) {
+		p.name("places."+name, name)
 		tree.Places = append(tree.Places, name)
-		p.place(tree, name, &place)
+		p.place(tree, name, raw.Places[name])
 	}
-	slices.Sort(tree.Places)
 	for i := range tree.Services {
 		slices.SortFunc(tree.Services[i].Upstreams, func(a, b Upstream) int { return cmp.Compare(a.Number, b.Number) })
 	}
 	return tree
 }
 
-func (p *parser) place(tree *Tree, name string, raw *rawPlace) {
-	for serviceName, ps := range raw.Services {
+func (p *parser) service(name string, raw rawService, base Policy) Service {
+	path := "services." + name
+	p.name(path, name)
+	p.number(path+".number", raw.Number, MaxServiceNumber, p.services)
+	return Service{
+		Name:    name,
+		Number:  raw.Number,
+		Address: p.address(path+".address", raw.Address),
+		Policy:  p.policy(path+".policy", base, raw.Policy),
+	}
+}
+
+func (p *parser) place(tree *Tree, name string, raw rawPlace) {
+	// The policy of a place stands above each of its services; without services it is still checked.
+	p.policy("places."+name+".policy", tree.Policy, raw.Policy)
+	for _, serviceName := range slices.Sorted(maps.Keys(raw.Services)) {
 		path := "places." + name + ".services." + serviceName
 		service := tree.ServiceByName(serviceName)
 		if service == nil {
 			p.add(path, "no such service")
 			continue
 		}
-		base := p.policy("places."+name+".policy", service.Policy, raw.Policy)
-		base = p.policy(path+".policy", base, ps.Policy)
-		for upstreamName, ru := range ps.Upstreams {
-			upath := path + ".upstreams." + upstreamName
-			service.Upstreams = append(service.Upstreams, Upstream{
-				Name:    upstreamName,
-				Place:   name,
-				Number:  ru.Number,
-				Agent:   p.address(upath+".agent", ru.Agent),
-				Peer:    p.address(upath+".peer", ru.Peer),
-				URL:     ru.URL,
-				Leaving: ru.Leaving,
-				Policy:  p.policy(upath+".policy", base, ru.Policy),
-			})
-		}
+		base := apply(service.Policy, raw.Policy)
+		p.placeService(service, name, path, base, raw.Services[serviceName])
 	}
 }
 
-func (p *parser) address(path, value string) netip.AddrPort {
-	address, err := netip.ParseAddrPort(value)
-	if err != nil {
-		p.add(path, "%v", err)
+func (p *parser) placeService(service *Service, place, path string, base Policy, raw rawPlaceService) {
+	base = p.policy(path+".policy", base, raw.Policy)
+	for _, name := range slices.Sorted(maps.Keys(raw.Upstreams)) {
+		upstreamPath := path + ".upstreams." + name
+		p.name(upstreamPath, name)
+		service.Upstreams = append(service.Upstreams, p.upstream(upstreamPath, name, place, base, raw.Upstreams[name]))
 	}
-	return address
-}
-
-func (p *parser) policy(path string, base Policy, raw rawPolicy) Policy {
-	override(&base.Slots, raw.Slots)
-	override(&base.Weight, raw.Weight)
-	override(&base.QueueLength, raw.QueueLength)
-	override(&base.FlowSlack, raw.FlowSlack)
-	p.duration(path+".slow_start", &base.SlowStart, raw.SlowStart)
-	p.duration(path+".dead_after", &base.DeadAfter, raw.DeadAfter)
-	p.duration(path+".reset_after", &base.ResetAfter, raw.ResetAfter)
-	p.duration(path+".feed_heartbeat", &base.FeedHeartbeat, raw.FeedHeartbeat)
-	p.duration(path+".feed_timeout", &base.FeedTimeout, raw.FeedTimeout)
-	p.duration(path+".ticket_lifetime", &base.TicketLifetime, raw.TicketLifetime)
-	p.duration(path+".record_lifetime", &base.RecordLifetime, raw.RecordLifetime)
-	override(&base.RecordBytes, raw.RecordBytes)
-	override(&base.RetryBudget, raw.RetryBudget)
-	p.duration(path+".retry_after", &base.RetryAfter, raw.RetryAfter)
-	p.duration(path+".drain_timeout", &base.DrainTimeout, raw.DrainTimeout)
-	return base
 }
 
-func override[T any](target *T, value *T) {
-	if value != nil {
-		*target = *value
-	}
-}
-
-func (p *parser) duration(path string, target *time.Duration, value *string) {
-	if value == nil {
-		return
-	}
-	d, err := time.ParseDuration(*value)
-	if err != nil {
-		p.add(path, "%v", err)
-		return
+func (p *parser) upstream(path, name, place string, base Policy, raw rawUpstream) Upstream {
+	p.number(path+".number", raw.Number, MaxUpstreamNumber, p.upstreams)
+	p.url(path+".url", raw.URL)
+	return Upstream{
+		Name:    name,
+		Place:   place,
+		Number:  raw.Number,
+		Agent:   p.address(path+".agent", raw.Agent),
+		Peer:    p.address(path+".peer", raw.Peer),
+		URL:     raw.URL,
+		Leaving: raw.Leaving,
+		Policy:  p.policy(path+".policy", base, raw.Policy),
 	}
-	*target = d
 }
