--- a/internal/balancer/keeper.go
+++ b/internal/balancer/keeper.go
@@ -100,6 +100,7 @@
 	for _, a := range agents {
 		k.progress = append(k.progress, placement.Progress{
 			Server:    a.Server,
+			Place:     a.Place,
 			Forwarded: a.Progress.Forwarded.Load(),
 			Returned:  a.Progress.Returned.Load(),
 		})
--- a/internal/routing/build.go
+++ b/internal/routing/build.go
@@ -62,6 +62,7 @@
 	a := &Agent{
 		Server:   upstream.Number,
 		Service:  s.Number,
+		Place:    upstream.Place,
 		Address:  upstream.Agent,
 		UDP:      net.UDPAddrFromAddrPort(upstream.Agent),
 		Peer:     upstream.Peer.String(),
@@ -108,7 +109,7 @@
 		if b.now-since > b.Retention || b.Health(before.Server) == placement.HealthGone {
 			continue
 		}
-		b.retain(s, &settings.Upstream{Number: before.Server, Agent: before.Address}, since)
+		b.retain(s, &settings.Upstream{Number: before.Server, Place: before.Place, Agent: before.Address}, since)
 	}
 }
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -19,6 +19,8 @@
 type Agent struct {
 	Server  uint32
 	Service uint32
+	// Place is the availability zone of the agent.
+	Place   string
 	Address netip.AddrPort
 	// UDP is Address in the form that a socket takes.
 	UDP *net.UDPAddr
--- a/placement/acceptor.go
+++ b/placement/acceptor.go
@@ -55,15 +55,20 @@
 	// Slack is ε: a flow is passed on above (1+ε) times the mean. Small values balance better and
 	// pass more packets.
 	Slack float64
-	// SlowStart is the time over which the share of a new upstream grows to its full value.
+	// SlowStart is the time over which the share of a new upstream grows to its full value, once it
+	// has settled. Long values protect a cold upstream; short ones even out the load earlier.
 	SlowStart time.Duration
 	// Settle is the time after the start for which new flows are passed on, so that processes on
-	// the previous revision and on the current one agree on the owner.
+	// the previous revision and on the current one agree on the owner. It must cover the time in
+	// which a revision comes into force everywhere.
 	Settle time.Duration
 	// DeadAfter is the silence after which a peer gets no new flow.
 	DeadAfter time.Duration
 	// ResetAfter is the silence after which the flows of a peer are reset.
 	ResetAfter time.Duration
+	// MaxSilent is how many peers may be silent before the agent takes the network for parted. It
+	// resets no flow then, since the owner may serve it on the other side.
+	MaxSilent int
 	// Memory is how long the choice for a flow is remembered; it must cover a handshake.
 	Memory time.Duration
 	// MaxRemembered bounds the choices remembered. A choice takes about 50 bytes.
@@ -78,9 +83,10 @@
 		Server:        server,
 		Slack:         0.05,
 		SlowStart:     30 * time.Second,
-		Settle:        3 * time.Second,
+		Settle:        6 * time.Second,
 		DeadAfter:     2 * time.Second,
 		ResetAfter:    15 * time.Second,
+		MaxSilent:     1,
 		Memory:        15 * time.Second,
 		MaxRemembered: 1 << 16,
 		MaxHops:       2,
@@ -95,6 +101,8 @@
 	warm   bool
 	memory flowMemory
 	peers  map[uint32]*peerMemory
+	// suspectUntil is the end of the time in which the network may be parted.
+	suspectUntil time.Duration
 }
 
 // peerMemory is what an acceptor adds to the reported load of a peer.
@@ -153,7 +161,7 @@
 
 func (a *Acceptor) decide(now time.Duration, own Load, peers []PeerLoad, candidates []uint32, hops int) Decision {
 	if !own.Accepting {
-		return a.handOff(now, own, peers, candidates)
+		return a.handOff(now, peers, candidates)
 	}
 	if hops >= a.config.MaxHops {
 		return Decision{Action: ActionAccept}
@@ -180,13 +188,10 @@
 	return Decision{Action: ActionPass, Server: peer.Server}
 }
 
-// handOff passes a flow on regardless of load, because the upstream takes none.
-func (a *Acceptor) handOff(now time.Duration, own Load, peers []PeerLoad, candidates []uint32) Decision {
-	mean := a.meanLoad(now, own, peers)
-	peer := a.firstFitting(now, mean, false, peers, candidates)
-	if peer == nil {
-		peer = a.lightest(now, maxRelative, peers, candidates)
-	}
+// handOff passes a flow on regardless of load, because the upstream takes none. The next candidate
+// is where a process that already leaves this upstream out starts, so that both agree on the owner.
+func (a *Acceptor) handOff(now time.Duration, peers []PeerLoad, candidates []uint32) Decision {
+	peer := a.firstUsable(now, peers, candidates)
 	if peer == nil {
 		return Decision{Action: ActionRefuse}
 	}
@@ -238,8 +243,11 @@
 	return nil
 }
 
+// usable reports whether a peer takes flows that are passed on. A peer that settles does not: those
+// that hold an earlier revision could not tell where its flows went.
 func (a *Acceptor) usable(now time.Duration, peer *PeerLoad) bool {
-	return peer.Load.Accepting && now-peer.Heard <= a.config.DeadAfter
+	settled := now-a.peers[peer.Server].since >= a.config.Settle
+	return settled && peer.Load.Accepting && now-peer.Heard <= a.config.DeadAfter
 }
 
 // observe updates the memory of peers from their reports.
@@ -247,7 +255,7 @@
 	since := now
 	if len(a.peers) == 0 {
 		// The acceptor is new itself and cannot tell old peers from new ones.
-		since = now - a.config.SlowStart
+		since = now - a.config.Settle - a.config.SlowStart
 	}
 	for i := range peers {
 		p := &peers[i]
@@ -261,6 +269,24 @@
 			known.passed = 0
 		}
 	}
+	a.suspect(now, peers)
+}
+
+// suspectHold is how many times DeadAfter the suspicion of a parted network lasts, so that flows
+// survive until every peer is heard again.
+const suspectHold = 3
+
+// suspect notes whether the network may be parted, or the agent itself was paused.
+func (a *Acceptor) suspect(now time.Duration, peers []PeerLoad) {
+	silent := 0
+	for i := range peers {
+		if now-peers[i].Heard > a.config.DeadAfter {
+			silent++
+		}
+	}
+	if silent > a.config.MaxSilent || silent > 0 && silent == len(peers) {
+		a.suspectUntil = now + suspectHold*a.config.DeadAfter
+	}
 }
 
 // LookUp returns what to do with a packet whose connection ID names owner. self is the owner that
@@ -275,9 +301,10 @@
 	if owner.Server == self.Server {
 		return Decision{Action: ActionReset}
 	}
+	a.observe(now, peers)
 	peer := findPeer(peers, owner.Server)
 	if peer == nil || now-peer.Heard > a.config.ResetAfter {
-		return Decision{Action: ActionReset}
+		return a.resetUnlessParted(now)
 	}
 	if hops >= a.config.MaxHops {
 		return Decision{Action: ActionRefuse}
@@ -285,6 +312,13 @@
 	return Decision{Action: ActionPass, Server: owner.Server}
 }
 
+func (a *Acceptor) resetUnlessParted(now time.Duration) Decision {
+	if now < a.suspectUntil {
+		return Decision{Action: ActionRefuse}
+	}
+	return Decision{Action: ActionReset}
+}
+
 // Search returns what to do with a packet that names no owner and may belong to an established
 // flow. owned says that the agent has the flow. The candidates end with the best ranked server, so
 // that it receives the packet a second time, with no candidates, if no other agent owns the flow.
--- a/placement/liveness.go
+++ b/placement/liveness.go
@@ -14,7 +14,8 @@
 	HealthLive Health = iota
 	// HealthSilent agents have not answered for DeadAfter and get no new flows.
 	HealthSilent
-	// HealthGone agents have not answered for GoneAfter; their flows are to be reset.
+	// HealthGone agents have not answered for GoneAfter while their place did; their flows are to be
+	// reset.
 	HealthGone
 )
 
@@ -51,6 +52,8 @@
 // Progress counts the packets between a balancer and an agent, both since the start.
 type Progress struct {
 	Server uint32
+	// Place is the availability zone of the agent.
+	Place string
 	// Forwarded counts packets and probes that the agent should answer.
 	Forwarded uint64
 	// Returned counts packets and answers to probes.
@@ -62,6 +65,8 @@
 type Liveness struct {
 	config LivenessConfig
 	agents map[uint32]*agentLiveness
+	// places holds the last time at which any agent of a place returned anything.
+	places map[string]time.Duration
 	last   time.Duration
 	// heard is the last time at which any agent returned anything.
 	heard time.Duration
@@ -76,13 +81,14 @@
 	waiting bool
 	since   time.Duration
 	next    time.Duration
+	heard   time.Duration
 	health  Health
 	seen    bool
 }
 
 // NewLiveness returns a Liveness that takes every agent for live.
 func NewLiveness(config LivenessConfig, now time.Duration) *Liveness {
-	return &Liveness{config: config, agents: map[uint32]*agentLiveness{}, last: now, heard: now}
+	return &Liveness{config: config, agents: map[uint32]*agentLiveness{}, places: map[string]time.Duration{}, last: now, heard: now}
 }
 
 // Step takes the counts of all agents and returns the agents to probe now. Agents that are not
@@ -94,21 +100,51 @@
 		l.update(now, p)
 	}
 	reconnected := l.cutOff && l.heard == now
-	if paused || reconnected {
-		l.restartWaits(now)
+	for _, a := range l.agents {
+		if paused || reconnected || l.placeReconnected(now, a.progress.Place) {
+			a.restartWait(now)
+		}
+	}
+	l.hearPlaces(now)
+	if paused {
+		l.heard = now
 	}
 	l.forget()
 	l.judge(now)
 	return l.probes(now, progress)
 }
 
-// restartWaits discards the silence while the balancer itself was paused or cut off.
-func (l *Liveness) restartWaits(now time.Duration) {
-	l.heard = now
+// restartWait discards the silence while the balancer was paused or a part of the network cut off.
+func (a *agentLiveness) restartWait(now time.Duration) {
+	a.since = now
+	a.next = now
+}
+
+// placeReconnected reports whether a place is heard again after a silence.
+func (l *Liveness) placeReconnected(now time.Duration, place string) bool {
+	if l.reachable(now, place) {
+		return false
+	}
 	for _, a := range l.agents {
-		a.since = now
-		a.next = now
+		if a.progress.Place == place && a.heard == now {
+			return true
+		}
 	}
+	return false
+}
+
+func (l *Liveness) hearPlaces(now time.Duration) {
+	for _, a := range l.agents {
+		if a.heard == now {
+			l.places[a.progress.Place] = now
+		}
+	}
+}
+
+// reachable reports whether any agent of a place was heard lately.
+func (l *Liveness) reachable(now time.Duration, place string) bool {
+	heard, ok := l.places[place]
+	return ok && now-heard <= l.config.DeadAfter
 }
 
 func (l *Liveness) update(now time.Duration, p Progress) {
@@ -122,6 +158,7 @@
 	case p.Returned != a.progress.Returned:
 		a.waiting = false
 		a.health = HealthLive
+		a.heard = now
 		l.heard = now
 	case p.Forwarded != a.progress.Forwarded && !a.waiting:
 		a.waiting = true
@@ -152,7 +189,7 @@
 			continue
 		}
 		switch silence := now - a.since; {
-		case silence > l.config.GoneAfter:
+		case silence > l.config.GoneAfter && l.reachable(now, a.progress.Place):
 			a.health = HealthGone
 		case silence > l.config.DeadAfter:
 			a.health = max(a.health, HealthSilent)
--- a/placement/load.go
+++ b/placement/load.go
@@ -30,11 +30,11 @@
 	if a.warm {
 		return weight(own)
 	}
-	return weight(own) * Ramp(now-a.started, a.config.SlowStart)
+	return weight(own) * Ramp(now-a.started-a.config.Settle, a.config.SlowStart)
 }
 
 func (a *Acceptor) peerShare(now time.Duration, peer *PeerLoad) float64 {
-	return weight(&peer.Load) * Ramp(now-a.peers[peer.Server].since, a.config.SlowStart)
+	return weight(&peer.Load) * Ramp(now-a.peers[peer.Server].since-a.config.Settle, a.config.SlowStart)
 }
 
 // relative is the number of flows of the upstream over its share, with the flow to be placed.
