--- a/cmd/standin-control/main.go
+++ b/cmd/standin-control/main.go
@@ -16,7 +16,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	for _, command := range []subcommands.Command{
-		&readyCommand{}, &publishCommand{}, &vmCommand{}, &platformFaultsCommand{}, &platformStatsCommand{},
+		&readyCommand{}, &publishCommand{}, &revisionCommand{}, &vmCommand{}, &platformFaultsCommand{}, &platformStatsCommand{},
 		&routesCommand{}, &fabricFaultsCommand{}, &silenceCommand{}, &flowsCommand{}, &verdictCommand{},
 	} {
 		subcommands.Register(command, "")
--- a/cmd/standin-control/platform.go
+++ b/cmd/standin-control/platform.go
@@ -172,3 +172,25 @@
 		stats.Msg.GetCalls(), stats.Msg.GetRefused(), stats.Msg.GetPeakPerSecond(), stats.Msg.GetWaiting())
 	return subcommands.ExitSuccess
 }
+
+// revisionCommand checks that no process falls below a revision.
+type revisionCommand struct {
+	operators string
+	atLeast   uint64
+	during    time.Duration
+}
+
+func (*revisionCommand) Name() string     { return "revision" }
+func (*revisionCommand) Synopsis() string { return "check that no process falls below a revision" }
+func (*revisionCommand) Usage() string {
+	return "revision --operators IP:PORT,... --at-least 2 [--for 3s]\n"
+}
+func (c *revisionCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.operators, "operators", "", "operator addresses of the processes")
+	f.Uint64Var(&c.atLeast, "at-least", 1, "lowest revision that may be in force")
+	f.DurationVar(&c.during, "for", 0, "time during which the check is repeated")
+}
+
+func (c *revisionCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return exit(control.NewClient().HoldRevision(ctx, list(c.operators), c.atLeast, c.during))
+}
--- a/internal/standin/control/control.go
+++ b/internal/standin/control/control.go
@@ -103,6 +103,25 @@
 	})
 }
 
+// HoldRevision checks again and again that every process has the revision, or a higher one, in force.
+func (c *Client) HoldRevision(ctx context.Context, operators []string, revision uint64, during time.Duration) error {
+	for start := time.Now(); ; {
+		for _, operator := range operators {
+			vars, err := c.Vars(ctx, operator)
+			if err != nil {
+				return err
+			}
+			if vars.Revision < revision {
+				return errors.Errorf("%s: revision %d is in force, below %d", operator, vars.Revision, revision)
+			}
+		}
+		if time.Since(start) >= during {
+			return nil
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
 // waitAll repeats a check on each process until it passes or the context ends.
 func (c *Client) waitAll(ctx context.Context, operators []string, check func(string) error) error {
 	findings := make([]error, len(operators))
@@ -118,15 +137,19 @@
 }
 
 func poll(ctx context.Context, check func() error) error {
+	var last error
 	for {
 		err := check()
 		if err == nil {
 			return nil
 		}
+		if ctx.Err() == nil {
+			last = err
+		}
 		select {
 		case <-time.After(pollInterval):
 		case <-ctx.Done():
-			return err
+			return last
 		}
 	}
 }
--- /dev/null
+++ b/scripts/failures.sh
@@ -0,0 +1,141 @@
+#!/usr/bin/env bash
+# Runs failures over real processes, one after the other, and prints one line for each.
+#
+# usage: scripts/failures.sh [agencia|wislanka] [SCENARIO...]
+#
+# A scenario is one of the functions below whose name starts with scenario_. Flows may break only where
+# their owner is killed or their path is silenced; every other promise must hold in all of them.
+set -uo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")/.."
+. scripts/lib.sh
+
+if [ "${1:-}" = --one ]; then
+  one=$2
+  shift 2
+fi
+deployment_wanted=agencia
+case ${1:-} in agencia | wislanka) deployment_wanted=$1; shift ;; esac
+
+# begin starts a deployment under load, with a published change so that each line has its time.
+begin() {
+  deployment_start "$deployment_wanted"
+  load_start
+  sleep 4
+  sed 's/retry_after: 200ms/retry_after: 250ms/' "$work/tree.yaml" > "$work/tree-2.yaml"
+  publish "$work/tree-2.yaml"
+}
+
+# finish waits for the load and prints the closing line.
+finish() {
+  sleep 3
+  flows_sample
+  load_wait
+  verdict "$@"
+}
+
+# An agent is paused for three seconds and acts on an old view when it wakes up.
+scenario_agent_pause() {
+  begin
+  kill -STOP "${pids[agent-2]}"
+  sleep 3
+  kill -CONT "${pids[agent-2]}"
+  finish --allow-broken
+}
+
+# An agent is killed and started again at the same address three seconds later.
+scenario_agent_kill() {
+  begin
+  end agent-2 KILL
+  sleep 3
+  agent_start "$desk" 2
+  sleep 3
+  finish --allow-broken
+}
+
+# An upstream is marked as leaving and its agent stops as planned.
+scenario_agent_stop() {
+  begin
+  mark_leaving 3
+  sleep 1
+  kill -TERM "${pids[agent-3]}"
+  wait "${pids[agent-3]}" || say "agent 3 ended with status $?"
+  unset "pids[agent-3]"
+  finish --allow-broken
+}
+
+# A balancer is paused for five seconds while the fabric keeps handing packets to it.
+scenario_balancer_pause() {
+  begin
+  kill -STOP "${pids[balancer-2]}"
+  sleep 5
+  kill -CONT "${pids[balancer-2]}"
+  finish
+}
+
+# The platform is down while a balancer dies and its replacement starts.
+scenario_platform_outage() {
+  begin
+  bin/standin-control platform-faults --platform "http://$(at 900)" --outage
+  balancer_kill 2
+  balancer_start 4 --seeds "$(at 801),$(at 803)"
+  bin/standin-control ready --operators "$(operators)" --timeout 6s
+  routes_set 1 3 4
+  sleep 2
+  bin/standin-control platform-faults --platform "http://$(at 900)"
+  publish "$work/tree.yaml"
+  finish
+}
+
+# The platform answers with an old revision while a new balancer starts; no process may go back to it.
+scenario_platform_stale() {
+  begin
+  bin/standin-control platform-faults --platform "http://$(at 900)" --stale 1
+  balancer_kill 2
+  balancer_start 4
+  bin/standin-control ready --operators "$(operators)" --timeout 6s
+  bin/standin-control revision --operators "$(operators)" --at-least 2 --for 3s
+  routes_set 1 3 4
+  bin/standin-control platform-faults --platform "http://$(at 900)"
+  finish
+}
+
+# The fabric loses two packets of a hundred in either direction and delays the others.
+scenario_fabric_loss() {
+  begin
+  bin/standin-control fabric-faults --fabric "$(at 901)" --drop 0.02 --delay 5ms
+  sleep 8
+  bin/standin-control fabric-faults --fabric "$(at 901)"
+  finish
+}
+
+# Nothing passes between the fabric and one balancer, which itself lives on.
+scenario_fabric_cut() {
+  begin
+  bin/standin-control fabric-faults --fabric "$(at 901)" --cut "$(at 612),$(at 622)"
+  sleep 6
+  bin/standin-control fabric-faults --fabric "$(at 901)"
+  finish
+}
+
+# Every path that is open goes silent for good, while new ones work.
+scenario_fabric_silence() {
+  begin
+  bin/standin-control silence --fabric "$(at 901)" >&2
+  sleep 8
+  finish --allow-broken
+}
+
+if [ -n "${one:-}" ]; then
+  set -e
+  "scenario_$one"
+  exit
+fi
+
+scenarios=${*:-$(declare -F | sed -n 's/^declare -f scenario_//p')}
+export DURATION=${DURATION:-18s}
+failed=0
+for scenario in $scenarios; do
+  line=$(scripts/failures.sh --one "$scenario" "$deployment_wanted") && result=pass || { result=fail; failed=1; }
+  echo "scenario=$scenario deployment=$deployment_wanted result=$result $(tail -n 1 <<< "$line")"
+done
+exit $failed
