--- a/placement/load.go
+++ b/placement/load.go
@@ -5,9 +5,6 @@
 	"time"
 )
 
-// maxRelative is above the relative load of any upstream.
-const maxRelative = math.MaxFloat64
-
 // minRamp is the share of its weight that an upstream has at the start of its slow start.
 const minRamp = 0.1
 
