--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -138,6 +138,12 @@
 		JumpAfter:   jumpAfter,
 		OnJump:      a.confirm,
 	})
+	a.gauges()
+}
+
+func (a *Agent) gauges() {
+	telemetry.Gauge("revision", func() any { return a.view.Revision() })
+	telemetry.Gauge("state", func() any { return a.state().String() })
 	telemetry.Gauge("requests", func() any { return a.executor.Load() })
 }
 
