--- a/internal/request/core.go
+++ b/internal/request/core.go
@@ -27,19 +27,21 @@
 
 // core is the state of an executor. Only the loop touches it; it starts no goroutine and reads no clock.
 type core struct {
-	started   time.Time
-	policy    settings.Policy
-	sealer    *ticket.Sealer
-	ledger    *ledger
-	archives  map[source]*archive
-	gate      *admission.Gate
-	budget    *admission.Budget
-	rnd       *rand.Rand
-	jobs      map[uint64]*job
-	bySeq     map[uint64]*job
-	inFlight  map[uint32]int
-	nextID    uint64
-	draining  bool
+	started  time.Time
+	policy   settings.Policy
+	sealer   *ticket.Sealer
+	ledger   *ledger
+	archives map[source]*archive
+	gate     *admission.Gate
+	budget   *admission.Budget
+	rnd      *rand.Rand
+	jobs     map[uint64]*job
+	bySeq    map[uint64]*job
+	inFlight map[uint32]int
+	nextID   uint64
+	draining bool
+	// exported is set when a successor may have the records: no ticket is claimed from then on.
+	exported  bool
 	accepting bool
 	suspect   bool
 	warmSince time.Time
@@ -107,6 +109,10 @@
 	v := c.ledger.Claim(c.age(now), t, fingerprint(req))
 	switch v.State {
 	case ticket.StateFresh:
+		if c.exported {
+			c.ledger.Burn(t.Sequence)
+			return verdict{State: ticket.StateNotRun}, nil
+		}
 		j := c.newJob(req)
 		j.ticketed = true
 		j.sequence = t.Sequence
--- a/internal/request/executor.go
+++ b/internal/request/executor.go
@@ -107,6 +107,11 @@
 	}
 }
 
+// Incarnation returns the incarnation that owns the executor's tickets.
+func (e *Executor) Incarnation() uint64 {
+	return e.config.Incarnation
+}
+
 // Load returns the slots and the queue of the upstream.
 func (e *Executor) Load() *bramleyv1.Load {
 	load := &bramleyv1.Load{}
--- a/internal/request/executor_test.go
+++ b/internal/request/executor_test.go
@@ -68,13 +68,34 @@
 // fakePeers joins executors in one process. A server in cut is not reached; one in mute receives and
 // never answers.
 type fakePeers struct {
-	self    uint32
-	fleet   map[uint32]*request.Executor
-	cut     map[uint32]bool
-	mute    map[uint32]bool
-	silent  map[uint32]bool
-	sent    map[uint32]int
-	blocked chan struct{}
+	self  uint32
+	fleet map[uint32]*request.Executor
+	cut   map[uint32]bool
+	mute  map[uint32]bool
+
+	mu     sync.Mutex
+	silent map[uint32]bool
+	sent   map[uint32]int
+}
+
+func (p *fakePeers) setSilent(servers ...uint32) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, server := range servers {
+		p.silent[server] = true
+	}
+}
+
+func (p *fakePeers) isSilent(server uint32) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent[server]
+}
+
+func (p *fakePeers) countSent(server uint32) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sent[server]++
 }
 
 func (p *fakePeers) Execute(ctx context.Context, server uint32, req *bramleyv1.ExecuteRequest) (*bramleyv1.ExecuteResponse, error) {
@@ -82,7 +103,7 @@
 	if peer == nil || p.cut[server] {
 		return nil, fmt.Errorf("dial server %d: %w", server, request.ErrNotDelivered)
 	}
-	p.sent[server]++
+	p.countSent(server)
 	answer := peer.Execute(ctx, req)
 	if p.mute[server] {
 		<-ctx.Done()
@@ -105,7 +126,7 @@
 			Slots:     int(load.GetSlots()),
 			Queued:    int(load.GetQueued()),
 			Accepting: true,
-			Silent:    p.silent[server],
+			Silent:    p.isSilent(server),
 		})
 	}
 	return loads
@@ -119,6 +140,14 @@
 }
 
 func newExecutor(t *testing.T, server uint32, upstream *fakeUpstream, peers request.Peers, change ...func(*request.Config)) *request.Executor {
+	t.Helper()
+	e := newExecutorOf(t, server, upstream, peers, change...)
+	t.Cleanup(e.Close)
+	return e
+}
+
+// newExecutorOf returns an executor that the test closes itself.
+func newExecutorOf(t *testing.T, server uint32, upstream *fakeUpstream, peers request.Peers, change ...func(*request.Config)) *request.Executor {
 	t.Helper()
 	config := request.Config{
 		Service:     1,
@@ -134,9 +163,7 @@
 	for _, f := range change {
 		f(&config)
 	}
-	e := request.New(config)
-	t.Cleanup(e.Close)
-	return e
+	return request.New(config)
 }
 
 // newFleet starts executors with the given servers; the returned peers belong to the first of them.
--- /dev/null
+++ b/internal/request/failures_test.go
@@ -0,0 +1,259 @@
+package request_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
+	"github.com/bramleyrack/bramleyrack/internal/request"
+)
+
+// occupy fills the slots of an executor with requests that the upstream never ends by itself.
+func occupy(t *testing.T, e *request.Executor, slots int) {
+	t.Helper()
+	for range slots {
+		go e.Call(t.Context(), &bramleyv1.CallRequest{RequestId: "busy", Idempotent: true})
+		synctest.Wait()
+	}
+}
+
+func TestNothingRunsAfterTheExport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := &fakeUpstream{}
+		fleet, _ := newFleet(t, upstream, 1, 2)
+		req := order("a", freshTicket(t, fleet[1]))
+		fleet[1].Records()
+		_, refusal := fleet[1].Call(t.Context(), req)
+		wantOutcome(t, refusal, bramleyv1.Outcome_OUTCOME_NOT_RUN)
+		if upstream.count("a") != 0 {
+			t.Fatal("a request ran after its owner had given its records away")
+		}
+	})
+}
+
+func TestExpiredCopyLeavesTheTicketUsable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := &fakeUpstream{}
+		e := newExecutor(t, 1, upstream, nil)
+		req := order("a", freshTicket(t, e))
+		refusal := e.Execute(t.Context(), &bramleyv1.ExecuteRequest{Call: req}).GetRefusal()
+		wantOutcome(t, refusal, bramleyv1.Outcome_OUTCOME_NOT_DELIVERED)
+		if _, refusal := e.Call(t.Context(), req); refusal != nil {
+			t.Fatal(refusal)
+		}
+	})
+}
+
+func TestFullServerDelegates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := &fakeUpstream{took: time.Second}
+		fleet, links := newFleet(t, upstream, 1, 2)
+		req := order("a", freshTicket(t, fleet[1]))
+		occupy(t, fleet[1], testPolicy().Slots)
+		answer, refusal := fleet[1].Call(t.Context(), req)
+		if refusal != nil || answer.GetUpstream() != 2 || links[1].sent[2] != 1 {
+			t.Fatalf("answer %v, refusal %v", answer, refusal)
+		}
+	})
+}
+
+func TestSilentPeerIsNoProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := &fakeUpstream{took: time.Second}
+		fleet, links := newFleet(t, upstream, 1, 2, 3)
+		links[1].mute[2] = true
+		links[1].mute[3] = true
+		req := order("a", freshTicket(t, fleet[1]))
+		occupy(t, fleet[1], testPolicy().Slots)
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			links[1].setSilent(2, 3)
+		}()
+		_, refusal := fleet[1].Call(t.Context(), req)
+		wantOutcome(t, refusal, bramleyv1.Outcome_OUTCOME_UNKNOWN)
+		if upstream.count("a") != 1 || links[1].sent[2]+links[1].sent[3] != 1 {
+			t.Fatalf("ran %d times, sent %v", upstream.count("a"), links[1].sent)
+		}
+	})
+}
+
+func TestRequestThatCanNotMeetItsDeadlineIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := &fakeUpstream{took: time.Second}
+		e := newExecutor(t, 1, upstream, nil)
+		if _, refusal := e.Call(t.Context(), &bramleyv1.CallRequest{RequestId: "sample", Idempotent: true}); refusal != nil {
+			t.Fatal(refusal)
+		}
+		req := order("a", freshTicket(t, e))
+		occupy(t, e, testPolicy().Slots)
+		ctx, cancel := context.WithTimeout(t.Context(), 1200*time.Millisecond)
+		defer cancel()
+		called := time.Now()
+		_, refusal := e.Call(ctx, req)
+		wantOutcome(t, refusal, bramleyv1.Outcome_OUTCOME_NOT_RUN)
+		if time.Since(called) != 0 || refusal.GetRetryAfterMs() == 0 || len(refusal.GetNextTicket()) == 0 {
+			t.Fatalf("after %v: %v", time.Since(called), refusal)
+		}
+	})
+}
+
+func TestCallerThatLeavesTheQueueIsToldNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := &fakeUpstream{took: time.Second}
+		e := newExecutor(t, 1, upstream, nil)
+		req := order("a", freshTicket(t, e))
+		occupy(t, e, testPolicy().Slots)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			cancel()
+		}()
+		_, refusal := e.Call(ctx, req)
+		wantOutcome(t, refusal, bramleyv1.Outcome_OUTCOME_NOT_RUN)
+		time.Sleep(3 * time.Second)
+		if upstream.count("a") != 0 {
+			t.Fatal("a request ran after its caller was told not run")
+		}
+	})
+}
+
+func TestCancelReachesTheUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newExecutor(t, 1, &fakeUpstream{took: time.Hour}, nil)
+		req := order("a", freshTicket(t, e))
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		_, refusal := e.Call(ctx, req)
+		wantOutcome(t, refusal, bramleyv1.Outcome_OUTCOME_UNKNOWN)
+		synctest.Wait()
+		if busy := e.Load().GetBusySlots(); busy != 0 {
+			t.Fatalf("%d slots are still held", busy)
+		}
+	})
+}
+
+func TestPlannedStopCutsNothingAndTheSuccessorAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := &fakeUpstream{took: time.Second}
+		fleet, links := newFleet(t, upstream, 1, 2, 3)
+		leaving := fleet[1]
+		running := order("a", freshTicket(t, leaving))
+		unused := order("b", freshTicket(t, leaving))
+		var group sync.WaitGroup
+		group.Go(func() {
+			if _, refusal := leaving.Call(t.Context(), running); refusal != nil {
+				t.Errorf("cut: %v", refusal)
+			}
+		})
+		synctest.Wait()
+		if err := leaving.Drain(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		group.Wait()
+		handOver(t, leaving, fleet[3])
+		links[2].cut[1] = true
+		answer, refusal := fleet[2].Call(t.Context(), running)
+		if refusal != nil || !answer.GetReplayed() {
+			t.Fatalf("answer %v, refusal %v", answer, refusal)
+		}
+		_, refusal = fleet[2].Call(t.Context(), unused)
+		wantOutcome(t, refusal, bramleyv1.Outcome_OUTCOME_NOT_RUN)
+		if upstream.count("a") != 1 || upstream.count("b") != 0 {
+			t.Fatalf("ran a %d times, b %d times", upstream.count("a"), upstream.count("b"))
+		}
+	})
+}
+
+func handOver(t *testing.T, from, to *request.Executor) {
+	t.Helper()
+	identity := &bramleyv1.Identity{Service: 1, Server: 1, Incarnation: from.Incarnation()}
+	err := from.HandOver(t.Context(), identity, func(_ context.Context, req *bramleyv1.HandOverRequest) (*bramleyv1.HandOverResponse, error) {
+		return to.Adopt(req), nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestDrainThatRunsOutOfTimeNeverSaysNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := &fakeUpstream{took: 5 * time.Second}
+		fleet, links := newFleet(t, upstream, 1, 2)
+		running := order("a", freshTicket(t, fleet[1]))
+		go fleet[1].Call(t.Context(), running)
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if err := fleet[1].Drain(ctx); err != request.ErrDrainIncomplete {
+			t.Fatal(err)
+		}
+		handOver(t, fleet[1], fleet[2])
+		links[2].cut[1] = true
+		_, refusal := fleet[2].Call(t.Context(), running)
+		wantOutcome(t, refusal, bramleyv1.Outcome_OUTCOME_UNKNOWN)
+	})
+}
+
+func TestPausedServerStartsNothingUntilItsViewIsConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		var jump time.Duration
+		jumped := make(chan struct{}, 1)
+		upstream := &fakeUpstream{}
+		e := newExecutor(t, 1, upstream, nil, func(c *request.Config) {
+			c.JumpAfter = time.Second
+			c.OnJump = func() { jumped <- struct{}{} }
+			c.Now = func() time.Time {
+				mu.Lock()
+				defer mu.Unlock()
+				return time.Now().Add(jump)
+			}
+		})
+		first := order("a", freshTicket(t, e))
+		second := order("b", freshTicket(t, e))
+		mu.Lock()
+		jump = 3 * time.Second
+		mu.Unlock()
+		_, refusal := e.Call(t.Context(), first)
+		wantOutcome(t, refusal, bramleyv1.Outcome_OUTCOME_NOT_RUN)
+		<-jumped
+		e.Settle(true)
+		if _, refusal := e.Call(t.Context(), second); refusal != nil || upstream.count("a") != 0 {
+			t.Fatalf("refusal %v, a ran %d times", refusal, upstream.count("a"))
+		}
+	})
+}
+
+func TestWrongAnswersOfTheUpstream(t *testing.T) {
+	crossed := func(req *bramleyv1.CallRequest) *bramleyv1.CallResponse {
+		return answerTo(order("another", nil))
+	}
+	half := func(req *bramleyv1.CallRequest) *bramleyv1.CallResponse {
+		answer := answerTo(req)
+		answer.Body = answer.Body[:3]
+		return answer
+	}
+	for name, wrong := range map[string]func(*bramleyv1.CallRequest) *bramleyv1.CallResponse{"crossed": crossed, "half": half} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				upstream := &fakeUpstream{fail: func(run int, req *bramleyv1.CallRequest) (*bramleyv1.CallResponse, error) {
+					if run > 2 {
+						return nil, nil
+					}
+					return wrong(req), nil
+				}}
+				fleet, _ := newFleet(t, upstream, 1, 2)
+				_, refusal := fleet[1].Call(t.Context(), order("a", freshTicket(t, fleet[1])))
+				wantOutcome(t, refusal, bramleyv1.Outcome_OUTCOME_UNKNOWN)
+				idempotent := &bramleyv1.CallRequest{RequestId: "b", Idempotent: true}
+				answer, refusal := fleet[1].Call(t.Context(), idempotent)
+				if refusal != nil || answer.GetRequestId() != "b" {
+					t.Fatalf("answer %v, refusal %v", answer, refusal)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/request/faults_test.go
@@ -0,0 +1,376 @@
+package request_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
+	"github.com/bramleyrack/bramleyrack/internal/request"
+)
+
+var faultSeeds = flag.Int("fault-seeds", 40, "number of seeds of the fault tests")
+
+const (
+	faultServers  = 4
+	faultRequests = 30
+	faultCopies   = 3
+	faultDeadline = 4 * time.Second
+	pauseLength   = 3 * time.Second
+)
+
+// lockedRand is a seeded source for many goroutines.
+type lockedRand struct {
+	mu  sync.Mutex
+	rnd *rand.Rand
+}
+
+func (r *lockedRand) chance(percent int) bool { return r.intn(100) < percent }
+
+func (r *lockedRand) intn(n int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rnd.Intn(n)
+}
+
+func (r *lockedRand) upTo(d time.Duration) time.Duration {
+	return time.Duration(r.intn(int(d/time.Millisecond)+1)) * time.Millisecond
+}
+
+// mutation breaks one rule on purpose.
+type mutation int
+
+const (
+	noMutation mutation = iota
+	// silenceAsProof treats a delivered request without an answer as not delivered.
+	silenceAsProof
+	// sameIncarnation lets a restarted owner forget its tickets and keep its name.
+	sameIncarnation
+	// falseNotRun lets the upstream refuse as not run what it has run.
+	falseNotRun
+	// acceptCrossed lets a link change the answer of one request for that of another.
+	acceptCrossed
+)
+
+// faultyFleet is a service whose servers, links and upstreams fail at random.
+type faultyFleet struct {
+	t        *testing.T
+	rnd      *lockedRand
+	upstream *fakeUpstream
+	mutation mutation
+	history  *history
+
+	mu          sync.Mutex
+	servers     map[uint32]*request.Executor
+	frozen      map[uint32]time.Time
+	incarnation uint64
+}
+
+func newFaultyFleet(t *testing.T, seed int64, m mutation) *faultyFleet {
+	f := &faultyFleet{
+		t:           t,
+		rnd:         &lockedRand{rnd: rand.New(rand.NewSource(seed))},
+		mutation:    m,
+		history:     &history{start: time.Now(), outcomes: make(map[bramleyv1.Outcome]int)},
+		servers:     make(map[uint32]*request.Executor),
+		frozen:      make(map[uint32]time.Time),
+		incarnation: 100,
+	}
+	f.upstream = &fakeUpstream{took: 300 * time.Millisecond, fail: f.upstreamFault}
+	for server := uint32(1); server <= faultServers; server++ {
+		f.start(server)
+	}
+	return f
+}
+
+func (f *faultyFleet) start(server uint32) {
+	incarnation := f.nextIncarnation()
+	e := newExecutorOf(f.t, server, f.upstream, &faultyPeers{fleet: f, self: server}, func(c *request.Config) {
+		c.Incarnation = incarnation
+		c.Now = func() time.Time { return f.now(server) }
+		c.JumpAfter = time.Second
+		c.OnJump = func() { f.confirm(server) }
+	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.servers[server] = e
+}
+
+func (f *faultyFleet) nextIncarnation() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.mutation != sameIncarnation {
+		f.incarnation++
+	}
+	return f.incarnation
+}
+
+func (f *faultyFleet) now(server uint32) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if frozen, ok := f.frozen[server]; ok {
+		return frozen
+	}
+	return time.Now()
+}
+
+// confirm settles a paused server after a while.
+func (f *faultyFleet) confirm(server uint32) {
+	time.Sleep(f.rnd.upTo(200 * time.Millisecond))
+	if e := f.server(server); e != nil {
+		e.Settle(true)
+	}
+}
+
+func (f *faultyFleet) server(server uint32) *request.Executor {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.servers[server]
+}
+
+func (f *faultyFleet) live() []uint32 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Sorted(maps.Keys(f.servers))
+}
+
+func (f *faultyFleet) upstreamFault(_ int, req *bramleyv1.CallRequest) (*bramleyv1.CallResponse, error) {
+	answer := answerTo(req)
+	switch f.rnd.intn(20) {
+	case 0:
+		answer.RequestId = "crossed"
+		return answer, nil
+	case 1:
+		answer.Body = answer.Body[:len(answer.Body)/2]
+		return answer, nil
+	case 2:
+		return nil, errors.New("connection reset")
+	case 3:
+		if f.mutation == falseNotRun {
+			return nil, wireRefusal(bramleyv1.Outcome_OUTCOME_NOT_RUN)
+		}
+	}
+	return nil, nil
+}
+
+// kill ends a server without notice and starts it anew with an empty memory.
+func (f *faultyFleet) kill(server uint32) {
+	f.take(server).Close()
+	time.Sleep(f.rnd.upTo(time.Second))
+	f.start(server)
+}
+
+// take removes a server so that no one reaches it.
+func (f *faultyFleet) take(server uint32) *request.Executor {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.servers[server]
+	delete(f.servers, server)
+	return e
+}
+
+// stop drains a server, hands its records to a successor and starts the server anew.
+func (f *faultyFleet) stop(server uint32) {
+	e := f.server(server)
+	ctx, cancel := context.WithTimeout(context.Background(), f.rnd.upTo(time.Second))
+	defer cancel()
+	_ = e.Drain(ctx)
+	successor := f.server(server%faultServers + 1)
+	from := &bramleyv1.Identity{Service: 1, Server: server, Incarnation: e.Incarnation()}
+	_ = e.HandOver(context.Background(), from, func(_ context.Context, req *bramleyv1.HandOverRequest) (*bramleyv1.HandOverResponse, error) {
+		if successor == nil {
+			return nil, request.ErrNotDelivered
+		}
+		return successor.Adopt(req), nil
+	})
+	f.take(server).Close()
+	f.start(server)
+}
+
+// pause stops the clock of a server for a while, so that it acts on an old time and then sees a jump.
+func (f *faultyFleet) pause(server uint32) {
+	f.setFrozen(server, true)
+	time.Sleep(pauseLength)
+	f.setFrozen(server, false)
+}
+
+func (f *faultyFleet) setFrozen(server uint32, frozen bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if frozen {
+		f.frozen[server] = time.Now()
+		return
+	}
+	delete(f.frozen, server)
+}
+
+// disturb does one random thing to one server at a time.
+func (f *faultyFleet) disturb(rounds int) {
+	for range rounds {
+		time.Sleep(f.rnd.upTo(400 * time.Millisecond))
+		server := uint32(f.rnd.intn(faultServers) + 1)
+		switch f.rnd.intn(3) {
+		case 0:
+			f.kill(server)
+		case 1:
+			f.stop(server)
+		case 2:
+			f.pause(server)
+		}
+	}
+}
+
+// request sends copies of one request to random servers at random times.
+func (f *faultyFleet) request(number int) {
+	time.Sleep(f.rnd.upTo(3 * time.Second))
+	ticket := f.ticket()
+	id := fmt.Sprintf("request-%d", number)
+	var copies sync.WaitGroup
+	for i := range faultCopies {
+		copies.Go(func() { f.copy(number*faultCopies+i, id, ticket) })
+	}
+	copies.Wait()
+}
+
+func (f *faultyFleet) ticket() []byte {
+	for {
+		if e := f.any(); e != nil {
+			_, refusal := e.Call(context.Background(), order("first", nil))
+			if len(refusal.GetNextTicket()) > 0 {
+				return refusal.GetNextTicket()
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (f *faultyFleet) any() *request.Executor {
+	live := f.live()
+	if len(live) == 0 {
+		return nil
+	}
+	return f.server(live[f.rnd.intn(len(live))])
+}
+
+func (f *faultyFleet) copy(client int, id string, ticket []byte) {
+	time.Sleep(f.rnd.upTo(2 * time.Second))
+	e := f.any()
+	if e == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), f.rnd.upTo(faultDeadline))
+	defer cancel()
+	called := time.Now()
+	answer, refusal := e.Call(ctx, order(id, ticket))
+	f.history.add(client, id, called, answer, refusal)
+}
+
+// faultyPeers loses requests before delivery, and answers after it.
+type faultyPeers struct {
+	fleet *faultyFleet
+	self  uint32
+}
+
+func (p *faultyPeers) Execute(ctx context.Context, server uint32, req *bramleyv1.ExecuteRequest) (*bramleyv1.ExecuteResponse, error) {
+	f := p.fleet
+	peer := f.server(server)
+	if peer == nil || f.rnd.chance(15) {
+		return nil, request.ErrNotDelivered
+	}
+	time.Sleep(f.rnd.upTo(100 * time.Millisecond))
+	answer := peer.Execute(ctx, req)
+	time.Sleep(f.rnd.upTo(100 * time.Millisecond))
+	if f.rnd.chance(30) {
+		return p.lost(ctx)
+	}
+	if f.mutation == acceptCrossed && answer.GetAnswer() != nil {
+		answer.Answer = answerTo(order("crossed", nil))
+		answer.Answer.RequestId = req.GetCall().GetRequestId()
+	}
+	return answer, nil
+}
+
+func (p *faultyPeers) lost(ctx context.Context) (*bramleyv1.ExecuteResponse, error) {
+	if p.fleet.mutation == silenceAsProof {
+		return nil, request.ErrNotDelivered
+	}
+	if p.fleet.rnd.chance(50) {
+		<-ctx.Done()
+	}
+	return nil, errors.New("connection lost")
+}
+
+func (p *faultyPeers) Loads() []request.PeerLoad {
+	var loads []request.PeerLoad
+	for _, server := range p.fleet.live() {
+		if server != p.self {
+			loads = append(loads, request.PeerLoad{Server: server, Slots: 2, Accepting: true})
+		}
+	}
+	return loads
+}
+
+// runFaults returns the violations of one seed, and how often each outcome was told.
+func runFaults(t *testing.T, seed int64, m mutation) (violations []string, outcomes map[bramleyv1.Outcome]int) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFaultyFleet(t, seed, m)
+		var work sync.WaitGroup
+		work.Go(func() { f.disturb(12) })
+		for number := range faultRequests {
+			work.Go(func() { f.request(number) })
+		}
+		work.Wait()
+		time.Sleep(2 * faultDeadline)
+		violations = f.history.violations(f.upstream)
+		outcomes = f.history.outcomes
+		for _, server := range f.live() {
+			f.take(server).Close()
+		}
+	})
+	return violations, outcomes
+}
+
+func TestPromisesHoldUnderFaults(t *testing.T) {
+	total := make(map[bramleyv1.Outcome]int)
+	for seed := range int64(*faultSeeds) {
+		violations, outcomes := runFaults(t, seed, noMutation)
+		for _, violation := range violations {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+		for outcome, count := range outcomes {
+			total[outcome] += count
+		}
+	}
+	t.Logf("outcomes told: %v", total)
+	if total[outcomeAnswered] == 0 || total[bramleyv1.Outcome_OUTCOME_NOT_RUN] == 0 {
+		t.Fatal("the faults left no answers or no refusals to check")
+	}
+}
+
+func TestCheckerCatchesBrokenRules(t *testing.T) {
+	mutations := map[string]mutation{
+		"silence taken for proof":            silenceAsProof,
+		"restart under the same incarnation": sameIncarnation,
+		"upstream refuses what it ran":       falseNotRun,
+		"crossed answer":                     acceptCrossed,
+	}
+	for name, m := range mutations {
+		t.Run(name, func(t *testing.T) {
+			for seed := range int64(*faultSeeds) {
+				if violations, _ := runFaults(t, seed, m); len(violations) > 0 {
+					t.Logf("seed %d: %s", seed, violations[0])
+					return
+				}
+			}
+			t.Fatal("the broken rule went unnoticed")
+		})
+	}
+}
--- a/internal/request/forward.go
+++ b/internal/request/forward.go
@@ -41,7 +41,7 @@
 func (e *Executor) Execute(ctx context.Context, req *bramleyv1.ExecuteRequest) *bramleyv1.ExecuteResponse {
 	left := time.Duration(req.GetDeadlineMs()) * time.Millisecond
 	if left <= 0 {
-		return response(notRun("deadline has passed"), false)
+		return response(expired(req), false)
 	}
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
@@ -53,6 +53,15 @@
 	return response(e.serveCopy(ctx, req.GetCall()))
 }
 
+// expired is the result of a request that arrives after its deadline. A copy leaves its ticket as it is, so
+// that it must not be told that the request did not run.
+func expired(req *bramleyv1.ExecuteRequest) result {
+	if req.GetDelegated() {
+		return notRun("deadline has passed")
+	}
+	return refused(bramleyv1.Outcome_OUTCOME_NOT_DELIVERED, "deadline has passed")
+}
+
 // serveCopy runs or settles a request as its owner, or settles it as the owner's successor. It never
 // passes the request on.
 func (e *Executor) serveCopy(ctx context.Context, req *bramleyv1.CallRequest) (result, bool) {
--- a/internal/request/handover.go
+++ b/internal/request/handover.go
@@ -62,6 +62,7 @@
 	var records []record
 	_ = e.do(context.Background(), func(c *core) {
 		c.draining = true
+		c.exported = true
 		bounds, records = c.ledger.Export(c.age(e.config.Now()))
 	})
 	messages := make([]*bramleyv1.TicketRecord, 0, len(records))
