--- /dev/null
+++ b/cmd/bramley-balancer/main.go
@@ -0,0 +1,163 @@
+// Command bramley-balancer forwards the datagrams of callers to the agents beside the upstreams.
+package main
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
+	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
+	"github.com/bramleyrack/bramleyrack/internal/balancer"
+	"github.com/bramleyrack/bramleyrack/internal/options"
+	"github.com/bramleyrack/bramleyrack/internal/peer"
+	"github.com/bramleyrack/bramleyrack/internal/platform"
+	"github.com/bramleyrack/bramleyrack/internal/secrets"
+	"github.com/bramleyrack/bramleyrack/internal/telemetry"
+	"github.com/bramleyrack/bramleyrack/internal/traffic"
+	"github.com/bramleyrack/bramleyrack/internal/view"
+	"github.com/bramleyrack/bramleyrack/placement"
+)
+
+const program = "bramley-balancer"
+
+// config holds the options of the program.
+type config struct {
+	vm        string
+	place     string
+	platform  string
+	seeds     string
+	peer      netip.AddrPort
+	agents    netip.AddrPort
+	operator  netip.AddrPort
+	bind      map[string]netip.AddrPort
+	retention time.Duration
+	batch     int
+	trace     string
+}
+
+func main() {
+	c := parse(os.Args[1:])
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, c); err != nil {
+		telemetry.Failure("stop", err)
+		os.Exit(1)
+	}
+	telemetry.Event("stop")
+}
+
+func parse(args []string) config {
+	var c config
+	set := options.New(program)
+	set.String(&c.vm, "vm", "", "name of this VM")
+	set.String(&c.place, "place", "", "availability zone of this VM")
+	set.String(&c.platform, "platform", "", "base URL of the platform's configuration service")
+	set.String(&c.seeds, "seeds", "", "addresses of peers to ask while the platform is down, separated by commas")
+	set.AddrPort(&c.peer, "peer-listen", "", "address that this process serves its peers on")
+	set.AddrPort(&c.agents, "agent-listen", "", "address that agents return datagrams to")
+	set.AddrPort(&c.operator, "operator", "", "address of metrics and health for operators")
+	set.Bindings(&c.bind, "bind", "", "address to receive a service on, where it is not the service's own")
+	set.Duration(&c.retention, "retention", 0, "how long a removed upstream stays known for its open flows; 0 means 12h")
+	set.Int(&c.batch, "batch", 0, "datagrams for each system call; 0 means 32")
+	set.String(&c.trace, "trace", "none", "exporter of traces: none, stderr or otlp")
+	set.Require("vm", "place", "platform", "peer-listen", "agent-listen")
+	set.MustParse(args)
+	return c
+}
+
+func run(ctx context.Context, c config) error {
+	shutdown, err := telemetry.StartTracing(ctx, program, c.trace)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer shutdown(context.WithoutCancel(ctx))
+	keys, err := secrets.Load(os.Getenv, secrets.PartConnectionID, secrets.PartPeer)
+	if err != nil {
+		return errors.Annotate(err, "loading secrets")
+	}
+	codec, err := placement.NewCodec(keys.ConnectionID[0], keys.ConnectionID[1])
+	if err != nil {
+		return errors.Trace(err)
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	meter := &traffic.Meter{}
+	v, err := startView(ctx, c, keys, meter)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	var placed func(start, end time.Time, flow uint64, service, server uint32)
+	if c.trace != "none" {
+		placed = telemetry.RecordPlacement
+	}
+	b, err := balancer.New(balancer.Config{
+		View:      v,
+		Codec:     codec,
+		Agents:    c.agents,
+		Bind:      c.bind,
+		Retention: c.retention,
+		Batch:     c.batch,
+		Event:     telemetry.Event,
+		Placed:    placed,
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	telemetry.Gauge("balancer", func() any { return b.Counters() })
+	telemetry.Gauge("revision", func() any { return v.Revision() })
+	telemetry.Event("start", "vm", c.vm, "place", c.place, "agents", b.AgentAddress())
+	group.Go(func() error { return b.Run(ctx) })
+	group.Go(func() error { return peer.Serve(ctx, c.peer, keys.PeerServer, &peerService{View: v}) })
+	if c.operator.IsValid() {
+		group.Go(func() error { return telemetry.ServeOperator(ctx, c.operator, ready(v, b)) })
+	}
+	err = group.Wait()
+	<-v.Done()
+	return err
+}
+
+// peerService answers peers from the view; a balancer runs no requests.
+type peerService struct {
+	*view.View
+}
+
+// Status describes the process.
+func (s *peerService) Status(context.Context, *bramleyv1.StatusRequest) (*bramleyv1.StatusResponse, error) {
+	return s.View.Status(), nil
+}
+
+func ready(v *view.View, b *balancer.Balancer) func() error {
+	return func() error {
+		if err := v.Ready(); err != nil {
+			return err
+		}
+		return b.Ready()
+	}
+}
+
+func startView(ctx context.Context, c config, keys *secrets.Keys, meter *traffic.Meter) (*view.View, error) {
+	return view.Start(ctx, view.Config{
+		Identity: &bramleyv1.Identity{
+			Vm:          c.vm,
+			Place:       c.place,
+			Role:        bramleyv1.VMRole_VM_ROLE_ENTRY,
+			Incarnation: uint64(time.Now().UnixNano()),
+			PeerAddress: c.peer.String(),
+		},
+		Platform: platform.New(platform.Config{URL: c.platform, Meter: meter}),
+		Peers:    peer.NewPool(peer.PoolConfig{TLS: keys.PeerClient, Meter: meter}),
+		Seeds:    splitList(c.seeds),
+		Meter:    meter,
+		Event:    telemetry.Event,
+	})
+}
+
+func splitList(text string) []string {
+	return strings.FieldsFunc(text, func(r rune) bool { return r == ',' })
+}
--- /dev/null
+++ b/internal/balancer/relay_test.go
@@ -0,0 +1,143 @@
+package balancer
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"golang.org/x/net/ipv4"
+
+	"github.com/bramleyrack/bramleyrack/internal/datagram"
+	"github.com/bramleyrack/bramleyrack/internal/routing"
+	"github.com/bramleyrack/bramleyrack/placement"
+	"github.com/bramleyrack/bramleyrack/settings"
+)
+
+const (
+	relayPacketBytes = 1200
+	relayBatch       = 32
+	relaySenders     = 2
+)
+
+// relayBench floods a socket and counts what a relay reads from it and forwards to a sink.
+type relayBench struct {
+	in, out, sink *socket
+}
+
+func newRelayBench(b *testing.B) *relayBench {
+	open := func() *socket {
+		s, err := listen(netip.MustParseAddrPort("127.0.0.1:0"), defaultReadBuffer)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(func() { s.conn.Close() })
+		return s
+	}
+	return &relayBench{in: open(), out: open(), sink: open()}
+}
+
+// flood sends packets to the relay until the benchmark has forwarded enough.
+func (r *relayBench) flood(packet []byte, done *atomic.Bool) *sync.WaitGroup {
+	var senders sync.WaitGroup
+	to := net.UDPAddrFromAddrPort(r.in.localAddr())
+	for range relaySenders {
+		senders.Go(func() {
+			conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			s := &socket{conn: conn, batch: ipv4.NewPacketConn(conn)}
+			w := newWriter(relayBatch)
+			for !done.Load() {
+				for !w.full() {
+					w.add(packet, to)
+				}
+				w.flush(s)
+			}
+		})
+	}
+	return &senders
+}
+
+func (r *relayBench) run(b *testing.B, packet []byte, step func() int) {
+	var done atomic.Bool
+	senders := r.flood(packet, &done)
+	step()
+	b.ResetTimer()
+	for n := 0; n < b.N; {
+		n += step()
+	}
+	b.StopTimer()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "packets/s")
+	done.Store(true)
+	senders.Wait()
+}
+
+// BenchmarkBareRelay forwards packets as they come, by the same system calls as a balancer.
+func BenchmarkBareRelay(b *testing.B) {
+	r := newRelayBench(b)
+	messages := newMessages(relayBatch)
+	w := newWriter(relayBatch)
+	to := net.UDPAddrFromAddrPort(r.sink.localAddr())
+	r.run(b, make([]byte, relayPacketBytes), func() int {
+		n, err := r.in.batch.ReadBatch(messages, 0)
+		if err != nil {
+			b.Fatal(err)
+		}
+		for i := range messages[:n] {
+			w.add(messages[i].Buffers[0][:messages[i].N], to)
+		}
+		w.flush(r.out)
+		return n
+	})
+}
+
+// BenchmarkForward forwards packets of a known flow, and of new flows.
+func BenchmarkForward(b *testing.B) {
+	codec, err := placement.NewCodec([]byte("0123456789abcdef"), nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	id := codec.Encode(placement.Owner{Service: 1, Server: 1}, 1)
+	known := append([]byte{0x40}, id[:]...)
+	known = append(known, make([]byte, relayPacketBytes-len(known))...)
+	first := append([]byte{0xc0, 0, 0, 0, 1, 8}, make([]byte, relayPacketBytes-6)...)
+	for name, packet := range map[string][]byte{"known": known, "new": first} {
+		b.Run(name, func(b *testing.B) {
+			r := newRelayBench(b)
+			f := newBenchForwarder(r, codec)
+			messages := newMessages(relayBatch)
+			r.run(b, packet, func() int {
+				n, err := r.in.batch.ReadBatch(messages, 0)
+				if err != nil {
+					b.Fatal(err)
+				}
+				f.forward(messages[:n])
+				return n
+			})
+		})
+	}
+}
+
+// newBenchForwarder returns a forwarder of a service whose ten upstreams are all the sink.
+func newBenchForwarder(r *relayBench, codec *placement.Codec) *forwarder {
+	service := settings.Service{Number: 1}
+	for number := uint32(1); number <= 10; number++ {
+		upstream := settings.Upstream{Number: number, Agent: r.sink.localAddr(), Policy: settings.DefaultPolicy()}
+		service.Upstreams = append(service.Upstreams, upstream)
+	}
+	builder := routing.Builder{Health: func(uint32) placement.Health { return placement.HealthLive }}
+	tree := &settings.Tree{Revision: 1, Services: []settings.Service{service}}
+	balancer := &Balancer{
+		config: withDefaults(Config{Codec: codec, Batch: relayBatch}),
+		agents: r.out,
+		counts: &counters{},
+	}
+	balancer.table.Store(builder.Build(0, tree, routing.Empty()))
+	f := newForwarder(balancer, 1, r.in)
+	f.header.Balancer = datagram.PutAddr(r.out.localAddr())
+	return f
+}
--- a/placement/acceptor.go
+++ b/placement/acceptor.go
@@ -156,7 +156,7 @@
 		return false
 	}
 	peer := findPeer(peers, d.Server)
-	return peer != nil && now-peer.Heard <= a.config.DeadAfter
+	return peer != nil && a.accepting(now, peer)
 }
 
 func (a *Acceptor) decide(now time.Duration, own Load, peers []PeerLoad, candidates []uint32, hops int) Decision {
@@ -234,26 +234,40 @@
 	return !a.warm && now-a.started < a.config.Settle
 }
 
+// firstUsable returns the first candidate that is usable, or else the first that accepts flows.
 func (a *Acceptor) firstUsable(now time.Duration, peers []PeerLoad, candidates []uint32) *PeerLoad {
+	var settling *PeerLoad
 	for _, server := range candidates {
-		if peer := findPeer(peers, server); peer != nil && a.usable(now, peer) {
+		peer := findPeer(peers, server)
+		if peer == nil || !a.accepting(now, peer) {
+			continue
+		}
+		if a.usable(now, peer) {
 			return peer
 		}
+		if settling == nil {
+			settling = peer
+		}
 	}
-	return nil
+	return settling
+}
+
+// accepting reports whether a peer was heard lately and takes new flows.
+func (a *Acceptor) accepting(now time.Duration, peer *PeerLoad) bool {
+	return peer.Load.Accepting && now-peer.Heard <= a.config.DeadAfter
 }
 
 // usable reports whether a peer takes flows that are passed on. A peer that settles does not: those
 // that hold an earlier revision could not tell where its flows went.
 func (a *Acceptor) usable(now time.Duration, peer *PeerLoad) bool {
 	settled := now-a.peers[peer.Server].since >= a.config.Settle
-	return settled && peer.Load.Accepting && now-peer.Heard <= a.config.DeadAfter
+	return settled && a.accepting(now, peer)
 }
 
 // observe updates the memory of peers from their reports.
 func (a *Acceptor) observe(now time.Duration, peers []PeerLoad) {
 	since := now
-	if len(a.peers) == 0 {
+	if len(a.peers) == 0 || now-a.started <= a.config.Settle {
 		// The acceptor is new itself and cannot tell old peers from new ones.
 		since = now - a.config.Settle - a.config.SlowStart
 	}
--- a/placement/acceptor_test.go
+++ b/placement/acceptor_test.go
@@ -103,6 +103,18 @@
 	}
 }
 
+// A leaving upstream whose only accepting peer settles must not refuse the flow.
+func TestLeavingUpstreamPassesToSettlingPeer(t *testing.T) {
+	now := established
+	a := warmed()
+	leaving := load(10, 0)
+	leaving.Accepting = false
+	d := a.Decide(now, 7, leaving, []placement.PeerLoad{peer(9, 0, 0, now)}, []uint32{9}, 1)
+	if d != (placement.Decision{Action: placement.ActionPass, Server: 9}) {
+		t.Fatalf("decided %+v", d)
+	}
+}
+
 func TestSlowStartLimitsNewcomer(t *testing.T) {
 	start := established
 	a := placement.NewAcceptor(placement.DefaultAcceptorConfig(1), start)
