Share the dispatch decision and bound retries at the server

A budget kept by each caller does not bound the retries of thousands of callers together. The server now invites only a share of its successes back within their deadline; the others are told a time beyond it and end at once.

--- a/client/client.go
+++ b/client/client.go
@@ -87,6 +87,11 @@
 		if next.backoff {
 			next.after = waits.NextBackOff()
 		}
+		if deadline, _ := ctx.Deadline(); time.Until(deadline) <= next.after {
+			end := a.ended("the service asks to come back after the deadline", err)
+			end.RetryAfter = next.after
+			return nil, end
+		}
 		if waitErr := c.sleep(ctx, next.after); waitErr != nil {
 			return nil, a.ended("caller gave up", waitErr)
 		}
--- a/client/config.go
+++ b/client/config.go
@@ -14,7 +14,7 @@
 	defaultFeedTimeout = 4 * time.Second
 	defaultDeadline    = 10 * time.Second
 	defaultRetryShare  = 0.1
-	retryBurst         = 10
+	retryBurst         = 3
 	maxTickets         = 64
 )
 
--- a/internal/request/call.go
+++ b/internal/request/call.go
@@ -20,7 +20,10 @@
 	ctx, cancel := e.bound(ctx)
 	defer cancel()
 	r, replayed := e.serve(ctx, req)
-	return e.reply(r, replayed)
+	if r.answer != nil {
+		return e.answer(r.answer, replayed), nil
+	}
+	return nil, e.refuse(ctx, r)
 }
 
 // bound shortens the deadline of ctx by the time that the answer needs on its way.
@@ -143,28 +146,33 @@
 	return unknown("the ticket is no longer remembered"), false
 }
 
-// reply turns a result into the message for the caller, with a fresh ticket.
-func (e *Executor) reply(r result, replayed bool) (*bramleyv1.CallResponse, *bramleyv1.Refusal) {
+// answer returns the message for the caller, with a fresh ticket.
+func (e *Executor) answer(answer *bramleyv1.CallResponse, replayed bool) *bramleyv1.CallResponse {
+	var next []byte
+	_ = e.do(context.Background(), func(c *core) { next = c.mint(e.config.Now()) })
+	return &bramleyv1.CallResponse{
+		RequestId:  answer.GetRequestId(),
+		Body:       answer.GetBody(),
+		Digest:     answer.GetDigest(),
+		NextTicket: next,
+		Replayed:   replayed || answer.GetReplayed(),
+		Upstream:   answer.GetUpstream(),
+	}
+}
+
+// refuse returns the message for the caller, with a fresh ticket and the time to come back.
+func (e *Executor) refuse(ctx context.Context, r result) *bramleyv1.Refusal {
 	var next []byte
 	var retryAfter time.Duration
 	_ = e.do(context.Background(), func(c *core) {
-		next = c.mint(e.config.Now())
-		retryAfter = c.retryAfter()
+		now := e.config.Now()
+		next = c.mint(now)
+		if !r.immediate {
+			deadline, _ := ctx.Deadline()
+			retryAfter = c.retryAfter(r.outcome, deadline.Sub(now))
+		}
 	})
-	if r.immediate {
-		retryAfter = 0
-	}
-	if r.answer != nil {
-		return &bramleyv1.CallResponse{
-			RequestId:  r.answer.GetRequestId(),
-			Body:       r.answer.GetBody(),
-			Digest:     r.answer.GetDigest(),
-			NextTicket: next,
-			Replayed:   replayed || r.answer.GetReplayed(),
-			Upstream:   r.answer.GetUpstream(),
-		}, nil
-	}
-	return nil, &bramleyv1.Refusal{
+	return &bramleyv1.Refusal{
 		Outcome:      r.outcome,
 		RetryAfterMs: milliseconds(retryAfter),
 		NextTicket:   next,
--- a/internal/request/config.go
+++ b/internal/request/config.go
@@ -30,7 +30,6 @@
 	defaultServiceTime = 20 * time.Millisecond
 	defaultTick        = 100 * time.Millisecond
 	commandBuffer      = 1024
-	retryBurst         = 10
 )
 
 // PeerLoad is what this process knows about another agent of the service.
--- a/internal/request/core.go
+++ b/internal/request/core.go
@@ -1,7 +1,6 @@
 package request
 
 import (
-	"math/rand"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -27,19 +26,17 @@
 
 // core is the state of an executor. Only the loop touches it; it starts no goroutine and reads no clock.
 type core struct {
-	started  time.Time
-	policy   settings.Policy
-	sealer   *ticket.Sealer
-	ledger   *ledger
-	archives map[source]*archive
-	gate     *admission.Gate
-	budget   *admission.Budget
-	rnd      *rand.Rand
-	jobs     map[uint64]*job
-	bySeq    map[uint64]*job
-	inFlight map[uint32]int
-	nextID   uint64
-	draining bool
+	started    time.Time
+	policy     settings.Policy
+	sealer     *ticket.Sealer
+	ledger     *ledger
+	archives   map[source]*archive
+	gate       *admission.Gate
+	dispatcher *admission.Dispatcher
+	jobs       map[uint64]*job
+	bySeq      map[uint64]*job
+	nextID     uint64
+	draining   bool
 	// exported is set when a successor may have the records: no ticket is claimed from then on.
 	exported  bool
 	accepting bool
@@ -49,6 +46,11 @@
 
 func newCore(c Config, sealer *ticket.Sealer, now time.Time) *core {
 	policy := c.Policy()
+	gate := admission.NewGate(admission.Config{
+		Slots:              admission.SlowStart(policy.Slots, 0, policy.SlowStart),
+		QueueLength:        policy.QueueLength,
+		InitialServiceTime: defaultServiceTime,
+	})
 	return &core{
 		started: now,
 		policy:  policy,
@@ -62,19 +64,13 @@
 			AnswerBytes:    policy.RecordBytes,
 			Window:         c.Window,
 		}),
-		archives: make(map[source]*archive),
-		gate: admission.NewGate(admission.Config{
-			Slots:              admission.SlowStart(policy.Slots, 0, policy.SlowStart),
-			QueueLength:        policy.QueueLength,
-			InitialServiceTime: defaultServiceTime,
-		}),
-		budget:    admission.NewBudget(policy.RetryBudget, retryBurst),
-		rnd:       c.Rand,
-		jobs:      make(map[uint64]*job),
-		bySeq:     make(map[uint64]*job),
-		inFlight:  make(map[uint32]int),
-		accepting: true,
-		warmSince: now,
+		archives:   make(map[source]*archive),
+		gate:       gate,
+		dispatcher: admission.NewDispatcher(gate, policy.RetryBudget, c.Rand),
+		jobs:       make(map[uint64]*job),
+		bySeq:      make(map[uint64]*job),
+		accepting:  true,
+		warmSince:  now,
 	}
 }
 
@@ -85,7 +81,7 @@
 // tick takes a change of policy and the progress of the slow start into account.
 func (c *core) tick(now time.Time, policy settings.Policy) {
 	c.policy = policy
-	c.budget.Share = policy.RetryBudget
+	c.dispatcher.SetRetryShare(policy.RetryBudget)
 	c.ledger.SetLimits(policy.TicketLifetime, policy.RecordLifetime, policy.RecordBytes)
 	slots := admission.SlowStart(policy.Slots, now.Sub(c.warmSince), policy.SlowStart)
 	c.apply(now, c.gate.SetLimits(c.age(now), slots, policy.QueueLength))
@@ -99,8 +95,13 @@
 	return c.sealer.Seal(c.ledger.Mint(c.age(now)))
 }
 
-func (c *core) retryAfter() time.Duration {
-	return admission.RetryAfter(c.gate.ExpectedWait(), c.policy.RetryAfter, c.rnd)
+// retryAfter returns when a refused caller with the given time left should come back. Only a request that
+// did not run for want of a slot is new work for this server when it returns.
+func (c *core) retryAfter(outcome bramleyv1.Outcome, left time.Duration) time.Duration {
+	if outcome == bramleyv1.Outcome_OUTCOME_NOT_RUN && c.accepting && !c.draining {
+		return c.dispatcher.RetryAfter(left, c.policy.RetryAfter)
+	}
+	return c.dispatcher.RepeatAfter(c.policy.RetryAfter)
 }
 
 // claim presents a ticket of this owner. The job is set for a fresh ticket, and for a copy of a request
@@ -160,7 +161,7 @@
 func (c *core) finish(now time.Time, j *job, r result) {
 	delete(c.jobs, j.id)
 	if r.answer != nil {
-		c.budget.Success()
+		c.dispatcher.Succeeded()
 	}
 	if j.ticketed {
 		delete(c.bySeq, j.sequence)
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/bramleyrack/bramleyrack/admission"
 	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
 )
 
@@ -28,7 +29,7 @@
 		if err != nil {
 			return last
 		}
-		if d.place == placeNowhere {
+		if d.place == admission.Nowhere {
 			if first {
 				return notRun(d.reason)
 			}
@@ -50,7 +51,7 @@
 }
 
 func (e *Executor) attempt(ctx context.Context, j *job, d decision) result {
-	if d.place == placePeer {
+	if d.place == admission.AtPeer {
 		return e.delegate(ctx, j, d.server)
 	}
 	return e.runHere(ctx, j.req, j.grantedAt)
@@ -61,7 +62,7 @@
 	var d decision
 	loads := e.config.Peers.Loads()
 	err := e.do(ctx, func(c *core) { d = c.place(e.config.Now(), j, loads) })
-	if err != nil || d.place != placeQueue {
+	if err != nil || d.place != admission.Queued {
 		return d, err
 	}
 	return e.awaitGrant(ctx, j), nil
@@ -89,7 +90,7 @@
 
 func grantDecision(granted bool) decision {
 	if granted {
-		return decision{place: placeHere}
+		return decision{place: admission.Here}
 	}
 	return decision{reason: "no slot becomes free before the deadline"}
 }
@@ -139,7 +140,7 @@
 // delegate has a peer run the job once.
 func (e *Executor) delegate(ctx context.Context, j *job, server uint32) result {
 	r := e.executeAt(ctx, server, &bramleyv1.ExecuteRequest{Call: j.req, Delegated: true})
-	_ = e.do(context.Background(), func(c *core) { c.returned(server) })
+	_ = e.do(context.Background(), func(c *core) { c.dispatcher.Returned(server) })
 	if r.outcome == bramleyv1.Outcome_OUTCOME_NOT_DELIVERED {
 		return notRun(r.reason)
 	}
