Measure imbalance as a mean over samples, and ramp the load

Cause: one look at nine short connections on three servers gave ratios between 1.3 and 2.0, which says more about the moment than about the placement.

--- a/cmd/standin-caller/main.go
+++ b/cmd/standin-caller/main.go
@@ -17,6 +17,7 @@
 const (
 	defaultDuration    = 25 * time.Second
 	defaultSettle      = 10 * time.Second
+	defaultRamp        = 3 * time.Second
 	defaultPause       = 200 * time.Millisecond
 	defaultPhotoBytes  = 100 << 10
 	defaultObjectBytes = 2 << 20
@@ -40,6 +41,7 @@
 	set.AddrPort(&c.store, "store", "", "address of that service")
 	set.Duration(&l.Duration, "duration", defaultDuration, "time during which new work starts")
 	set.Duration(&l.Settle, "settle", defaultSettle, "longest time for running work to end after that")
+	set.Duration(&l.Ramp, "ramp", defaultRamp, "time over which the workers start")
 	set.Int(&l.Feeds, "feeds", 0, "`workers` that each hold a feed open")
 	set.Int(&l.Orders, "orders", 0, "`workers` that place orders")
 	set.Int(&l.Sheets, "sheets", 0, "`workers` that read sheets")
--- a/cmd/standin-control/verdict.go
+++ b/cmd/standin-control/verdict.go
@@ -19,16 +19,28 @@
 	"github.com/bramleyrack/bramleyrack/internal/standin/verdict"
 )
 
-// flowsCommand prints how many flows each agent holds.
+// Defaults of the sampling of flows.
+const (
+	defaultSamples        = 10
+	defaultSampleInterval = 200 * time.Millisecond
+)
+
+// flowsCommand prints how many flows each agent holds, as a mean over some samples.
 type flowsCommand struct {
-	agents string
+	agents   string
+	samples  int
+	interval time.Duration
 }
 
 func (*flowsCommand) Name() string     { return "flows" }
-func (*flowsCommand) Synopsis() string { return "print the flows of each agent as JSON" }
-func (*flowsCommand) Usage() string    { return "flows --agents NUMBER=IP:PORT,...\n" }
+func (*flowsCommand) Synopsis() string { return "print the mean flows of each agent as JSON" }
+func (*flowsCommand) Usage() string {
+	return "flows --agents NUMBER=IP:PORT,... [--samples 10] [--interval 200ms]\n"
+}
 func (c *flowsCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.agents, "agents", "", "operator address of each agent, by the number of its upstream")
+	f.IntVar(&c.samples, "samples", defaultSamples, "number of samples")
+	f.DurationVar(&c.interval, "interval", defaultSampleInterval, "time between two samples")
 }
 
 func (c *flowsCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -39,22 +51,37 @@
 	return exit(json.NewEncoder(os.Stdout).Encode(flows))
 }
 
-func (c *flowsCommand) flows(ctx context.Context) (map[uint32]int, error) {
+func (c *flowsCommand) flows(ctx context.Context) (map[uint32]float64, error) {
+	operators, err := parseAgents(c.agents)
+	if err != nil {
+		return nil, err
+	}
 	client := control.NewClient()
-	flows := make(map[uint32]int)
-	for _, item := range list(c.agents) {
+	flows := make(map[uint32]float64)
+	for range c.samples {
+		for number, operator := range operators {
+			vars, err := client.Vars(ctx, operator)
+			if err != nil {
+				return nil, err
+			}
+			flows[number] += float64(vars.Flows) / float64(c.samples)
+		}
+		time.Sleep(c.interval)
+	}
+	return flows, nil
+}
+
+func parseAgents(text string) (map[uint32]string, error) {
+	operators := make(map[uint32]string)
+	for _, item := range list(text) {
 		number, operator, ok := strings.Cut(item, "=")
 		n, err := strconv.ParseUint(number, 10, 32)
 		if !ok || err != nil {
 			return nil, errors.Errorf("%q is not NUMBER=IP:PORT", item)
 		}
-		vars, err := client.Vars(ctx, operator)
-		if err != nil {
-			return nil, err
-		}
-		flows[uint32(n)] = vars.Flows
+		operators[uint32(n)] = operator
 	}
-	return flows, nil
+	return operators, nil
 }
 
 // verdictCommand prints the closing line and fails when a promise is broken.
@@ -87,6 +114,9 @@
 		return exit(err)
 	}
 	v := verdict.New(*input)
+	for service, ratio := range v.Imbalances {
+		fmt.Fprintf(os.Stderr, "service=%s flows=%.1f imbalance=%.2f\n", service, input.Flows[service], ratio)
+	}
 	fmt.Println(v.Line())
 	return exit(v.Err())
 }
@@ -127,7 +157,7 @@
 }
 
 // flowsByService groups the flows of the agents that take new work by their service.
-func (c *verdictCommand) flowsByService(reports []upstream.Report) (map[string][]int, error) {
+func (c *verdictCommand) flowsByService(reports []upstream.Report) (map[string][]float64, error) {
 	if c.flows == "" {
 		return nil, nil
 	}
@@ -135,11 +165,11 @@
 	if err != nil {
 		return nil, err
 	}
-	var flows map[uint32]int
+	var flows map[uint32]float64
 	if err := json.Unmarshal(data, &flows); err != nil {
 		return nil, err
 	}
-	grouped := make(map[string][]int)
+	grouped := make(map[string][]float64)
 	for _, report := range reports {
 		count, known := flows[report.Number]
 		if known && report.Number != uint32(c.leaving) {
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -30,6 +30,8 @@
 	Duration time.Duration
 	// Settle is how long running work may take after that.
 	Settle time.Duration
+	// Ramp is the time over which the workers start, each at a random point.
+	Ramp time.Duration
 	// Feeds, Orders, Sheets, Photos and Downloads count workers, each with a client of its own.
 	Feeds, Orders, Sheets, Photos, Downloads int
 	// Pause is the mean time between two requests of a worker.
@@ -111,7 +113,7 @@
 
 func (w *worker) run(starting, settling context.Context, j job) {
 	defer w.client.Close()
-	w.pause(starting)
+	w.sleep(starting, time.Duration(w.random.Int64N(int64(w.config.Ramp)+1)))
 	j(w, starting, settling)
 	if w.done == 0 {
 		w.tally.problem(func(r *Result) { r.IdleWorkers++ }, w.name+" completed nothing")
@@ -120,8 +122,12 @@
 
 // pause waits between half and one and a half times the mean.
 func (w *worker) pause(ctx context.Context) {
+	w.sleep(ctx, w.config.Pause/2+time.Duration(w.random.Int64N(int64(w.config.Pause)+1)))
+}
+
+func (w *worker) sleep(ctx context.Context, duration time.Duration) {
 	select {
-	case <-time.After(w.config.Pause/2 + time.Duration(w.random.Int64N(int64(w.config.Pause)+1))):
+	case <-time.After(duration):
 	case <-ctx.Done():
 	}
 }
--- a/internal/standin/verdict/verdict.go
+++ b/internal/standin/verdict/verdict.go
@@ -24,8 +24,8 @@
 	// Leaving is the number of the leaving upstream, and LeavingSince when the mark was published.
 	Leaving      uint32
 	LeavingSince time.Time
-	// Flows counts the flows of each upstream that takes new work, for each service.
-	Flows map[string][]int
+	// Flows holds the mean flows of each upstream that takes new work, for each service.
+	Flows map[string][]float64
 	// InForce is the longest time until a published revision was in force everywhere.
 	InForce time.Duration
 	// AllowBroken accepts broken flows, for scenarios that kill the owner of flows.
@@ -38,10 +38,11 @@
 	BrokenFlows, WrongAnswers int
 	RunTwice, FalseNotRun     int
 	LeavingNewWork            int
-	Imbalance                 float64
-	InForce                   time.Duration
-	Refused, Unknown          int
-	FeedSilenceMilliseconds   int64
+	// Imbalances holds the ratio of the largest to the mean count of flows of each service.
+	Imbalances              map[string]float64
+	InForce                 time.Duration
+	Refused, Unknown        int
+	FeedSilenceMilliseconds int64
 	// Broken lists the promises that were broken.
 	Broken []string
 }
@@ -54,7 +55,7 @@
 		Downloads:               in.Result.Downloads,
 		BrokenFlows:             in.Result.BrokenFlows + resumedDownloads(in.Reports),
 		WrongAnswers:            in.Result.WrongAnswers + wrongService(in.Reports),
-		Imbalance:               imbalance(in.Flows),
+		Imbalances:              imbalances(in.Flows),
 		InForce:                 in.InForce,
 		Refused:                 in.Result.Refused,
 		Unknown:                 in.Result.Unknown,
@@ -132,19 +133,27 @@
 	return n
 }
 
-// imbalance returns the highest ratio of the largest to the mean count over the services.
-func imbalance(flows map[string][]int) float64 {
-	worst := 0.0
-	for _, counts := range flows {
-		sum, largest := 0, 0
+// imbalances returns the ratio of the largest to the mean count of each service.
+func imbalances(flows map[string][]float64) map[string]float64 {
+	ratios := make(map[string]float64)
+	for service, counts := range flows {
+		sum, largest := 0.0, 0.0
 		for _, count := range counts {
 			sum += count
 			largest = max(largest, count)
 		}
 		if sum > 0 {
-			worst = max(worst, float64(largest*len(counts))/float64(sum))
+			ratios[service] = largest * float64(len(counts)) / sum
 		}
 	}
+	return ratios
+}
+
+func highest(ratios map[string]float64) float64 {
+	worst := 0.0
+	for _, ratio := range ratios {
+		worst = max(worst, ratio)
+	}
 	return worst
 }
 
@@ -190,6 +199,6 @@
 		"false_not_run=%d leaving_new_work=%d imbalance=%.2f revision_in_force_ms=%d refused=%d unknown=%d "+
 		"feed_silence_ms=%d",
 		v.Calls, v.Feeds, v.Downloads, v.BrokenFlows, v.WrongAnswers, v.RunTwice,
-		v.FalseNotRun, v.LeavingNewWork, v.Imbalance, v.InForce.Milliseconds(), v.Refused, v.Unknown,
+		v.FalseNotRun, v.LeavingNewWork, highest(v.Imbalances), v.InForce.Milliseconds(), v.Refused, v.Unknown,
 		v.FeedSilenceMilliseconds)
 }
--- a/internal/standin/verdict/verdict_test.go
+++ b/internal/standin/verdict/verdict_test.go
@@ -27,7 +27,7 @@
 		},
 		Leaving:      2,
 		LeavingSince: marked,
-		Flows:        map[string][]int{"orders": {3, 1}},
+		Flows:        map[string][]float64{"orders": {3, 1}},
 		InForce:      time.Millisecond,
 	}
 }
@@ -37,8 +37,8 @@
 	if err := v.Err(); err != nil {
 		t.Fatal(err)
 	}
-	if v.Imbalance != 1.5 {
-		t.Fatalf("imbalance %v, want 1.5", v.Imbalance)
+	if ratio := v.Imbalances["orders"]; ratio != 1.5 {
+		t.Fatalf("imbalance %v, want 1.5", ratio)
 	}
 }
 
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -58,7 +58,7 @@
     kill -KILL "$pid" 2>/dev/null || true
     wait "$pid" 2>/dev/null || true
   done
-  if [ $status -eq 0 ]; then rm -rf "$work"; else say "logs are in $work"; fi
+  if [ $status -eq 0 ] && [ -z "${KEEP:-}" ]; then rm -rf "$work"; else say "logs are in $work"; fi
   exit $status
 }
 
@@ -215,8 +215,8 @@
 load_start() {
   local kinds
   case $deployment in
-    agencia) kinds="--feeds 28 --orders 14 --sheets 21 --downloads 9" ;;
-    wislanka) kinds="--feeds 42 --orders 28 --photos 6 --downloads 6" ;;
+    agencia) kinds="--feeds 56 --orders 14 --sheets 21 --downloads 9" ;;
+    wislanka) kinds="--feeds 56 --orders 28 --photos 6 --downloads 6" ;;
   esac
   run caller bin/standin-caller --desk-service "$desk" --desk "$(at 1)" --store-service "$store" --store "$(at 2)" \
     --duration "${DURATION:-26s}" --seed "${SEED:-1}" --result "$work/result.json" $kinds ${CALLER_ARGS:-}
