--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -109,11 +110,24 @@
 	codec    *placement.Codec
 	agents   map[uint32]*endpoint
 	caller   *endpoint
+	liveness placement.LivenessConfig
+	// events holds the health of agents as it changes.
+	events chan string
 }
 
 // newBench starts a balancer. Servers 1 to 3 belong to orders, server 4 to photos.
 func newBench(t *testing.T) *bench {
-	b := &bench{t: t, agents: map[uint32]*endpoint{}, caller: newEndpoint(t)}
+	return newBenchWith(t, placement.DefaultLivenessConfig())
+}
+
+// newQuickBench starts a balancer that finds failures soon.
+func newQuickBench(t *testing.T) *bench {
+	return newBenchWith(t, quickLiveness())
+}
+
+func newBenchWith(t *testing.T, liveness placement.LivenessConfig) *bench {
+	b := &bench{t: t, agents: map[uint32]*endpoint{}, caller: newEndpoint(t), liveness: liveness}
+	b.events = make(chan string, 1024)
 	b.codec, _ = placement.NewCodec(key, nil)
 	for server := uint32(1); server <= 4; server++ {
 		b.agents[server] = newEndpoint(t)
@@ -128,12 +142,18 @@
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
 	opened := make(chan struct{}, 16)
 	created, err := balancer.New(balancer.Config{
-		View:   b.view,
-		Codec:  b.codec,
-		Agents: loopback,
-		Event: func(op string, _ ...any) {
-			if op == "service-received" {
+		View:     b.view,
+		Codec:    b.codec,
+		Agents:   loopback,
+		Liveness: b.liveness,
+		Event: func(op string, kv ...any) {
+			switch op {
+			case "service-received":
 				opened <- struct{}{}
+			case "agent-health":
+				b.events <- fmt.Sprint(op, " ", kv[1], " ", kv[3])
+			case "cut-off":
+				b.events <- fmt.Sprint(op, " ", kv[0], " ", kv[1])
 			}
 		},
 	})
