Replay overloads of requests against baselines; keep the queue short

Replay of two generated traces (7x7 and 7x5 slots) in virtual time, at 0.5x to 4x of capacity: go test ./requesttrace -run Overload -v. Found by it: a queue bounded only by the deadlines stands full under overload. The check that urgent requests fare no worse than all is for 1x and above: at 0.5x a request whose own work exceeds its patience decided it.

--- a/admission/dispatcher.go
+++ b/admission/dispatcher.go
@@ -45,7 +45,9 @@
 	retries     *Budget
 	invitations *Budget
 	inFlight    map[uint32]int
-	rnd         *rand.Rand
+	// declined holds the time until which a peer that had no free slot is left alone.
+	declined map[uint32]time.Duration
+	rnd      *rand.Rand
 }
 
 // NewDispatcher returns a dispatcher over a gate. The retry share is how many retries each success allows.
@@ -55,6 +57,7 @@
 		retries:     NewBudget(retryShare, retryBurst),
 		invitations: NewBudget(retryShare, retryBurst),
 		inFlight:    make(map[uint32]int),
+		declined:    make(map[uint32]time.Duration),
 		rnd:         rnd,
 	}
 }
@@ -70,7 +73,7 @@
 	if j.Local && d.gate.TryRun(now, j.Deadline) {
 		return Here, 0
 	}
-	if server, ok := d.choose(j, peers); ok && (!j.Retry || d.retries.Take()) {
+	if server, ok := d.choose(now, j, peers); ok && (!j.Retry || d.retries.Take()) {
 		d.inFlight[server]++
 		return AtPeer, server
 	}
@@ -80,10 +83,10 @@
 	return Nowhere, 0
 }
 
-func (d *Dispatcher) choose(j Job, peers []Peer) (uint32, bool) {
+func (d *Dispatcher) choose(now time.Duration, j Job, peers []Peer) (uint32, bool) {
 	candidates := make([]Peer, 0, len(peers))
 	for _, peer := range peers {
-		if j.Tried[peer.Server] {
+		if j.Tried[peer.Server] || now < d.declined[peer.Server] {
 			continue
 		}
 		peer.InFlight = d.inFlight[peer.Server]
@@ -100,6 +103,12 @@
 	}
 }
 
+// Declined tells that a peer had no free slot. It is asked again after the time that one of its slots takes to
+// become free.
+func (d *Dispatcher) Declined(now time.Duration, server uint32) {
+	d.declined[server] = now + d.gate.estimate.mean
+}
+
 // Succeeded adds the retries that a success allows.
 func (d *Dispatcher) Succeeded() {
 	d.retries.Success()
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -17,6 +17,10 @@
 	InitialServiceTime time.Duration
 }
 
+// waitShare is the reciprocal of the part of its remaining time that a request may be expected to wait. A
+// small part keeps the queue short under overload and leaves room for requests that go ahead.
+const waitShare = 4
+
 // Decision is what happens to a request that arrives.
 type Decision uint8
 
@@ -25,7 +29,7 @@
 	Run Decision = iota
 	// Wait means that the request waits; Done or SetLimits names it later, or Cancel removes it.
 	Wait
-	// Shed means that the request cannot meet its deadline, or that the queue is full.
+	// Shed means that the request would wait too long for its deadline, or that the queue is full.
 	Shed
 )
 
@@ -70,7 +74,8 @@
 		return Shed
 	}
 	ahead := g.queue.ahead(deadline)
-	if now+g.wait(ahead)+g.estimate.high() > deadline {
+	wait := g.wait(ahead)
+	if wait > (deadline-now)/waitShare || now+wait+g.estimate.high() > deadline {
 		return Shed
 	}
 	g.queue.push(id, deadline)
--- a/internal/request/place.go
+++ b/internal/request/place.go
@@ -61,6 +61,14 @@
 	return ""
 }
 
+// returned takes the result of a delegated job.
+func (c *core) returned(now time.Time, server uint32, r result) {
+	c.dispatcher.Returned(server)
+	if r.provesNotRun() {
+		c.dispatcher.Declined(c.age(now), server)
+	}
+}
+
 // available returns the peers that may get work.
 func available(loads []PeerLoad) []admission.Peer {
 	peers := make([]admission.Peer, 0, len(loads))
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -140,10 +140,10 @@
 // delegate has a peer run the job once.
 func (e *Executor) delegate(ctx context.Context, j *job, server uint32) result {
 	r := e.executeAt(ctx, server, &bramleyv1.ExecuteRequest{Call: j.req, Delegated: true})
-	_ = e.do(context.Background(), func(c *core) { c.dispatcher.Returned(server) })
 	if r.outcome == bramleyv1.Outcome_OUTCOME_NOT_DELIVERED {
-		return notRun(r.reason)
+		r = notRun(r.reason)
 	}
+	_ = e.do(context.Background(), func(c *core) { c.returned(e.config.Now(), server, r) })
 	return r
 }
 
--- /dev/null
+++ b/requesttrace/generate.go
@@ -0,0 +1,55 @@
+package requesttrace
+
+import (
+	"math"
+	"math/rand"
+	"time"
+)
+
+// Shape describes a trace to generate.
+type Shape struct {
+	Length time.Duration
+	// Rate is the mean number of requests a second.
+	Rate float64
+	// Callers is the number of callers; caller k sends in proportion to (1+k)^-Skew.
+	Callers int
+	Skew    float64
+	// MeanWork is the mean time that a request takes; it spreads log-normally with WorkSpread.
+	MeanWork   time.Duration
+	WorkSpread float64
+	// Patience is how long most callers wait. A share of UrgentShare waits only UrgentPatience.
+	Patience       time.Duration
+	UrgentPatience time.Duration
+	UrgentShare    float64
+}
+
+// Generate returns a trace with Poisson arrivals.
+func Generate(s Shape, rnd *rand.Rand) []Request {
+	callers := rand.NewZipf(rnd, max(s.Skew, 1.001), 50, uint64(s.Callers-1))
+	var trace []Request
+	at := time.Duration(0)
+	for {
+		at += time.Duration(rnd.ExpFloat64() / s.Rate * float64(time.Second))
+		if at >= s.Length {
+			return trace
+		}
+		trace = append(trace, Request{
+			At:       at.Truncate(time.Microsecond),
+			Caller:   int(callers.Uint64()),
+			Work:     s.work(rnd),
+			Patience: s.patience(rnd),
+		})
+	}
+}
+
+func (s Shape) work(rnd *rand.Rand) time.Duration {
+	spread := math.Exp(s.WorkSpread*rnd.NormFloat64() - s.WorkSpread*s.WorkSpread/2)
+	return time.Duration(float64(s.MeanWork) * spread).Truncate(time.Microsecond)
+}
+
+func (s Shape) patience(rnd *rand.Rand) time.Duration {
+	if rnd.Float64() < s.UrgentShare {
+		return s.UrgentPatience
+	}
+	return s.Patience
+}
--- /dev/null
+++ b/requesttrace/replay_test.go
@@ -0,0 +1,172 @@
+package requesttrace_test
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/bramleyrack/bramleyrack/requesttrace"
+)
+
+var update = flag.Bool("update-traces", false, "write the generated traces to testdata")
+
+const (
+	traceDir     = "../testdata/traces"
+	friday       = "request-wislanka-friday.csv"
+	morning      = "request-agencia-morning.csv"
+	meanWork     = 100 * time.Millisecond
+	wislankaSlot = 7
+	agenciaSlot  = 5
+	servers      = 7
+)
+
+func shape(slots int, length time.Duration) requesttrace.Shape {
+	return requesttrace.Shape{
+		Length:         length,
+		Rate:           float64(servers*slots) / meanWork.Seconds(),
+		Callers:        2000 * servers,
+		Skew:           1.2,
+		MeanWork:       meanWork,
+		WorkSpread:     0.5,
+		Patience:       2 * time.Second,
+		UrgentPatience: 500 * time.Millisecond,
+		UrgentShare:    0.3,
+	}
+}
+
+func config(dispatch requesttrace.Dispatch, slots int) requesttrace.Config {
+	return requesttrace.Config{
+		Dispatch:    dispatch,
+		Servers:     servers,
+		Slots:       slots,
+		QueueLength: 64,
+		CallerDelay: time.Millisecond,
+		PeerDelay:   1500 * time.Microsecond,
+		ReportEvery: 500 * time.Millisecond,
+		RetryAfter:  200 * time.Millisecond,
+		RetryShare:  0.1,
+		MaxTries:    3,
+		Seed:        1,
+	}
+}
+
+func load(t testing.TB, name string) []requesttrace.Request {
+	t.Helper()
+	f, err := os.Open(filepath.Join(traceDir, name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = f.Close() }()
+	trace, err := requesttrace.Read(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return trace
+}
+
+// TestTracesAreWhatTheGeneratorWrites keeps the traces in testdata reproducible.
+func TestTracesAreWhatTheGeneratorWrites(t *testing.T) {
+	for name, slots := range map[string]int{friday: wislankaSlot, morning: agenciaSlot} {
+		var want bytes.Buffer
+		trace := requesttrace.Generate(shape(slots, 20*time.Second), rand.New(rand.NewSource(int64(slots))))
+		if err := requesttrace.Write(&want, trace); err != nil {
+			t.Fatal(err)
+		}
+		path := filepath.Join(traceDir, name)
+		if *update {
+			if err := os.WriteFile(path, want.Bytes(), 0o644); err != nil {
+				t.Fatal(err)
+			}
+		}
+		got, err := os.ReadFile(path)
+		if err != nil || !bytes.Equal(got, want.Bytes()) {
+			t.Errorf("%s differs from what the generator writes (%v)", name, err)
+		}
+		if read := load(t, name); !slices.Equal(read, trace) {
+			t.Errorf("%s does not read back", name)
+		}
+	}
+}
+
+func logReport(t testing.TB, factor float64, c requesttrace.Config, r requesttrace.Report) {
+	t.Logf("%4.1fx %-17s goodput %5.3f good %6.3f refused %6.3f late %6.3f attempts %5.3f wasted %6d delegated %6d declined %6d imbalance %5.3f p50 %6.1f p99 %7.1f p99.9 %7.1f refusal p50 %5.1f p99 %6.1f ms urgent good %.3f",
+		factor, c.Dispatch, r.Goodput, share(r.Good, r), share(r.Refused, r), share(r.Late, r), share(r.Attempts, r),
+		r.Wasted, r.Delegated, r.Declined, r.Imbalance,
+		milliseconds(r.P50), milliseconds(r.P99), milliseconds(r.P999),
+		milliseconds(r.RefusalP50), milliseconds(r.RefusalP99), float64(r.GoodUrgent)/float64(r.Urgent))
+}
+
+func share(n int, r requesttrace.Report) float64 { return float64(n) / float64(r.Offered) }
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+const (
+	wantGoodput  = 0.95
+	wantAttempts = 1.1
+)
+
+func TestOverloadAgainstBaselines(t *testing.T) {
+	for name, slots := range map[string]int{friday: wislankaSlot, morning: agenciaSlot} {
+		t.Run(name, func(t *testing.T) {
+			trace := load(t, name)
+			for _, factor := range []float64{0.5, 1, 2, 4} {
+				scaled := requesttrace.Scale(trace, factor)
+				for dispatch := requesttrace.Admission; dispatch <= requesttrace.RoundRobinFIFO; dispatch++ {
+					c := config(dispatch, slots)
+					r := requesttrace.Replay(scaled, c)
+					logReport(t, factor, c, r)
+					if dispatch == requesttrace.Admission {
+						check(t, factor, r)
+					}
+				}
+			}
+		})
+	}
+}
+
+func check(t *testing.T, factor float64, r requesttrace.Report) {
+	t.Helper()
+	if r.Good+r.Refused+r.Late != r.Offered {
+		t.Errorf("%gx: %d requests have no outcome", factor, r.Offered-r.Good-r.Refused-r.Late)
+	}
+	if attempts := share(r.Attempts, r); attempts > wantAttempts {
+		t.Errorf("%gx: %.3f attempts for each request", factor, attempts)
+	}
+	if urgent := float64(r.GoodUrgent) / float64(r.Urgent); factor >= 1 && urgent < share(r.Good, r) {
+		t.Errorf("%gx: %.3f of the urgent requests were answered in time, of all %.3f", factor, urgent, share(r.Good, r))
+	}
+	if factor >= 2 && r.Goodput < wantGoodput {
+		t.Errorf("%gx: goodput %.3f of capacity", factor, r.Goodput)
+	}
+}
+
+func TestReplayIsDeterministic(t *testing.T) {
+	trace := requesttrace.Generate(shape(agenciaSlot, 2*time.Second), rand.New(rand.NewSource(1)))
+	c := config(requesttrace.Admission, agenciaSlot)
+	if first, second := requesttrace.Replay(trace, c), requesttrace.Replay(trace, c); first != second {
+		t.Fatalf("%+v and %+v", first, second)
+	}
+}
+
+func Example() {
+	trace := []requesttrace.Request{
+		{At: 0, Caller: 1, Work: 100 * time.Millisecond, Patience: time.Second},
+		{At: 0, Caller: 2, Work: 100 * time.Millisecond, Patience: time.Second},
+	}
+	report := requesttrace.Replay(trace, requesttrace.Config{Servers: 1, Slots: 1, QueueLength: 1, ReportEvery: time.Second})
+	fmt.Println(report.Good, report.P50)
+	// Output: 2 200ms
+}
+
+func BenchmarkReplay(b *testing.B) {
+	trace := load(b, friday)
+	for b.Loop() {
+		requesttrace.Replay(trace, config(requesttrace.Admission, wislankaSlot))
+	}
+}
