Mark failed dials so that the executor sees that nothing was delivered

juju's errors.Wrap keeps its new error as the cause, outside the chain that errors.Is walks, so a failed dial counted as delivered: a trial printed false for errors.Is(Wrap(err, ErrNotDelivered), ErrNotDelivered). The outcome was a needless unknown, and copies never reached the successor of a gone owner.

--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -31,12 +31,12 @@
 	}
 	client, err := p.pool.Client(ctx, upstream.Peer.String())
 	if err != nil {
-		return nil, errors.Wrap(err, request.ErrNotDelivered)
+		return nil, request.NotDelivered(err)
 	}
 	answer, err := client.Execute(ctx, req)
 	var dial *peer.DialError
 	if errors.As(err, &dial) {
-		return nil, errors.Wrap(err, request.ErrNotDelivered)
+		return nil, request.NotDelivered(err)
 	}
 	return answer, err
 }
--- a/internal/request/config.go
+++ b/internal/request/config.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand"
 	"time"
 
@@ -25,6 +26,11 @@
 	ErrNotAdopted = errors.New("successor did not take the records")
 )
 
+// NotDelivered marks err as a proof that a peer never received the request.
+func NotDelivered(err error) error {
+	return fmt.Errorf("%w: %w", ErrNotDelivered, err)
+}
+
 const (
 	defaultDeadline    = 10 * time.Second
 	defaultServiceTime = 20 * time.Millisecond
--- a/internal/request/executor_test.go
+++ b/internal/request/executor_test.go
@@ -287,3 +287,11 @@
 		wantOutcome(t, refusal, bramleyv1.Outcome_OUTCOME_NOT_DELIVERED)
 	})
 }
+
+func TestNotDeliveredIsFoundInTheChain(t *testing.T) {
+	cause := errors.New("connection refused")
+	err := request.NotDelivered(cause)
+	if !errors.Is(err, request.ErrNotDelivered) || !errors.Is(err, cause) {
+		t.Fatal(err)
+	}
+}
