Let a service that starts at once bound its load from the first flow

Agents that started together with the oldest one are no newcomers now. The age of a peer comes from its incarnation.

--- a/flowtrace/world.go
+++ b/flowtrace/world.go
@@ -35,6 +35,7 @@
 	acceptor *placement.Acceptor
 	peers    []placement.PeerLoad
 	flows    map[uint64]*flow
+	started  time.Duration
 	dead     bool
 	died     time.Duration
 	frozen   time.Duration
@@ -135,7 +136,6 @@
 		service := settings.Service{Number: s.Number}
 		for _, u := range s.Upstreams {
 			a := w.addAgent(s.Number, u)
-			a.acceptor.SkipSlowStart()
 			service.Upstreams = append(service.Upstreams, a.settings())
 		}
 		w.tree.Services = append(w.tree.Services, service)
@@ -160,6 +160,7 @@
 		upstream: u,
 		service:  service,
 		address:  netip.AddrPortFrom(netip.AddrFrom4(ip), 1),
+		started:  w.now,
 		self:     placement.Owner{Service: service, Server: u.Number, Incarnation: uint32(len(w.agents) + 1)},
 		acceptor: placement.NewAcceptor(w.acceptorConfig(u.Number), w.now),
 		flows:    map[uint64]*flow{},
@@ -242,7 +243,7 @@
 }
 
 func (a *agent) hear(now time.Duration, from *agent) {
-	report := placement.PeerLoad{Server: from.upstream.Number, Load: from.load(), Heard: now}
+	report := placement.PeerLoad{Server: from.upstream.Number, Load: from.load(), Heard: now, Age: max(now-from.started, 1)}
 	for i := range a.peers {
 		if a.peers[i].Server == report.Server {
 			a.peers[i] = report
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -96,6 +96,7 @@
 		loads = append(loads, placement.PeerLoad{
 			Server: m.Server,
 			Heard:  now - (viewNow - m.LastHeard),
+			Age:    age(m.Incarnation),
 			Load: placement.Load{
 				Flows:     m.Load.Flows,
 				BusySlots: m.Load.BusySlots,
@@ -108,6 +109,14 @@
 	return loads
 }
 
+// age returns how long ago a process of an incarnation started, or zero if that is not known.
+func age(incarnation uint64) time.Duration {
+	if incarnation == 0 {
+		return 0
+	}
+	return max(time.Since(time.Unix(0, int64(incarnation))), 1)
+}
+
 // successors returns the peer addresses of live agents of the service, for a hand-over.
 func (p *peers) successors() []string {
 	var addresses []string
--- a/placement/acceptor.go
+++ b/placement/acceptor.go
@@ -24,6 +24,8 @@
 	Load   Load
 	// Heard is the time at which Load was received.
 	Heard time.Duration
+	// Age is how long the peer has been running; zero if it is not known.
+	Age time.Duration
 }
 
 // Action is what an agent does with the first packet of a flow.
@@ -58,7 +60,7 @@
 	// SlowStart is the time over which the share of a new upstream grows to its full value, once it
 	// has settled. Long values protect a cold upstream; short ones even out the load earlier.
 	SlowStart time.Duration
-	// Settle is the time after the start for which new flows are passed on, so that processes on
+	// Settle is the time after the start for which a newcomer passes new flows on, so that processes on
 	// the previous revision and on the current one agree on the owner. It must cover the time in
 	// which a revision comes into force everywhere.
 	Settle time.Duration
@@ -97,8 +99,8 @@
 type Acceptor struct {
 	config  AcceptorConfig
 	started time.Duration
-	// warm says that the upstream was in service before the acceptor was created.
-	warm   bool
+	// oldest is the earliest start of any agent of the service.
+	oldest time.Duration
 	memory flowMemory
 	peers  map[uint32]*peerMemory
 	// suspectUntil is the end of the time in which the network may be parted.
@@ -107,7 +109,7 @@
 
 // peerMemory is what an acceptor adds to the reported load of a peer.
 type peerMemory struct {
-	// since is when the peer was first seen to accept flows.
+	// since is when the peer started, or else when it was first seen.
 	since time.Duration
 	// passed counts the flows passed to the peer since heard.
 	passed uint32
@@ -119,16 +121,12 @@
 	return &Acceptor{
 		config:  config,
 		started: now,
+		oldest:  now,
 		memory:  newFlowMemory(config.Memory, config.MaxRemembered),
 		peers:   map[uint32]*peerMemory{},
 	}
 }
 
-// SkipSlowStart declares the upstream warm, as when a whole service starts at once.
-func (a *Acceptor) SkipSlowStart() {
-	a.warm = true
-}
-
 // Decide returns what to do with the first packet of a flow. candidates are the servers that follow
 // in rank; a passed packet carries Remaining of them, so that each pass shortens the list and no
 // loop can form.
@@ -166,7 +164,7 @@
 	if hops >= a.config.MaxHops {
 		return Decision{Action: ActionAccept}
 	}
-	if a.settling(now) {
+	if !a.settled(now, a.started) {
 		if peer := a.firstUsable(now, peers, candidates); peer != nil {
 			return Decision{Action: ActionPass, Server: peer.Server}
 		}
@@ -230,8 +228,14 @@
 	return lightest
 }
 
-func (a *Acceptor) settling(now time.Duration) bool {
-	return !a.warm && now-a.started < a.config.Settle
+// settled reports whether an agent that started at a time takes flows in every view of the service.
+// Agents that started together with the oldest one were never missing from a view.
+func (a *Acceptor) settled(now, start time.Duration) bool {
+	return now-start >= a.config.Settle || !a.newcomer(start)
+}
+
+func (a *Acceptor) newcomer(start time.Duration) bool {
+	return start-a.oldest > a.config.Settle
 }
 
 // firstUsable returns the first candidate that is usable, or else the first that accepts flows.
@@ -260,23 +264,17 @@
 // usable reports whether a peer takes flows that are passed on. A peer that settles does not: those
 // that hold an earlier revision could not tell where its flows went.
 func (a *Acceptor) usable(now time.Duration, peer *PeerLoad) bool {
-	settled := now-a.peers[peer.Server].since >= a.config.Settle
-	return settled && a.accepting(now, peer)
+	return a.settled(now, a.peers[peer.Server].since) && a.accepting(now, peer)
 }
 
 // observe updates the memory of peers from their reports.
 func (a *Acceptor) observe(now time.Duration, peers []PeerLoad) {
-	since := now
-	if len(a.peers) == 0 || now-a.started <= a.config.Settle {
-		// The acceptor is new itself and cannot tell old peers from new ones.
-		since = now - a.config.Settle - a.config.SlowStart
-	}
+	first := len(a.peers) == 0
 	for i := range peers {
 		p := &peers[i]
 		known := a.peers[p.Server]
-		if known == nil {
-			known = &peerMemory{since: since}
-			a.peers[p.Server] = known
+		if known == nil || p.Age > 0 {
+			known = a.meet(now, p, first)
 		}
 		if p.Heard > known.heard {
 			known.heard = p.Heard
@@ -286,6 +284,24 @@
 	a.suspect(now, peers)
 }
 
+// meet notes the start of a peer. Without its age, peers that were there before the acceptor count
+// as old.
+func (a *Acceptor) meet(now time.Duration, p *PeerLoad, first bool) *peerMemory {
+	known := a.peers[p.Server]
+	if known == nil {
+		known = &peerMemory{since: now}
+		a.peers[p.Server] = known
+	}
+	switch {
+	case p.Age > 0:
+		known.since = now - p.Age
+	case first || now-a.started <= a.config.Settle:
+		known.since = now - 2*a.config.Settle - a.config.SlowStart
+	}
+	a.oldest = min(a.oldest, known.since)
+	return known
+}
+
 // suspectHold is how many times DeadAfter the suspicion of a parted network lasts, so that flows
 // survive until every peer is heard again.
 const suspectHold = 3
--- a/placement/acceptor_test.go
+++ b/placement/acceptor_test.go
@@ -34,9 +34,8 @@
 
 func ExampleAcceptor() {
 	a := placement.NewAcceptor(placement.DefaultAcceptorConfig(1), 0)
-	a.SkipSlowStart()
 	own := placement.Load{Flows: 120, Weight: 1, Accepting: true}
-	light := placement.PeerLoad{Server: 2, Load: placement.Load{Flows: 80, Weight: 1, Accepting: true}}
+	light := placement.PeerLoad{Server: 2, Load: placement.Load{Flows: 80, Weight: 1, Accepting: true}, Age: time.Second}
 	d := a.Decide(0, 42, own, []placement.PeerLoad{light}, []uint32{2}, 0)
 	fmt.Println(d.Action == placement.ActionPass, d.Server)
 	// Output: true 2
@@ -103,6 +102,26 @@
 	}
 }
 
+// When a whole service starts at once, no agent is a newcomer and the load is bounded from the first
+// flow on.
+func TestServiceThatStartsAtOnceIsBalanced(t *testing.T) {
+	now := 2 * time.Second
+	a := acceptor(1)
+	young := peer(2, 10, 0, now)
+	young.Age = time.Second
+	if d := a.Decide(now, 7, load(10, 0), []placement.PeerLoad{young}, []uint32{2}, 0); d.Action != placement.ActionAccept {
+		t.Fatalf("with the mean load it decided %+v", d)
+	}
+	if d := a.Decide(now, 8, load(20, 0), []placement.PeerLoad{young}, []uint32{2}, 0); d.Action != placement.ActionPass {
+		t.Fatalf("with twice the load it decided %+v", d)
+	}
+	old := peer(3, 10, 0, now)
+	old.Age = time.Minute
+	if d := a.Decide(now, 9, load(0, 0), []placement.PeerLoad{old}, []uint32{3}, 0); d.Action != placement.ActionPass {
+		t.Fatalf("as a newcomer it decided %+v", d)
+	}
+}
+
 // A leaving upstream whose only accepting peer settles must not refuse the flow.
 func TestLeavingUpstreamPassesToSettlingPeer(t *testing.T) {
 	now := established
--- a/placement/load.go
+++ b/placement/load.go
@@ -23,15 +23,20 @@
 	return l.Weight
 }
 
-func (a *Acceptor) ownShare(now time.Duration, own *Load) float64 {
-	if a.warm {
-		return weight(own)
+// ramp returns the share of its weight that an agent has that started at a time.
+func (a *Acceptor) ramp(now, start time.Duration) float64 {
+	if !a.newcomer(start) {
+		return 1
 	}
-	return weight(own) * Ramp(now-a.started-a.config.Settle, a.config.SlowStart)
+	return Ramp(now-start-a.config.Settle, a.config.SlowStart)
+}
+
+func (a *Acceptor) ownShare(now time.Duration, own *Load) float64 {
+	return weight(own) * a.ramp(now, a.started)
 }
 
 func (a *Acceptor) peerShare(now time.Duration, peer *PeerLoad) float64 {
-	return weight(&peer.Load) * Ramp(now-a.peers[peer.Server].since-a.config.Settle, a.config.SlowStart)
+	return weight(&peer.Load) * a.ramp(now, a.peers[peer.Server].since)
 }
 
 // relative is the number of flows of the upstream over its share, with the flow to be placed.
