--- /dev/null
+++ b/internal/telemetry/log.go
@@ -0,0 +1,80 @@
+// Package telemetry is what operators see of a process: log events, metrics, health and traces.
+package telemetry
+
+import (
+	"io"
+	"log/slog"
+	"os"
+	"sync"
+	"sync/atomic"
+
+	"golang.org/x/time/rate"
+	"k8s.io/klog/v2"
+)
+
+const (
+	// eventsPerSecond is the rate at which one operation may log.
+	eventsPerSecond = 5
+	// eventBurst is how many events of one operation may log at once.
+	eventBurst = 20
+)
+
+// limiters holds one *opLimiter for each operation that has logged.
+var limiters sync.Map
+
+type opLimiter struct {
+	limiter    *rate.Limiter
+	suppressed atomic.Int64
+}
+
+func init() {
+	LogTo(os.Stderr)
+}
+
+// LogTo sends all events to w, one key=value line each.
+func LogTo(w io.Writer) {
+	handler := slog.NewTextHandler(w, &slog.HandlerOptions{ReplaceAttr: renameMessage})
+	klog.SetSlogLogger(slog.New(handler))
+}
+
+func renameMessage(_ []string, attr slog.Attr) slog.Attr {
+	if attr.Key == slog.MessageKey {
+		attr.Key = "op"
+	}
+	return attr
+}
+
+// Event logs one event of an operation with alternating keys and values. Events of one operation
+// above the limit are counted and reported with the next one that is logged.
+func Event(op string, kv ...any) {
+	if kv, ok := admit(op, kv); ok {
+		klog.InfoSDepth(1, op, kv...)
+	}
+}
+
+// Failure logs an operation that failed, limited like Event.
+func Failure(op string, err error, kv ...any) {
+	if kv, ok := admit(op, kv); ok {
+		klog.ErrorSDepth(1, err, op, kv...)
+	}
+}
+
+func admit(op string, kv []any) ([]any, bool) {
+	l := limiterFor(op)
+	if !l.limiter.Allow() {
+		l.suppressed.Add(1)
+		return nil, false
+	}
+	if n := l.suppressed.Swap(0); n > 0 {
+		kv = append(kv[:len(kv):len(kv)], "suppressed", n)
+	}
+	return kv, true
+}
+
+func limiterFor(op string) *opLimiter {
+	if l, ok := limiters.Load(op); ok {
+		return l.(*opLimiter)
+	}
+	l, _ := limiters.LoadOrStore(op, &opLimiter{limiter: rate.NewLimiter(eventsPerSecond, eventBurst)})
+	return l.(*opLimiter)
+}
--- /dev/null
+++ b/internal/telemetry/operator.go
@@ -0,0 +1,70 @@
+package telemetry
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// operatorHeaderTimeout bounds how long a client of the operator address may take for a header.
+	operatorHeaderTimeout = 5 * time.Second
+	// operatorStopTimeout bounds how long running operator requests may hold up a stop.
+	operatorStopTimeout = time.Second
+)
+
+// OperatorHandler serves /debug/vars, /healthz and /readyz.
+func OperatorHandler(ready func() error) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintln(w, "ok")
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ready")
+	})
+	return mux
+}
+
+// ServeOperator serves OperatorHandler at addr until ctx ends. The zero address serves nothing.
+func ServeOperator(ctx context.Context, addr netip.AddrPort, ready func() error) error {
+	if !addr.IsValid() {
+		<-ctx.Done()
+		return nil
+	}
+	listener, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return errors.Annotatef(err, "listen at the operator address %s", addr)
+	}
+	Event("operator_listening", "addr", listener.Addr())
+	server := &http.Server{Handler: OperatorHandler(ready), ReadHeaderTimeout: operatorHeaderTimeout}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		<-ctx.Done()
+		stopOperator(server)
+	}()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Annotate(err, "serve the operator address")
+	}
+	<-stopped
+	return nil
+}
+
+func stopOperator(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), operatorStopTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		_ = server.Close()
+	}
+}
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,123 @@
+package telemetry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"go.opentelemetry.io/otel/trace"
+	"storj.io/drpc/drpcmetadata"
+)
+
+func captureLog(t *testing.T) *bytes.Buffer {
+	buffer := &bytes.Buffer{}
+	LogTo(buffer)
+	t.Cleanup(func() { LogTo(os.Stderr) })
+	return buffer
+}
+
+func TestEventIsOneKeyValueLine(t *testing.T) {
+	buffer := captureLog(t)
+	Event("test_started", "reason", "two\nlines", "count", 3)
+	Failure("test_failed", errors.New("it broke"), "server", 7)
+	lines := strings.Split(strings.TrimSpace(buffer.String()), "\n")
+	if len(lines) != 2 {
+		t.Fatalf("got %d lines: %q", len(lines), lines)
+	}
+	for _, want := range []string{"op=test_started", `reason="two\nlines"`, "count=3"} {
+		if !strings.Contains(lines[0], want) {
+			t.Errorf("%q is missing from %q", want, lines[0])
+		}
+	}
+	for _, want := range []string{"level=ERROR", "op=test_failed", `err="it broke"`, "server=7"} {
+		if !strings.Contains(lines[1], want) {
+			t.Errorf("%q is missing from %q", want, lines[1])
+		}
+	}
+}
+
+func TestRepeatedEventIsLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		buffer := captureLog(t)
+		for range eventBurst + 30 {
+			Event("test_repeated")
+		}
+		time.Sleep(time.Second)
+		Event("test_repeated")
+		lines := strings.Split(strings.TrimSpace(buffer.String()), "\n")
+		if len(lines) != eventBurst+1 || !strings.Contains(lines[eventBurst], "suppressed=30") {
+			t.Fatalf("got %d lines, the last %q", len(lines), lines[len(lines)-1])
+		}
+	})
+}
+
+func TestOperatorHandler(t *testing.T) {
+	Counter("test_counter").Add(2)
+	Counter("test_counter").Add(3)
+	Gauge("test_gauge", func() any { return "old" })
+	Gauge("test_gauge", func() any { return map[string]int{"a": 1} })
+	notReady := errors.New("no revision yet")
+	handler := OperatorHandler(func() error { return notReady })
+	check := func(path string, status int, want string) {
+		t.Helper()
+		answer := httptest.NewRecorder()
+		handler.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, path, nil))
+		if answer.Code != status || !strings.Contains(answer.Body.String(), want) {
+			t.Errorf("%s: got %d %q", path, answer.Code, answer.Body)
+		}
+	}
+	check("/healthz", http.StatusOK, "ok")
+	check("/readyz", http.StatusServiceUnavailable, "no revision yet")
+	notReady = nil
+	check("/readyz", http.StatusOK, "ready")
+	check("/debug/vars", http.StatusOK, `"test_counter": 5`)
+	check("/debug/vars", http.StatusOK, `"test_gauge": {"a":1}`)
+}
+
+func TestServeOperatorReportsABusyAddress(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	addr := netip.MustParseAddrPort(server.Listener.Addr().String())
+	if err := ServeOperator(t.Context(), addr, nil); err == nil || !strings.Contains(err.Error(), addr.String()) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestTraceContextCrossesPeers(t *testing.T) {
+	if _, err := StartTracing(t.Context(), "test", ExporterNone); err != nil {
+		t.Fatal(err)
+	}
+	spans := tracetest.NewSpanRecorder()
+	otel.SetTracerProvider(sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(spans)))
+	ctx, agent := StartSpan(context.Background(), HopAgent)
+	sent, _ := drpcmetadata.Get(InjectPeer(ctx))
+	remote := drpcmetadata.AddPairs(context.Background(), sent)
+	_, peer := StartSpan(ExtractPeer(remote), HopPeerAgent)
+	EndSpan(peer, fmt.Errorf("refused"))
+	EndSpan(agent, nil)
+	ended := spans.Ended()
+	if len(ended) != 2 || ended[0].Parent().SpanID() != agent.SpanContext().SpanID() {
+		t.Fatalf("got %d spans with parent %v", len(ended), ended[0].Parent())
+	}
+	if ended[0].SpanKind() != trace.SpanKindServer || ended[0].Status().Description != "refused" {
+		t.Fatalf("got %v %v", ended[0].SpanKind(), ended[0].Status())
+	}
+}
+
+func TestUnknownExporter(t *testing.T) {
+	if _, err := StartTracing(t.Context(), "test", "smoke-signals"); err == nil {
+		t.Fatal("accepted")
+	}
+}
