--- a/internal/request/call.go
+++ b/internal/request/call.go
@@ -71,7 +71,7 @@
 	})
 	switch {
 	case err != nil:
-		return unknown("server is overloaded or stopping"), false
+		return refused(bramleyv1.Outcome_OUTCOME_NOT_DELIVERED, "server is overloaded or stopping"), false
 	case j == nil:
 		return fromVerdict(v)
 	}
@@ -85,7 +85,7 @@
 		e.launch(ctx, j)
 	})
 	if err != nil {
-		return unknown("server is overloaded or stopping")
+		return notRun("server is overloaded or stopping")
 	}
 	return e.wait(ctx, j)
 }
@@ -104,12 +104,21 @@
 	case <-j.done:
 		return j.result
 	case <-e.stopped:
-		return unknown("server has stopped")
+		return stoppedResult(j)
 	case <-ctx.Done():
 		return e.giveUp(ctx, j)
 	}
 }
 
+func stoppedResult(j *job) result {
+	select {
+	case <-j.done:
+		return j.result
+	default:
+		return unknown("server has stopped")
+	}
+}
+
 func (e *Executor) giveUp(ctx context.Context, j *job) result {
 	outcome := bramleyv1.Outcome_OUTCOME_UNKNOWN
 	settled := false
--- a/internal/request/core.go
+++ b/internal/request/core.go
@@ -24,13 +24,19 @@
 	record  = ticket.Record[*bramleyv1.CallResponse]
 )
 
+// adopted is the memory of an owner that has left.
+type adopted struct {
+	at      time.Time
+	records *archive
+}
+
 // core is the state of an executor. Only the loop touches it; it starts no goroutine and reads no clock.
 type core struct {
 	started    time.Time
 	policy     settings.Policy
 	sealer     *ticket.Sealer
 	ledger     *ledger
-	archives   map[source]*archive
+	archives   map[source]*adopted
 	gate       *admission.Gate
 	dispatcher *admission.Dispatcher
 	jobs       map[uint64]*job
@@ -64,7 +70,7 @@
 			AnswerBytes:    policy.RecordBytes,
 			Window:         c.Window,
 		}),
-		archives:   make(map[source]*archive),
+		archives:   make(map[source]*adopted),
 		gate:       gate,
 		dispatcher: admission.NewDispatcher(gate, policy.RetryBudget, c.Rand),
 		jobs:       make(map[uint64]*job),
@@ -81,6 +87,7 @@
 // tick takes a change of policy and the progress of the slow start into account.
 func (c *core) tick(now time.Time, policy settings.Policy) {
 	c.policy = policy
+	c.forget(now)
 	c.dispatcher.SetRetryShare(policy.RetryBudget)
 	c.ledger.SetLimits(policy.TicketLifetime, policy.RecordLifetime, policy.RecordBytes)
 	slots := admission.SlowStart(policy.Slots, now.Sub(c.warmSince), policy.SlowStart)
--- a/internal/request/executor.go
+++ b/internal/request/executor.go
@@ -85,7 +85,7 @@
 	return e.config.JumpAfter > 0 && now.Sub(before) > e.config.JumpAfter
 }
 
-// do runs a command in the loop and waits until it has run.
+// do runs a command in the loop and waits until it has run. An error means that it never will.
 func (e *Executor) do(ctx context.Context, command func(*core)) error {
 	done := make(chan struct{})
 	wrapped := func(c *core) {
@@ -103,6 +103,16 @@
 	case <-done:
 		return nil
 	case <-e.stopped:
+		return ranBefore(done)
+	}
+}
+
+// ranBefore settles a command of a loop that has stopped.
+func ranBefore(done <-chan struct{}) error {
+	select {
+	case <-done:
+		return nil
+	default:
 		return ErrClosed
 	}
 }
--- a/internal/request/faults_test.go
+++ b/internal/request/faults_test.go
@@ -60,12 +60,45 @@
 	acceptCrossed
 )
 
+// disturbance is something that happens to one server.
+type disturbance int
+
+const (
+	kill disturbance = iota
+	stop
+	pause
+)
+
+// faults says what goes wrong in a run, in percent of the messages concerned.
+type faults struct {
+	disturbances []disturbance
+	lostRequests int
+	lostAnswers  int
+	upstream     int
+	drain        time.Duration
+	// patient callers wait long enough for any answer; others wait for a random time.
+	patient  bool
+	mutation mutation
+}
+
+// everyFault is the mix of the tests of the promises.
+func everyFault(m mutation) faults {
+	return faults{
+		disturbances: []disturbance{kill, stop, pause},
+		lostRequests: 15,
+		lostAnswers:  30,
+		upstream:     20,
+		drain:        time.Second,
+		mutation:     m,
+	}
+}
+
 // faultyFleet is a service whose servers, links and upstreams fail at random.
 type faultyFleet struct {
 	t        *testing.T
 	rnd      *lockedRand
 	upstream *fakeUpstream
-	mutation mutation
+	faults   faults
 	history  *history
 
 	mu          sync.Mutex
@@ -74,11 +107,11 @@
 	incarnation uint64
 }
 
-func newFaultyFleet(t *testing.T, seed int64, m mutation) *faultyFleet {
+func newFaultyFleet(t *testing.T, seed int64, faults faults) *faultyFleet {
 	f := &faultyFleet{
 		t:           t,
 		rnd:         &lockedRand{rnd: rand.New(rand.NewSource(seed))},
-		mutation:    m,
+		faults:      faults,
 		history:     &history{start: time.Now(), outcomes: make(map[bramleyv1.Outcome]int)},
 		servers:     make(map[uint32]*request.Executor),
 		frozen:      make(map[uint32]time.Time),
@@ -107,7 +140,7 @@
 func (f *faultyFleet) nextIncarnation() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.mutation != sameIncarnation {
+	if f.faults.mutation != sameIncarnation {
 		f.incarnation++
 	}
 	return f.incarnation
@@ -144,7 +177,10 @@
 
 func (f *faultyFleet) upstreamFault(_ int, req *bramleyv1.CallRequest) (*bramleyv1.CallResponse, error) {
 	answer := answerTo(req)
-	switch f.rnd.intn(20) {
+	if !f.rnd.chance(f.faults.upstream) {
+		return nil, nil
+	}
+	switch f.rnd.intn(4) {
 	case 0:
 		answer.RequestId = "crossed"
 		return answer, nil
@@ -154,7 +190,7 @@
 	case 2:
 		return nil, errors.New("connection reset")
 	case 3:
-		if f.mutation == falseNotRun {
+		if f.faults.mutation == falseNotRun {
 			return nil, wireRefusal(bramleyv1.Outcome_OUTCOME_NOT_RUN)
 		}
 	}
@@ -180,7 +216,7 @@
 // stop drains a server, hands its records to a successor and starts the server anew.
 func (f *faultyFleet) stop(server uint32) {
 	e := f.server(server)
-	ctx, cancel := context.WithTimeout(context.Background(), f.rnd.upTo(time.Second))
+	ctx, cancel := context.WithTimeout(context.Background(), f.drainTime())
 	defer cancel()
 	_ = e.Drain(ctx)
 	successor := f.server(server%faultServers + 1)
@@ -195,6 +231,14 @@
 	f.start(server)
 }
 
+// drainTime is long for patient callers, as an operator sets it.
+func (f *faultyFleet) drainTime() time.Duration {
+	if f.faults.patient {
+		return f.faults.drain
+	}
+	return f.rnd.upTo(f.faults.drain)
+}
+
 // pause stops the clock of a server for a while, so that it acts on an old time and then sees a jump.
 func (f *faultyFleet) pause(server uint32) {
 	f.setFrozen(server, true)
@@ -217,12 +261,12 @@
 	for range rounds {
 		time.Sleep(f.rnd.upTo(400 * time.Millisecond))
 		server := uint32(f.rnd.intn(faultServers) + 1)
-		switch f.rnd.intn(3) {
-		case 0:
+		switch f.faults.disturbances[f.rnd.intn(len(f.faults.disturbances))] {
+		case kill:
 			f.kill(server)
-		case 1:
+		case stop:
 			f.stop(server)
-		case 2:
+		case pause:
 			f.pause(server)
 		}
 	}
@@ -266,7 +310,11 @@
 	if e == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), f.rnd.upTo(faultDeadline))
+	patience := f.rnd.upTo(faultDeadline)
+	if f.faults.patient {
+		patience = 2 * faultDeadline
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	called := time.Now()
 	answer, refusal := e.Call(ctx, order(id, ticket))
@@ -282,16 +330,16 @@
 func (p *faultyPeers) Execute(ctx context.Context, server uint32, req *bramleyv1.ExecuteRequest) (*bramleyv1.ExecuteResponse, error) {
 	f := p.fleet
 	peer := f.server(server)
-	if peer == nil || f.rnd.chance(15) {
+	if peer == nil || f.rnd.chance(f.faults.lostRequests) {
 		return nil, request.ErrNotDelivered
 	}
 	time.Sleep(f.rnd.upTo(100 * time.Millisecond))
 	answer := peer.Execute(ctx, req)
 	time.Sleep(f.rnd.upTo(100 * time.Millisecond))
-	if f.rnd.chance(30) {
+	if f.rnd.chance(f.faults.lostAnswers) {
 		return p.lost(ctx)
 	}
-	if f.mutation == acceptCrossed && answer.GetAnswer() != nil {
+	if f.faults.mutation == acceptCrossed && answer.GetAnswer() != nil {
 		answer.Answer = answerTo(order("crossed", nil))
 		answer.Answer.RequestId = req.GetCall().GetRequestId()
 	}
@@ -299,7 +347,7 @@
 }
 
 func (p *faultyPeers) lost(ctx context.Context) (*bramleyv1.ExecuteResponse, error) {
-	if p.fleet.mutation == silenceAsProof {
+	if p.fleet.faults.mutation == silenceAsProof {
 		return nil, request.ErrNotDelivered
 	}
 	if p.fleet.rnd.chance(50) {
@@ -319,11 +367,13 @@
 }
 
 // runFaults returns the violations of one seed, and how often each outcome was told.
-func runFaults(t *testing.T, seed int64, m mutation) (violations []string, outcomes map[bramleyv1.Outcome]int) {
+func runFaults(t *testing.T, seed int64, faults faults) (violations []string, outcomes map[bramleyv1.Outcome]int) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFaultyFleet(t, seed, m)
+		f := newFaultyFleet(t, seed, faults)
 		var work sync.WaitGroup
-		work.Go(func() { f.disturb(12) })
+		if len(faults.disturbances) > 0 {
+			work.Go(func() { f.disturb(12) })
+		}
 		for number := range faultRequests {
 			work.Go(func() { f.request(number) })
 		}
@@ -341,7 +391,7 @@
 func TestPromisesHoldUnderFaults(t *testing.T) {
 	total := make(map[bramleyv1.Outcome]int)
 	for seed := range int64(*faultSeeds) {
-		violations, outcomes := runFaults(t, seed, noMutation)
+		violations, outcomes := runFaults(t, seed, everyFault(noMutation))
 		for _, violation := range violations {
 			t.Errorf("seed %d: %s", seed, violation)
 		}
@@ -365,7 +415,7 @@
 	for name, m := range mutations {
 		t.Run(name, func(t *testing.T) {
 			for seed := range int64(*faultSeeds) {
-				if violations, _ := runFaults(t, seed, m); len(violations) > 0 {
+				if violations, _ := runFaults(t, seed, everyFault(m)); len(violations) > 0 {
 					t.Logf("seed %d: %s", seed, violations[0])
 					return
 				}
@@ -374,3 +424,37 @@
 		})
 	}
 }
+
+// TestOutcomesOfEachFailure logs how often callers are told each outcome when one thing goes wrong at a time.
+func TestOutcomesOfEachFailure(t *testing.T) {
+	for _, failure := range []struct {
+		name   string
+		faults faults
+		// certain is set where every caller must be told a definite outcome.
+		certain bool
+	}{
+		{"none", faults{}, true},
+		{"kill", faults{disturbances: []disturbance{kill}}, false},
+		{"planned stop", faults{disturbances: []disturbance{stop}, drain: time.Hour}, true},
+		{"pause", faults{disturbances: []disturbance{pause}}, true},
+		{"links refuse 15 %", faults{lostRequests: 15}, true},
+		{"links lose 30 % of answers", faults{lostAnswers: 30}, false},
+		{"upstream errs in 20 %", faults{upstream: 20}, false},
+	} {
+		total := make(map[bramleyv1.Outcome]int)
+		failure.faults.patient = true
+		for seed := range int64(*faultSeeds) {
+			violations, outcomes := runFaults(t, seed, failure.faults)
+			for _, violation := range violations {
+				t.Errorf("%s, seed %d: %s", failure.name, seed, violation)
+			}
+			for outcome, count := range outcomes {
+				total[outcome] += count
+			}
+		}
+		t.Logf("%-28s %v", failure.name, total)
+		if failure.certain && total[bramleyv1.Outcome_OUTCOME_UNKNOWN] > 0 {
+			t.Errorf("%s: %d callers were left without a definite outcome", failure.name, total[bramleyv1.Outcome_OUTCOME_UNKNOWN])
+		}
+	}
+}
--- a/internal/request/handover.go
+++ b/internal/request/handover.go
@@ -53,18 +53,44 @@
 
 // Records returns the memory of every used ticket. It ends the start of requests for good.
 func (e *Executor) Records() []*bramleyv1.TicketRecord {
-	_, records := e.export()
-	return records
+	return e.export(&bramleyv1.Identity{})[0].records
 }
 
-func (e *Executor) export() (ticket.Bounds, []*bramleyv1.TicketRecord) {
-	var bounds ticket.Bounds
-	var records []record
+// estate is the memory of one owner, as it is handed to a successor.
+type estate struct {
+	from    *bramleyv1.Identity
+	bounds  ticket.Bounds
+	records []*bramleyv1.TicketRecord
+}
+
+// export returns the memory of this owner first, and then that of the owners that it has succeeded.
+func (e *Executor) export(from *bramleyv1.Identity) []estate {
+	var estates []estate
 	_ = e.do(context.Background(), func(c *core) {
 		c.draining = true
 		c.exported = true
-		bounds, records = c.ledger.Export(c.age(e.config.Now()))
+		age := c.age(e.config.Now())
+		bounds, records := c.ledger.Export(age)
+		estates = append([]estate{{from: from, bounds: bounds, records: messages(records)}}, c.inherited(age, from)...)
 	})
+	return estates
+}
+
+// inherited returns the memory of the owners that this one has succeeded.
+func (c *core) inherited(age time.Duration, from *bramleyv1.Identity) []estate {
+	var estates []estate
+	for owner, adopted := range c.archives {
+		bounds, records, complete := adopted.records.Export(age)
+		if !complete {
+			continue
+		}
+		identity := &bramleyv1.Identity{Service: from.GetService(), Server: owner.server, Incarnation: owner.incarnation}
+		estates = append(estates, estate{from: identity, bounds: bounds, records: messages(records)})
+	}
+	return estates
+}
+
+func messages(records []record) []*bramleyv1.TicketRecord {
 	messages := make([]*bramleyv1.TicketRecord, 0, len(records))
 	for _, r := range records {
 		messages = append(messages, &bramleyv1.TicketRecord{
@@ -75,7 +101,7 @@
 			Fingerprint: r.Fingerprint,
 		})
 	}
-	return bounds, messages
+	return messages
 }
 
 func recordOutcome(state ticket.State) bramleyv1.Outcome {
@@ -86,36 +112,37 @@
 }
 
 // HandOver sends every record to a successor in messages of bounded size. A nil error means that the
-// successor has them all and answers for this owner from then on.
+// successor has them all and answers for this owner, and for those that it has succeeded, from then on.
 func (e *Executor) HandOver(ctx context.Context, from *bramleyv1.Identity, send func(context.Context, *bramleyv1.HandOverRequest) (*bramleyv1.HandOverResponse, error)) error {
-	bounds, records := e.export()
-	for _, message := range batches(from, bounds, records) {
-		answer, err := send(ctx, message)
-		if err != nil {
-			return errors.Trace(err)
-		}
-		if !answer.GetAccepted() {
-			return ErrNotAdopted
+	for _, estate := range e.export(from) {
+		for _, message := range estate.batches() {
+			answer, err := send(ctx, message)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			if !answer.GetAccepted() {
+				return ErrNotAdopted
+			}
 		}
 	}
 	return nil
 }
 
-func batches(from *bramleyv1.Identity, bounds ticket.Bounds, records []*bramleyv1.TicketRecord) []*bramleyv1.HandOverRequest {
-	message := &bramleyv1.HandOverRequest{From: from}
+func (s estate) batches() []*bramleyv1.HandOverRequest {
+	message := &bramleyv1.HandOverRequest{From: s.from}
 	var messages []*bramleyv1.HandOverRequest
 	size := 0
-	for _, r := range records {
+	for _, r := range s.records {
 		if size > handOverBytes {
 			messages = append(messages, message)
-			message = &bramleyv1.HandOverRequest{From: from}
+			message = &bramleyv1.HandOverRequest{From: s.from}
 			size = 0
 		}
 		message.Records = append(message.Records, r)
 		size += proto.Size(r)
 	}
-	message.FirstSequence = bounds.Floor
-	message.NextSequence = bounds.Next
+	message.FirstSequence = s.bounds.Floor
+	message.NextSequence = s.bounds.Next
 	message.Last = true
 	return append(messages, message)
 }
@@ -136,18 +163,40 @@
 		if c.draining || len(c.archives) >= maxArchives {
 			return false
 		}
-		a = ticket.NewArchive[*bramleyv1.CallResponse](c.policy.RecordBytes, c.policy.RecordLifetime)
+		a = &adopted{
+			at:      now,
+			records: ticket.NewArchive[*bramleyv1.CallResponse](c.policy.RecordBytes, c.policy.RecordLifetime),
+		}
 		c.archives[from] = a
 	}
+	a.records.SetLimit(c.policy.RecordBytes - c.adoptedBytes() + a.records.AnswerBytes())
 	for _, r := range req.GetRecords() {
-		a.Add(c.age(now), adoptedRecord(r), proto.Size(r.GetAnswer()))
+		a.records.Add(c.age(now), adoptedRecord(r), proto.Size(r.GetAnswer()))
 	}
 	if req.GetLast() {
-		a.Complete(ticket.Bounds{Floor: req.GetFirstSequence(), Next: req.GetNextSequence()})
+		a.records.Complete(ticket.Bounds{Floor: req.GetFirstSequence(), Next: req.GetNextSequence()})
 	}
 	return true
 }
 
+// adoptedBytes returns the size of all adopted answers, which together have the bound of the own ones.
+func (c *core) adoptedBytes() int {
+	total := 0
+	for _, a := range c.archives {
+		total += a.records.AnswerBytes()
+	}
+	return total
+}
+
+// forget drops the records of owners whose tickets have expired.
+func (c *core) forget(now time.Time) {
+	for from, a := range c.archives {
+		if now.Sub(a.at) > c.policy.TicketLifetime+c.policy.RecordLifetime {
+			delete(c.archives, from)
+		}
+	}
+}
+
 func adoptedRecord(r *bramleyv1.TicketRecord) record {
 	adopted := record{
 		Sequence:    r.GetSequence(),
@@ -171,7 +220,7 @@
 	_ = e.do(ctx, func(c *core) {
 		a, ok := c.archives[source{server: t.Server, incarnation: t.Incarnation}]
 		if ok {
-			v = a.Find(c.age(e.config.Now()), t.Sequence, fingerprint(req))
+			v = a.records.Find(c.age(e.config.Now()), t.Sequence, fingerprint(req))
 		}
 	})
 	return v
--- a/ticket/archive.go
+++ b/ticket/archive.go
@@ -1,6 +1,8 @@
 package ticket
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -119,3 +121,33 @@
 	}
 	return StateUnknown
 }
+
+// Export returns what the next successor needs, or false if the archive is not complete.
+func (a *Archive[A]) Export(age time.Duration) (Bounds, []Record[A], bool) {
+	if !a.complete {
+		return Bounds{}, nil, false
+	}
+	a.answers.expire(age)
+	records := make([]Record[A], 0, len(a.states))
+	for _, sequence := range slices.Sorted(maps.Keys(a.states)) {
+		record := Record[A]{Sequence: sequence, State: a.states[sequence]}
+		if held, ok := a.answers.get(age, sequence); ok {
+			record.State = StateAnswered
+			record.Answer = held.answer
+			record.Fingerprint = held.fingerprint
+			record.Age = age - held.at
+		}
+		records = append(records, record)
+	}
+	return a.bounds, records, true
+}
+
+// SetLimit changes the bound of the answers held, in bytes.
+func (a *Archive[A]) SetLimit(answerBytes int) {
+	a.answers.limit = answerBytes
+}
+
+// AnswerBytes returns the size of the answers held, in bytes.
+func (a *Archive[A]) AnswerBytes() int {
+	return a.answers.bytes
+}
--- a/ticket/ledger_test.go
+++ b/ticket/ledger_test.go
@@ -235,3 +235,18 @@
 		t.Fatalf("after running: %+v", v)
 	}
 }
+
+func TestArchiveKeepsToItsBytes(t *testing.T) {
+	archive := ticket.NewArchive[string](testAnswerBytes, testLifetime)
+	for sequence := range uint64(10) {
+		archive.Add(0, ticket.Record[string]{Sequence: sequence, State: ticket.StateAnswered, Answer: "answer"}, testAnswerBytes/2)
+	}
+	archive.SetLimit(testAnswerBytes / 2)
+	archive.Add(0, ticket.Record[string]{Sequence: 10, State: ticket.StateAnswered, Answer: "answer"}, testAnswerBytes/2)
+	if archive.AnswerBytes() > testAnswerBytes/2 {
+		t.Fatalf("%d bytes", archive.AnswerBytes())
+	}
+	if v := archive.Find(0, 0, 0); v.State != ticket.StateRan {
+		t.Fatalf("evicted answer: state %v", v.State)
+	}
+}
