--- a/flowtrace/flows.go
+++ b/flowtrace/flows.go
@@ -11,8 +11,11 @@
 		at := w.now + time.Duration(int64(e.Over)*int64(i)/int64(e.Count))
 		w.lastID++
 		f := &flow{id: hashed(w.lastID), service: e.Service, closes: w.trace.End + 1}
-		if e.Lifetime > 0 {
+		switch {
+		case e.Lifetime > 0:
 			f.closes = at + time.Duration(w.rnd.ExpFloat64()*float64(e.Lifetime))
+		case e.For > 0:
+			f.closes = at + e.For
 		}
 		w.schedule(f, at)
 	}
--- a/flowtrace/trace.go
+++ b/flowtrace/trace.go
@@ -40,9 +40,9 @@
 type Upstream struct {
 	Number uint32  `yaml:"number"`
 	Place  string  `yaml:"place"`
-	Weight float64 `yaml:"weight"`
+	Weight float64 `yaml:"weight,omitempty"`
 	// Address distinguishes VMs; zero takes the number. An address may be reused.
-	Address uint32 `yaml:"address"`
+	Address uint32 `yaml:"address,omitempty"`
 }
 
 // Service is one service of a trace.
@@ -56,20 +56,20 @@
 	At   time.Duration `yaml:"at"`
 	Kind EventKind     `yaml:"kind"`
 	// Service is the service of an open or an added upstream.
-	Service uint32 `yaml:"service"`
+	Service uint32 `yaml:"service,omitempty"`
 	// Count flows open over the time Over, and live for Lifetime in the mean; zero lives on.
-	Count    int           `yaml:"count"`
-	Over     time.Duration `yaml:"over"`
-	Lifetime time.Duration `yaml:"lifetime"`
+	Count    int           `yaml:"count,omitempty"`
+	Over     time.Duration `yaml:"over,omitempty"`
+	Lifetime time.Duration `yaml:"lifetime,omitempty"`
 	// Server is the upstream that an event concerns, and Balancer the balancer.
-	Server   uint32   `yaml:"server"`
-	Balancer int      `yaml:"balancer"`
-	Upstream Upstream `yaml:"upstream"`
-	// For is how long a freeze or a partition lasts.
-	For    time.Duration `yaml:"for"`
-	Places []string      `yaml:"places"`
+	Server   uint32   `yaml:"server,omitempty"`
+	Balancer int      `yaml:"balancer,omitempty"`
+	Upstream Upstream `yaml:"upstream,omitempty"`
+	// For is how long a freeze, a partition or an opened flow lasts; Lifetime goes before it.
+	For    time.Duration `yaml:"for,omitempty"`
+	Places []string      `yaml:"places,omitempty"`
 	// Lag is the time between the arrivals of a revision at one process and at the next.
-	Lag time.Duration `yaml:"lag"`
+	Lag time.Duration `yaml:"lag,omitempty"`
 }
 
 // Expectation is the stated outcome of a trace.
@@ -103,9 +103,9 @@
 	// PacketInterval is the time between two packets of a flow.
 	PacketInterval time.Duration `yaml:"packet_interval"`
 	// SlowStart replaces the default time of a slow start.
-	SlowStart time.Duration `yaml:"slow_start"`
+	SlowStart time.Duration `yaml:"slow_start,omitempty"`
 	// FlowSlack replaces the default ε of the bounded load.
-	FlowSlack float64 `yaml:"flow_slack"`
+	FlowSlack float64 `yaml:"flow_slack,omitempty"`
 	// End is the time at which the trace ends.
 	End    time.Duration `yaml:"end"`
 	Events []Event       `yaml:"events"`
