--- a/cmd/bramleyctl/keygen.go
+++ b/cmd/bramleyctl/keygen.go
@@ -15,8 +15,10 @@
 	dir  string
 }
 
-func (*keygenCommand) Name() string     { return "keygen" }
-func (*keygenCommand) Synopsis() string { return "write keys and certificates for a trial on one machine" }
+func (*keygenCommand) Name() string { return "keygen" }
+func (*keygenCommand) Synopsis() string {
+	return "write keys and certificates for a trial on one machine"
+}
 
 func (*keygenCommand) Usage() string {
 	return `keygen --dir DIR
