--- a/internal/request/faults_test.go
+++ b/internal/request/faults_test.go
@@ -25,6 +25,8 @@
 	faultCopies   = 3
 	faultDeadline = 4 * time.Second
 	pauseLength   = 3 * time.Second
+	repeatDelay   = 200 * time.Millisecond
+	maxRepeats    = 3
 )
 
 // lockedRand is a seeded source for many goroutines.
@@ -318,9 +320,25 @@
 	defer cancel()
 	called := time.Now()
 	answer, refusal := e.Call(ctx, order(id, ticket))
+	for range f.repeats() {
+		if refusal.GetOutcome() != bramleyv1.Outcome_OUTCOME_NOT_DELIVERED {
+			break
+		}
+		time.Sleep(repeatDelay)
+		answer, refusal = f.any().Call(ctx, order(id, ticket))
+	}
 	f.history.add(client, id, called, answer, refusal)
 }
 
+// repeats is how often a caller asks again about a ticket whose owner was not reached. Patient callers do, as
+// package client does.
+func (f *faultyFleet) repeats() int {
+	if f.faults.patient {
+		return maxRepeats
+	}
+	return 0
+}
+
 // faultyPeers loses requests before delivery, and answers after it.
 type faultyPeers struct {
 	fleet *faultyFleet
--- /dev/null
+++ b/internal/request/overload_test.go
@@ -0,0 +1,173 @@
+package request_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+
+	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
+	"github.com/bramleyrack/bramleyrack/gen/bramley/v1/bramleyv1connect"
+	"github.com/bramleyrack/bramleyrack/internal/request"
+	"github.com/bramleyrack/bramleyrack/settings"
+)
+
+const (
+	overloadServers  = 3
+	overloadSlots    = 5
+	overloadWork     = 100 * time.Millisecond
+	overloadLength   = 10 * time.Second
+	overloadPatience = 2 * time.Second
+	overloadFactor   = 2
+	wantGoodput      = 0.95
+	wantAttempts     = 1.1
+)
+
+// slottedUpstream counts the work it does, and the most requests it has run at once.
+type slottedUpstream struct {
+	bramleyv1connect.UpstreamServiceClient
+	rnd  *lockedRand
+	busy atomic.Int32
+	most atomic.Int32
+	// done is the work whose answers were given before the end of the load.
+	done  atomic.Int64
+	until time.Time
+}
+
+func (u *slottedUpstream) Call(ctx context.Context, req *connect.Request[bramleyv1.CallRequest]) (*connect.Response[bramleyv1.CallResponse], error) {
+	u.most.Store(max(u.most.Load(), u.busy.Add(1)))
+	defer u.busy.Add(-1)
+	work := overloadWork/2 + u.rnd.upTo(overloadWork)
+	select {
+	case <-time.After(work):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if !time.Now().After(u.until) {
+		u.done.Add(int64(work))
+	}
+	return connect.NewResponse(answerTo(req.Msg)), nil
+}
+
+// overload is a fleet whose callers send twice what its upstreams can do.
+type overload struct {
+	fleet     map[uint32]*request.Executor
+	upstreams []*slottedUpstream
+	rnd       *lockedRand
+	attempts  atomic.Int64
+	good      atomic.Int64
+}
+
+func newOverload(t *testing.T) *overload {
+	o := &overload{
+		fleet: make(map[uint32]*request.Executor),
+		rnd:   &lockedRand{rnd: rand.New(rand.NewSource(1))},
+	}
+	for server := uint32(1); server <= overloadServers; server++ {
+		upstream := &slottedUpstream{rnd: o.rnd, until: time.Now().Add(overloadLength)}
+		o.upstreams = append(o.upstreams, upstream)
+		peers := &fakePeers{self: server, fleet: o.fleet, sent: make(map[uint32]int)}
+		o.fleet[server] = newExecutor(t, server, nil, peers, func(c *request.Config) {
+			c.Upstream = upstream
+			policy := testPolicy()
+			policy.Slots = overloadSlots
+			c.Policy = func() settings.Policy { return policy }
+		})
+	}
+	return o
+}
+
+// call tries one request, and again when it is invited back in time.
+func (o *overload) call(number int) {
+	ctx, cancel := context.WithTimeout(context.Background(), overloadPatience)
+	defer cancel()
+	e := o.fleet[uint32(number%overloadServers+1)]
+	var ticket []byte
+	for {
+		if len(ticket) > 0 {
+			o.attempts.Add(1)
+		}
+		answer, refusal := e.Call(ctx, order(fmt.Sprint("order-", number), ticket))
+		if answer != nil {
+			o.good.Add(1)
+			return
+		}
+		ticket = refusal.GetNextTicket()
+		wait := time.Duration(refusal.GetRetryAfterMs()) * time.Millisecond
+		if deadline, _ := ctx.Deadline(); time.Until(deadline) <= wait {
+			return
+		}
+		time.Sleep(wait)
+	}
+}
+
+func TestGoodputHoldsAtTwiceTheCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOverload(t)
+		interval := overloadWork / (overloadServers * overloadSlots * overloadFactor)
+		offered := int(overloadLength / interval)
+		var callers sync.WaitGroup
+		for number := range offered {
+			time.Sleep(interval)
+			callers.Go(func() { o.call(number) })
+		}
+		callers.Wait()
+		o.check(t, offered)
+	})
+}
+
+func (o *overload) check(t *testing.T, offered int) {
+	var done time.Duration
+	for i, upstream := range o.upstreams {
+		done += time.Duration(upstream.done.Load())
+		if most := upstream.most.Load(); most > overloadSlots {
+			t.Errorf("upstream %d ran %d requests at once", i+1, most)
+		}
+	}
+	goodput := float64(done) / float64(overloadLength*overloadServers*overloadSlots)
+	attempts := float64(o.attempts.Load()) / float64(offered)
+	t.Logf("offered %d, good %d, goodput %.3f of capacity, %.3f attempts for each request", offered, o.good.Load(), goodput, attempts)
+	if goodput < wantGoodput {
+		t.Errorf("goodput %.3f of capacity", goodput)
+	}
+	if attempts > wantAttempts {
+		t.Errorf("%.3f attempts for each request", attempts)
+	}
+}
+
+// BenchmarkCall runs orders through an executor whose upstream answers at once.
+func BenchmarkCall(b *testing.B) {
+	e := request.New(request.Config{
+		Service: 1, Server: 1, Incarnation: 1,
+		Keys:     [2][]byte{make([]byte, 32), nil},
+		Upstream: &instantUpstream{},
+		Policy:   testPolicy,
+		Now:      time.Now,
+		Rand:     rand.New(rand.NewSource(1)),
+	})
+	defer e.Close()
+	_, refusal := e.Call(b.Context(), order("first", nil))
+	ticket := refusal.GetNextTicket()
+	b.ReportAllocs()
+	for b.Loop() {
+		answer, refusal := e.Call(b.Context(), order("order", ticket))
+		if refusal != nil {
+			b.Fatal(refusal)
+		}
+		ticket = answer.GetNextTicket()
+	}
+}
+
+type instantUpstream struct {
+	bramleyv1connect.UpstreamServiceClient
+}
+
+func (*instantUpstream) Call(_ context.Context, req *connect.Request[bramleyv1.CallRequest]) (*connect.Response[bramleyv1.CallResponse], error) {
+	return connect.NewResponse(answerTo(req.Msg)), nil
+}
