--- a/client/client.go
+++ b/client/client.go
@@ -110,7 +110,7 @@
 		err = check(request, response.Msg)
 	}
 	if err == nil {
-		c.succeeded(response.Msg)
+		c.succeeded(k, response.Msg)
 		return response.Msg, step{}, nil
 	}
 	next := c.afterFailure(ctx, a, err)
@@ -120,13 +120,16 @@
 	return nil, next, err
 }
 
+// afterFailure decides after an attempt without an answer. A connection that let a deadline pass may be
+// silent for good, so the next call does not use it.
 func (c *Client) afterFailure(ctx context.Context, a *attempts, err error) step {
 	if refusal := RefusalOf(err); refusal != nil {
 		return a.refused(refusal)
 	}
 	next := a.lost(err)
 	if ctx.Err() != nil {
-		return step{end: a.ended("caller gave up", ctx.Err())}
+		silent := errors.Is(ctx.Err(), context.DeadlineExceeded)
+		return step{end: a.ended("caller gave up", ctx.Err()), reconnect: silent}
 	}
 	return next
 }
@@ -139,7 +142,11 @@
 	return nil
 }
 
-func (c *Client) succeeded(answer *bramleyv1.CallResponse) {
+// succeeded keeps the next ticket. A server that gives none is leaving, and the next call connects anew.
+func (c *Client) succeeded(k *link, answer *bramleyv1.CallResponse) {
+	if len(answer.GetNextTicket()) == 0 {
+		c.reconnect(k)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.budget.Success()
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -30,16 +30,24 @@
 // scriptedService answers calls by the functions that a test sets.
 type scriptedService struct {
 	bramleyv1connect.UnimplementedCallServiceHandler
-	mu       sync.Mutex
-	tickets  []string
+	mu      sync.Mutex
+	tickets []string
+	callers []string
+	// hang is the number of a call that is never answered.
+	hang     int32
 	call     func(n int32, req *bramleyv1.CallRequest) (*bramleyv1.CallResponse, error)
 	streams  atomic.Int32
 	feed     func(n int32, req *bramleyv1.SubscribeRequest, out *connect.ServerStream[bramleyv1.FeedEvent]) error
 	download func(n int32, req *bramleyv1.DownloadRequest, out *connect.ServerStream[bramleyv1.DownloadChunk]) error
 }
 
-func (s *scriptedService) Call(_ context.Context, req *connect.Request[bramleyv1.CallRequest]) (*connect.Response[bramleyv1.CallResponse], error) {
-	answer, err := s.call(s.record(req.Msg), req.Msg)
+func (s *scriptedService) Call(ctx context.Context, req *connect.Request[bramleyv1.CallRequest]) (*connect.Response[bramleyv1.CallResponse], error) {
+	n := s.record(req.Msg, req.Peer().Addr)
+	if s.hang == n {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	answer, err := s.call(n, req.Msg)
 	if err != nil {
 		return nil, err
 	}
@@ -47,10 +55,11 @@
 }
 
 // record keeps the ticket of a call and returns how many calls there have been.
-func (s *scriptedService) record(req *bramleyv1.CallRequest) int32 {
+func (s *scriptedService) record(req *bramleyv1.CallRequest, caller string) int32 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tickets = append(s.tickets, string(req.GetTicket()))
+	s.callers = append(s.callers, caller)
 	return int32(len(s.tickets))
 }
 
@@ -251,3 +260,46 @@
 		t.Fatalf("data %q %v", data, err)
 	}
 }
+
+// connections returns how many connections the calls have come over.
+func (s *scriptedService) connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(slices.Compact(slices.Sorted(slices.Values(s.callers))))
+}
+
+func TestConnectionThatLetADeadlinePassIsNotUsedAgain(t *testing.T) {
+	service := &scriptedService{hang: 2, call: func(_ int32, req *bramleyv1.CallRequest) (*bramleyv1.CallResponse, error) {
+		return answerTo(req, "next"), nil
+	}}
+	c := serve(t, service)
+	for call := range 3 {
+		ctx, cancel := context.WithCancel(t.Context())
+		if call == 1 {
+			ctx, cancel = context.WithTimeout(t.Context(), 100*time.Millisecond)
+		}
+		_, err := c.Call(ctx, "order", false, nil)
+		cancel()
+		if lost := call == 1; errors.Is(err, client.ErrUnknown) != lost {
+			t.Fatalf("call %d: %v", call, err)
+		}
+	}
+	if got := service.connections(); got != 2 {
+		t.Fatalf("%d connections", got)
+	}
+}
+
+func TestClientLeavesAServerThatGivesNoTicket(t *testing.T) {
+	service := &scriptedService{call: func(_ int32, req *bramleyv1.CallRequest) (*bramleyv1.CallResponse, error) {
+		return answerTo(req, ""), nil
+	}}
+	c := serve(t, service)
+	for range 2 {
+		if _, err := c.Call(t.Context(), "order", false, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := service.connections(); got != 2 {
+		t.Fatalf("%d connections", got)
+	}
+}
--- a/internal/request/failures_test.go
+++ b/internal/request/failures_test.go
@@ -9,6 +9,7 @@
 
 	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
 	"github.com/bramleyrack/bramleyrack/internal/request"
+	"github.com/bramleyrack/bramleyrack/settings"
 )
 
 // occupy fills the slots of an executor with requests that the upstream never ends by itself.
@@ -257,3 +258,30 @@
 		})
 	}
 }
+
+func TestUpstreamThatIsDownGetsNothingAndStartsSlowly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := &fakeUpstream{took: time.Second}
+		fleet, _ := newFleet(t, upstream, 1, 2)
+		e := newExecutor(t, 3, upstream, &fakePeers{self: 3, fleet: fleet, sent: make(map[uint32]int)}, func(c *request.Config) {
+			policy := testPolicy()
+			policy.Slots = 4
+			policy.SlowStart = 20 * time.Second
+			c.Policy = func() settings.Policy { return policy }
+		})
+		e.SetAccepting(false)
+		answer, refusal := e.Call(t.Context(), &bramleyv1.CallRequest{RequestId: "a", Idempotent: true})
+		if refusal != nil || answer.GetUpstream() == 3 {
+			t.Fatalf("answer %v, refusal %v", answer, refusal)
+		}
+		e.SetAccepting(true)
+		e.UpstreamStarted()
+		if slots := e.Load().GetSlots(); slots != 1 {
+			t.Fatalf("%d slots at the start", slots)
+		}
+		time.Sleep(21 * time.Second)
+		if slots := e.Load().GetSlots(); slots != 4 {
+			t.Fatalf("%d slots after the slow start", slots)
+		}
+	})
+}
