Reset the flows of a process that has died without waiting for ResetAfter

A killed agent kept its flows for the 15 s that a paused one is granted. Its peer address refuses connections, which that of a paused process does not, so the balancer dials a silent agent and tells the agent that it asks for a reset. That agent still trusts its own heartbeats first. Ruled out: a shorter ResetAfter, which breaks the flows of a process paused for 10 s.

--- a/flowtrace/world.go
+++ b/flowtrace/world.go
@@ -189,7 +189,7 @@
 func (w *world) newBalancer(place string) *balancer {
 	b := &balancer{place: place, router: routing.NewRouter(w.codec), flows: map[uint64]uint32{}}
 	b.liveness = placement.NewLiveness(placement.DefaultLivenessConfig(), w.now)
-	b.builder = routing.Builder{Health: b.liveness.Health, Retention: retention}
+	b.builder = routing.Builder{Health: b.liveness.Health, Refused: b.liveness.Refused, Retention: retention}
 	b.table = routing.Empty()
 	b.apply(w.now, w.tree)
 	return b
--- a/internal/agent/inbound.go
+++ b/internal/agent/inbound.go
@@ -149,6 +149,9 @@
 	in.refreshPeers(now)
 	hops := int(in.header.GetHops())
 	if owner, ok := in.codec.Decode(id); ok {
+		if in.header.GetOwnerRefused() {
+			in.acceptor.Refused(now, owner.Server)
+		}
 		return in.acceptor.LookUp(now, owner, in.self, in.peers, hops)
 	}
 	if !long {
--- a/internal/balancer/counters.go
+++ b/internal/balancer/counters.go
@@ -14,6 +14,7 @@
 	unknownReturns   atomic.Uint64
 	writeFailures    atomic.Uint64
 	probes           atomic.Uint64
+	refusalDrops     atomic.Uint64
 }
 
 // takeFailed moves the failures of a writer into the counters.
@@ -33,6 +34,7 @@
 		"unknown_returns":   c.unknownReturns.Load(),
 		"write_failures":    c.writeFailures.Load(),
 		"probes":            c.probes.Load(),
+		"refusal_drops":     c.refusalDrops.Load(),
 	}
 	for kind := range routing.Kinds {
 		counts["route_"+kind.String()] = c.routes[kind].Load()
--- a/internal/balancer/failure_test.go
+++ b/internal/balancer/failure_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -109,6 +111,71 @@
 	}
 }
 
+// closedPort returns an address that refuses connections, and openPort one that accepts them.
+func closedPort(t *testing.T) netip.AddrPort {
+	listener := openPort(t)
+	listener.Close()
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func openPort(t *testing.T) net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	return listener
+}
+
+func acceptOne(t *testing.T, listener net.Listener) {
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.Close()
+}
+
+// The flows of a silent agent go to a live one for a reset at once if its process does not run, and
+// stay with it if it only pauses.
+func TestRefusedConnectionTellsDeathFromPause(t *testing.T) {
+	patient := quickLiveness()
+	patient.GoneAfter = time.Hour
+	open := openPort(t)
+	paused := open.Addr().(*net.TCPAddr).AddrPort()
+	for _, test := range []struct {
+		name string
+		peer netip.AddrPort
+		dead bool
+	}{{"dead", closedPort(t), true}, {"paused", paused, false}} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBenchWith(t, patient, test.peer)
+			never := make(chan struct{})
+			forwarded := make(chan received, 1024)
+			for server, agent := range b.agents {
+				if server != 2 {
+					go answerPings(agent, never, forwarded)
+				}
+			}
+			b.caller.send(flowOf(2), b.address(orders))
+			await(t, b.events, "agent-health 2 silent")
+			packet := b.known(placement.Owner{Service: orders, Server: 2})
+			if !test.dead {
+				acceptOne(t, open)
+				b.caller.send(packet, b.address(orders))
+				for string(b.agents[2].receiveForward().payload) != string(packet) {
+				}
+				return
+			}
+			await(t, b.events, "agent-health 2 gone")
+			b.caller.send(packet, b.address(orders))
+			got := awaitForward(t, forwarded, nil)
+			if string(got.payload) != string(packet) || !got.header.OwnerRefused {
+				t.Fatalf("got %v with %x", got.header, got.payload)
+			}
+		})
+	}
+}
+
 // A balancer that hears no agent keeps every agent for live.
 func TestCutOffBalancerCondemnsNoAgent(t *testing.T) {
 	b := newQuickBench(t)
--- a/internal/balancer/forward.go
+++ b/internal/balancer/forward.go
@@ -89,6 +89,7 @@
 	f.header.Caller = f.caller
 	f.header.Server = r.Agent.Server
 	f.header.Candidates = r.Candidates
+	f.header.OwnerRefused = r.OwnerRefused
 	f.writer.add(datagram.Append(f.writer.next(), &f.header, packet), r.Agent.UDP)
 	r.Agent.Progress.Forwarded.Add(1)
 }
--- a/internal/balancer/keeper.go
+++ b/internal/balancer/keeper.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -36,6 +37,11 @@
 	cutOff   bool
 	// listened is the last time at which the sockets were matched with the services.
 	listened time.Duration
+	// refusals holds the agents whose address refused a connection.
+	refusals chan uint32
+	dials    sync.WaitGroup
+	// dialed is the last time at which silent agents were dialed.
+	dialed time.Duration
 	// bound holds the address that each socket was opened for.
 	bound map[uint32]netip.AddrPort
 }
@@ -46,8 +52,9 @@
 		balancer: b,
 		start:    start,
 		liveness: liveness,
-		builder:  routing.Builder{Health: liveness.Health, Retention: b.config.Retention},
+		builder:  routing.Builder{Health: liveness.Health, Refused: liveness.Refused, Retention: b.config.Retention},
 		writer:   newWriter(b.config.Batch),
+		refusals: make(chan uint32, refusalCapacity),
 		bound:    map[uint32]netip.AddrPort{},
 	}
 }
@@ -69,6 +76,8 @@
 
 func (k *keeper) keep(now time.Duration) {
 	changed := k.checkLiveness(now)
+	changed = k.takeRefusals() || changed
+	k.dialSilent(now)
 	tree := k.balancer.config.View.Current()
 	if tree == nil {
 		return
@@ -201,6 +210,7 @@
 }
 
 func (k *keeper) close() {
+	k.dials.Wait()
 	k.balancer.agents.conn.Close()
 	for _, s := range *k.balancer.listeners.Load() {
 		s.conn.Close()
--- a/internal/routing/build.go
+++ b/internal/routing/build.go
@@ -14,6 +14,8 @@
 type Builder struct {
 	// Health is what is known of an agent first hand.
 	Health func(server uint32) placement.Health
+	// Refused reports whether an agent is gone because its address refuses connections.
+	Refused func(server uint32) bool
 	// Retention is how long an upstream that the settings no longer name stays known for its open
 	// flows. Long values cost memory for each upstream.
 	Retention time.Duration
@@ -65,9 +67,10 @@
 		Place:    upstream.Place,
 		Address:  upstream.Agent,
 		UDP:      net.UDPAddrFromAddrPort(upstream.Agent),
-		Peer:     upstream.Peer.String(),
+		Peer:     peerAddress(upstream),
 		Progress: b.progress(upstream.Number, upstream.Agent),
 		gone:     health == placement.HealthGone,
+		refused:  health == placement.HealthGone && b.Refused(upstream.Number),
 	}
 	s.agents[a.Server] = a
 	b.table.sources[a.Address] = a
@@ -75,6 +78,13 @@
 	return a
 }
 
+func peerAddress(upstream *settings.Upstream) string {
+	if !upstream.Peer.IsValid() {
+		return ""
+	}
+	return upstream.Peer.String()
+}
+
 // progress keeps the counts of an agent that stays at its address.
 func (b *build) progress(server uint32, address netip.AddrPort) *Progress {
 	if before := b.previous.sources[address]; before != nil && before.Server == server {
@@ -109,10 +119,16 @@
 		if b.now-since > b.Retention || b.Health(before.Server) == placement.HealthGone {
 			continue
 		}
-		b.retain(s, &settings.Upstream{Number: before.Server, Place: before.Place, Agent: before.Address}, since)
+		b.retain(s, before.upstream(), since)
 	}
 }
 
+// upstream returns what a table needs to know of an upstream that the settings no longer name.
+func (a *Agent) upstream() *settings.Upstream {
+	peer, _ := netip.ParseAddrPort(a.Peer)
+	return &settings.Upstream{Number: a.Server, Place: a.Place, Agent: a.Address, Peer: peer}
+}
+
 // taken reports whether the number is in use or the address now belongs to another upstream.
 func (b *build) taken(s *Service, server uint32, address netip.AddrPort) bool {
 	return s.agents[server] != nil || b.table.sources[address] != nil
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -51,6 +51,8 @@
 	Flow uint64
 	// Candidates are the servers that follow in rank.
 	Candidates []uint32
+	// OwnerRefused says that the process of the owner does not run.
+	OwnerRefused bool
 }
 
 // Router finds routes. It is not safe for concurrent use.
@@ -83,10 +85,13 @@
 	if owner.Service != s.Number {
 		return Route{Kind: OtherService}
 	}
-	if a := s.agents[owner.Server]; a != nil && !a.gone {
+	a := s.agents[owner.Server]
+	if a != nil && !a.gone {
 		return Route{Kind: Owner, Agent: a}
 	}
-	return r.ranked(s, Orphan, placement.FlowHash(id))
+	route := r.ranked(s, Orphan, placement.FlowHash(id))
+	route.OwnerRefused = a != nil && a.refused
+	return route
 }
 
 // ranked routes to the first rank. The place of the balancer does not count: packets of one
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -29,6 +29,7 @@
 	// Progress is shared by all tables that hold the agent at the same address.
 	Progress *Progress
 	gone     bool
+	refused  bool
 	// removed is when the settings stopped naming the upstream; zero while they do.
 	removed time.Duration
 }
--- a/placement/acceptor.go
+++ b/placement/acceptor.go
@@ -114,6 +114,8 @@
 	// passed counts the flows passed to the peer since heard.
 	passed uint32
 	heard  time.Duration
+	// refused is the time of the last evidence that the process of the peer does not run.
+	refused time.Duration
 }
 
 // NewAcceptor returns an acceptor of an upstream that starts now.
@@ -319,6 +321,21 @@
 	}
 }
 
+// Refused takes in the evidence of a balancer that the process of a peer does not run, as its
+// address refuses connections. Its flows are reset at once unless the peer is heard.
+func (a *Acceptor) Refused(now time.Duration, server uint32) {
+	if known := a.peers[server]; known != nil {
+		known.refused = now
+	}
+}
+
+// dead reports whether the flows of a peer can be reset without waiting for ResetAfter.
+func (a *Acceptor) dead(now time.Duration, peer *PeerLoad) bool {
+	known := a.peers[peer.Server]
+	refused := known.refused > peer.Heard && now-known.refused <= a.config.DeadAfter
+	return refused && now-peer.Heard > a.config.DeadAfter
+}
+
 // LookUp returns what to do with a packet whose connection ID names owner. self is the owner that
 // the agent encodes in its own connection IDs.
 func (a *Acceptor) LookUp(now time.Duration, owner, self Owner, peers []PeerLoad, hops int) Decision {
@@ -333,6 +350,9 @@
 	}
 	a.observe(now, peers)
 	peer := findPeer(peers, owner.Server)
+	if peer != nil && a.dead(now, peer) {
+		return Decision{Action: ActionReset}
+	}
 	if peer == nil || now-peer.Heard > a.config.ResetAfter {
 		return a.resetUnlessParted(now)
 	}
--- a/placement/acceptor_test.go
+++ b/placement/acceptor_test.go
@@ -185,6 +185,22 @@
 	}
 }
 
+// The flows of a peer whose process does not run are reset as soon as the peer is silent, but one
+// that still heartbeats keeps its flows whatever a balancer says.
+func TestLookUpResetsFlowsOfRefusedPeer(t *testing.T) {
+	now := established
+	self := placement.Owner{Service: 1, Server: 1}
+	a := acceptor(1)
+	peers := []placement.PeerLoad{peer(2, 0, 0, now), peer(3, 0, 0, now-3*time.Second)}
+	a.LookUp(now, placement.Owner{Service: 1, Server: 2}, self, peers, 0)
+	for server, want := range map[uint32]placement.Action{2: placement.ActionPass, 3: placement.ActionReset} {
+		a.Refused(now, server)
+		if d := a.LookUp(now, placement.Owner{Service: 1, Server: server}, self, peers, 0); d.Action != want {
+			t.Fatalf("flow of %d: decided %+v", server, d)
+		}
+	}
+}
+
 // While the network may be parted, or after a pause of the agent itself, no flow is reset, also when
 // the peers come back one after the other.
 func TestLookUpResetsNoFlowWhenParted(t *testing.T) {
--- a/placement/liveness.go
+++ b/placement/liveness.go
@@ -83,6 +83,7 @@
 	next    time.Duration
 	heard   time.Duration
 	health  Health
+	refused bool
 	seen    bool
 }
 
@@ -158,6 +159,7 @@
 	case p.Returned != a.progress.Returned:
 		a.waiting = false
 		a.health = HealthLive
+		a.refused = false
 		a.heard = now
 		l.heard = now
 	case p.Forwarded != a.progress.Forwarded && !a.waiting:
@@ -243,6 +245,25 @@
 	return HealthLive
 }
 
+// Refuse takes in the evidence that the process of an agent does not run, as its address refuses
+// connections. A paused process does not refuse them. It reports whether the agent counts as gone
+// for this reason.
+func (l *Liveness) Refuse(server uint32) bool {
+	a := l.agents[server]
+	if a == nil || a.health == HealthLive {
+		return false
+	}
+	a.health = HealthGone
+	a.refused = true
+	return true
+}
+
+// Refused reports whether an agent is gone because its address refuses connections.
+func (l *Liveness) Refused(server uint32) bool {
+	a := l.agents[server]
+	return a != nil && a.refused
+}
+
 // CutOff reports whether the balancer hears no agent at all.
 func (l *Liveness) CutOff() bool {
 	return l.cutOff
--- a/placement/liveness_test.go
+++ b/placement/liveness_test.go
@@ -74,6 +74,23 @@
 	}
 }
 
+func TestLivenessTakesRefusalForDeath(t *testing.T) {
+	const death = 5 * time.Second
+	f := newAgentFleet(3, func(server uint32, now time.Duration) bool { return server != 3 || now < death || now > 2*death })
+	f.run(0, death, func(time.Duration) {})
+	if f.liveness.Refuse(3) {
+		t.Fatal("a live agent counts as gone")
+	}
+	f.run(death, death+4*time.Second, func(time.Duration) {})
+	if !f.liveness.Refuse(3) || f.liveness.Health(3) != placement.HealthGone || !f.liveness.Refused(3) {
+		t.Fatal("a silent agent that refuses connections does not count as gone")
+	}
+	f.run(2*death+time.Second, 4*death, func(time.Duration) {})
+	if f.liveness.Health(3) != placement.HealthLive || f.liveness.Refused(3) {
+		t.Fatal("not live after its return")
+	}
+}
+
 // A frozen agent wakes after 10 s: its flows must not be reset, and it gets new flows again.
 func TestLivenessKeepsFlowsOfFrozenAgent(t *testing.T) {
 	const freeze, wake = 5 * time.Second, 15 * time.Second
