--- a/cmd/bramleyctl/main.go
+++ b/cmd/bramleyctl/main.go
@@ -31,5 +31,11 @@
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(commander.FlagsCommand(), "")
 	commander.Register(&versionCommand{term: term}, "")
+	commander.Register(&validateCommand{term: term}, "trees of settings")
+	commander.Register(&settingsCommand{term: term}, "trees of settings")
+	commander.Register(&diffCommand{term: term}, "trees of settings")
+	commander.Register(newExplainCommand(term), "trees of settings")
+	commander.Register(newStatusCommand(term), "running processes")
+	commander.Register(&replayCommand{term: term}, "traces")
 	commander.Register(&keygenCommand{term: term}, "secrets")
 }
--- /dev/null
+++ b/cmd/bramleyctl/status.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/juju/errors"
+
+	"github.com/bramleyrack/bramleyrack/internal/peer"
+	"github.com/bramleyrack/bramleyrack/internal/secrets"
+)
+
+const (
+	// defaultStatusTimeout bounds a whole status command.
+	defaultStatusTimeout = 10 * time.Second
+	// defaultStatusInterval is the time between two rounds of --watch.
+	defaultStatusInterval = 500 * time.Millisecond
+	// statusCallTimeout bounds one question to one process.
+	statusCallTimeout = 2 * time.Second
+)
+
+type statusCommand struct {
+	term      terminal
+	output    output
+	processes string
+	platform  string
+	tree      string
+	revision  uint64
+	watch     bool
+	timeout   time.Duration
+	interval  time.Duration
+	getenv    func(string) string
+}
+
+func newStatusCommand(term terminal) *statusCommand {
+	return &statusCommand{term: term, getenv: os.Getenv}
+}
+
+func (*statusCommand) Name() string     { return "status" }
+func (*statusCommand) Synopsis() string { return "ask processes for state, revision and load" }
+
+func (*statusCommand) Usage() string {
+	return `status (--processes IP:PORT,... | --platform URL | --tree FILE) [--revision N] [--watch] [-o text|json]
+  Asks each process, at its peer address, for its state, revision, flows and busy slots, and marks
+  those that lag behind --revision. Without --revision that is the published one (--platform), or
+  else the highest one seen. --platform takes the addresses from the published tree and the list of
+  VMs, with two reads in all; --tree takes the agents of a file. Needs BRAMLEY_PEER_CERTIFICATE,
+  BRAMLEY_PEER_KEY and BRAMLEY_PEER_CA, each itself or with _FILE.
+  --watch repeats until the revision is in force in every process.
+  Exits with 1 if a process lags or is not reached, and with 3 if --watch runs out of time.
+`
+}
+
+func (c *statusCommand) SetFlags(f *flag.FlagSet) {
+	c.output.setFlags(f)
+	f.StringVar(&c.processes, "processes", "", "peer `addresses`, separated by commas")
+	f.StringVar(&c.platform, "platform", "", "base `URL` of the platform's configuration service")
+	f.StringVar(&c.tree, "tree", "", "tree of settings in a `file`")
+	f.Uint64Var(&c.revision, "revision", 0, "`revision` that must be in force")
+	f.BoolVar(&c.watch, "watch", false, "repeat until the revision is in force everywhere")
+	f.DurationVar(&c.timeout, "timeout", defaultStatusTimeout, "longest `duration` of the command")
+	f.DurationVar(&c.interval, "interval", defaultStatusInterval, "`duration` between two rounds of --watch")
+}
+
+func (c *statusCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := c.checkFlags(f); err != nil {
+		return c.term.usage(c.Name(), "%v", err)
+	}
+	keys, err := secrets.Load(c.getenv, secrets.PartPeer)
+	if err != nil {
+		return c.term.fail(c.Name(), errors.Annotate(err, "certificates for peers"))
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	targets, err := c.targets(ctx)
+	if err != nil {
+		return c.term.fail(c.Name(), err)
+	}
+	pool := peer.NewPool(peer.PoolConfig{TLS: keys.PeerClient})
+	defer func() { _ = pool.Close() }()
+	return c.run(ctx, &asker{pool: pool}, targets)
+}
+
+func (c *statusCommand) checkFlags(f *flag.FlagSet) error {
+	if err := c.output.check(); err != nil {
+		return err
+	}
+	sources := 0
+	for _, source := range []string{c.processes, c.platform, c.tree} {
+		if source != "" {
+			sources++
+		}
+	}
+	if sources != 1 || f.NArg() > 0 {
+		return fmt.Errorf("want exactly one of --processes, --platform and --tree, and no other argument")
+	}
+	if c.interval <= 0 || c.timeout <= 0 {
+		return fmt.Errorf("--interval and --timeout must be above zero")
+	}
+	return nil
+}
+
+// run asks once, or until the revision is in force everywhere.
+func (c *statusCommand) run(ctx context.Context, asker *asker, targets *targets) subcommands.ExitStatus {
+	start := time.Now()
+	for {
+		report := asker.ask(ctx, targets)
+		if !c.watch || report.InForce {
+			report.WaitedMs = time.Since(start).Milliseconds()
+			c.print(report)
+			return exitStatus(report.InForce)
+		}
+		select {
+		case <-ctx.Done():
+			c.print(report)
+			fmt.Fprintf(c.term.err, "bramleyctl status: revision %d is not in force everywhere after %v\n", report.Revision, c.timeout)
+			return exitTimeout
+		case <-time.After(c.interval):
+		}
+	}
+}
+
+func (c *statusCommand) print(report *statusReport) {
+	if c.output.isJSON() {
+		c.term.json(report)
+		return
+	}
+	rows := [][]string{{"PROCESS", "VM", "PLACE", "ROLE", "STATE", "REVISION", "AGE", "FLOWS", "BUSY", "QUEUED", "NOTE"}}
+	for _, p := range report.Processes {
+		rows = append(rows, p.row())
+	}
+	c.term.table(rows)
+	for _, p := range report.Processes {
+		for _, finding := range p.Findings {
+			fmt.Fprintf(c.term.out, "%s refused revision %d: %s\n", p.Address, p.RefusedRevision, finding)
+		}
+	}
+	fmt.Fprintf(c.term.out, "revision=%d processes=%d in_force=%d lagging=%d unreachable=%d\n",
+		report.Revision, len(report.Processes), report.count(noteNone), report.count(noteLags), report.count(noteUnreachable))
+}
+
+func splitList(text string) []string {
+	return strings.FieldsFunc(text, func(r rune) bool { return r == ',' || r == ' ' })
+}
--- /dev/null
+++ b/settings/explain_place.go
@@ -0,0 +1,32 @@
+package settings
+
+import (
+	"github.com/goccy/go-yaml"
+	"github.com/juju/errors"
+)
+
+// ExplainPlace returns the policy that new upstreams of a service inherit at a place, or the policy
+// of the service itself when place is empty, with the level that sets each value. The tree must be
+// valid; otherwise the error is a *FindingsError.
+func ExplainPlace(data []byte, service, place string) ([]Value, error) {
+	tree, err := Parse(data, 0)
+	if err != nil {
+		return nil, err
+	}
+	var raw rawTree
+	if err := yaml.Unmarshal(data, &raw); err != nil {
+		return nil, errors.Annotate(err, "reading the tree again")
+	}
+	if tree.ServiceByName(service) == nil {
+		return nil, errors.NotFoundf("service %q", service)
+	}
+	if _, ok := raw.Places[place]; !ok && place != "" {
+		return nil, errors.NotFoundf("place %q", place)
+	}
+	above := levels(&raw, service, place, "")
+	policy := DefaultPolicy()
+	for _, l := range above {
+		policy = apply(policy, l.policy)
+	}
+	return explain(policy, above), nil
+}
