--- /dev/null
+++ b/internal/request/steps_test.go
@@ -0,0 +1,114 @@
+package request_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
+)
+
+const (
+	stepInterval = 50 * time.Millisecond
+	stepEnd      = 3 * time.Second
+	stepWork     = time.Second
+)
+
+// steps is a run in which one order waits for a slot at its owner from 0.1 s to 1 s and runs until 2 s, and a
+// second one runs at a peer from 1.1 s to 2.1 s, while copies of both arrive at other servers.
+type steps struct {
+	*faultyFleet
+	work    sync.WaitGroup
+	clients int
+}
+
+func newSteps(t *testing.T) *steps {
+	f := newFaultyFleet(t, 1, faults{patient: true, drain: time.Hour})
+	f.upstream.took = stepWork
+	return &steps{faultyFleet: f}
+}
+
+// load starts the orders and their copies.
+func (s *steps) load(t *testing.T) {
+	waiting := freshTicket(t, s.server(1))
+	delegated := freshTicket(t, s.server(1))
+	for server := uint32(1); server <= faultServers; server++ {
+		for range testPolicy().Slots {
+			s.send(fmt.Sprint("other-", s.clients), nil, server, 0)
+		}
+	}
+	s.send("waiting", waiting, 1, 100*time.Millisecond)
+	s.send("delegated", delegated, 1, 1100*time.Millisecond)
+	for at := 400 * time.Millisecond; at <= stepEnd+stepWork; at += 700 * time.Millisecond {
+		s.send("waiting", waiting, 3, at)
+		s.send("delegated", delegated, 4, at+stepWork)
+		s.send("waiting", waiting, 1, at+stepInterval)
+	}
+}
+
+// send sends a copy of an order to a server; without a ticket it is an idempotent request.
+func (s *steps) send(id string, ticket []byte, server uint32, after time.Duration) {
+	client := s.clients
+	s.clients++
+	s.work.Go(func() {
+		time.Sleep(after)
+		e := s.server(server)
+		if e == nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 2*faultDeadline)
+		defer cancel()
+		req := order(id, ticket)
+		req.Idempotent = ticket == nil
+		called := time.Now()
+		answer, refusal := e.Call(ctx, req)
+		if ticket != nil {
+			s.history.add(client, id, called, answer, refusal)
+		}
+	})
+}
+
+func (s *steps) disturbAt(d disturbance, server uint32, at time.Duration) {
+	s.work.Go(func() {
+		time.Sleep(at)
+		switch d {
+		case kill:
+			s.kill(server)
+		case stop:
+			s.stop(server)
+		case pause:
+			s.pause(server)
+		}
+	})
+}
+
+// TestPromisesHoldAtEveryStep disturbs the owner or the peer at each moment of the life of two orders.
+func TestPromisesHoldAtEveryStep(t *testing.T) {
+	total := make(map[bramleyv1.Outcome]int)
+	for name, d := range map[string]disturbance{"kill": kill, "stop": stop, "pause": pause} {
+		for _, server := range []uint32{1, 2} {
+			for at := time.Duration(0); at <= stepEnd; at += stepInterval {
+				synctest.Test(t, func(t *testing.T) {
+					s := newSteps(t)
+					s.load(t)
+					s.disturbAt(d, server, at)
+					s.work.Wait()
+					time.Sleep(stepWork)
+					for _, violation := range s.history.violations(s.upstream) {
+						t.Errorf("%s of server %d at %v: %s", name, server, at, violation)
+					}
+					for outcome, count := range s.history.outcomes {
+						total[outcome] += count
+					}
+					for _, live := range s.live() {
+						s.take(live).Close()
+					}
+				})
+			}
+		}
+	}
+	t.Logf("outcomes told: %v", total)
+}
