Let a command of the executor go by one reading of the clock

A pause between two readings in one command went unnoticed: the test that pauses the server at each reading before the start failed at the second. The loop now reads the clock once for each command and compares it with the last.

--- a/internal/request/call.go
+++ b/internal/request/call.go
@@ -64,7 +64,7 @@
 	var v verdict
 	var j *job
 	err := e.do(ctx, func(c *core) {
-		v, j = c.claim(e.config.Now(), t, req)
+		v, j = c.claim(t, req)
 		if v.State == ticket.StateFresh {
 			e.launch(ctx, j)
 		}
@@ -158,7 +158,7 @@
 // answer returns the message for the caller, with a fresh ticket.
 func (e *Executor) answer(answer *bramleyv1.CallResponse, replayed bool) *bramleyv1.CallResponse {
 	var next []byte
-	_ = e.do(context.Background(), func(c *core) { next = c.mint(e.config.Now()) })
+	_ = e.do(context.Background(), func(c *core) { next = c.mint() })
 	return &bramleyv1.CallResponse{
 		RequestId:  answer.GetRequestId(),
 		Body:       answer.GetBody(),
@@ -174,11 +174,10 @@
 	var next []byte
 	var retryAfter time.Duration
 	_ = e.do(context.Background(), func(c *core) {
-		now := e.config.Now()
-		next = c.mint(now)
+		next = c.mint()
 		if !r.immediate {
 			deadline, _ := ctx.Deadline()
-			retryAfter = c.retryAfter(r.outcome, deadline.Sub(now))
+			retryAfter = c.retryAfter(r.outcome, deadline.Sub(c.now))
 		}
 	})
 	return &bramleyv1.Refusal{
--- a/internal/request/core.go
+++ b/internal/request/core.go
@@ -32,7 +32,9 @@
 
 // core is the state of an executor. Only the loop touches it; it starts no goroutine and reads no clock.
 type core struct {
-	started    time.Time
+	started time.Time
+	// now is the one reading of the clock that the command in progress goes by.
+	now        time.Time
 	policy     settings.Policy
 	sealer     *ticket.Sealer
 	ledger     *ledger
@@ -59,6 +61,7 @@
 	})
 	return &core{
 		started: now,
+		now:     now,
 		policy:  policy,
 		sealer:  sealer,
 		ledger: ticket.NewLedger[*bramleyv1.CallResponse](ticket.Config{
@@ -80,26 +83,32 @@
 	}
 }
 
-func (c *core) age(now time.Time) time.Duration {
-	return now.Sub(c.started)
+// age returns the time since the start.
+func (c *core) age() time.Duration {
+	return c.now.Sub(c.started)
+}
+
+// since returns a time as an age.
+func (c *core) since(at time.Time) time.Duration {
+	return at.Sub(c.started)
 }
 
 // tick takes a change of policy and the progress of the slow start into account.
-func (c *core) tick(now time.Time, policy settings.Policy) {
+func (c *core) tick(policy settings.Policy) {
 	c.policy = policy
-	c.forget(now)
+	c.forget()
 	c.dispatcher.SetRetryShare(policy.RetryBudget)
 	c.ledger.SetLimits(policy.TicketLifetime, policy.RecordLifetime, policy.RecordBytes)
-	slots := admission.SlowStart(policy.Slots, now.Sub(c.warmSince), policy.SlowStart)
-	c.apply(now, c.gate.SetLimits(c.age(now), slots, policy.QueueLength))
+	slots := admission.SlowStart(policy.Slots, c.now.Sub(c.warmSince), policy.SlowStart)
+	c.apply(c.gate.SetLimits(c.age(), slots, policy.QueueLength))
 }
 
 // mint returns a sealed ticket, or nil when this owner starts no more requests.
-func (c *core) mint(now time.Time) []byte {
+func (c *core) mint() []byte {
 	if c.draining || !c.accepting {
 		return nil
 	}
-	return c.sealer.Seal(c.ledger.Mint(c.age(now)))
+	return c.sealer.Seal(c.ledger.Mint(c.age()))
 }
 
 // retryAfter returns when a refused caller with the given time left should come back. Only a request that
@@ -113,8 +122,8 @@
 
 // claim presents a ticket of this owner. The job is set for a fresh ticket, and for a copy of a request
 // that is still in progress.
-func (c *core) claim(now time.Time, t ticket.Ticket, req *bramleyv1.CallRequest) (verdict, *job) {
-	v := c.ledger.Claim(c.age(now), t, fingerprint(req))
+func (c *core) claim(t ticket.Ticket, req *bramleyv1.CallRequest) (verdict, *job) {
+	v := c.ledger.Claim(c.age(), t, fingerprint(req))
 	switch v.State {
 	case ticket.StateFresh:
 		if c.exported {
@@ -165,24 +174,24 @@
 }
 
 // finish records how a job ended and wakes its callers.
-func (c *core) finish(now time.Time, j *job, r result) {
+func (c *core) finish(j *job, r result) {
 	delete(c.jobs, j.id)
 	if r.answer != nil {
 		c.dispatcher.Succeeded()
 	}
 	if j.ticketed {
 		delete(c.bySeq, j.sequence)
-		c.settle(now, j, r)
+		c.settle(j, r)
 	}
 	j.result = r
 	j.finished = true
 	close(j.done)
 }
 
-func (c *core) settle(now time.Time, j *job, r result) {
+func (c *core) settle(j *job, r result) {
 	switch {
 	case r.answer != nil:
-		c.ledger.Answer(c.age(now), j.sequence, r.answer, proto.Size(r.answer))
+		c.ledger.Answer(c.age(), j.sequence, r.answer, proto.Size(r.answer))
 	case r.outcome == bramleyv1.Outcome_OUTCOME_NOT_RUN:
 		c.ledger.Burn(j.sequence)
 	case r.outcome == bramleyv1.Outcome_OUTCOME_FAILED:
@@ -193,32 +202,32 @@
 }
 
 // apply tells waiting jobs what a change of the gate means for them.
-func (c *core) apply(now time.Time, change admission.Change) {
+func (c *core) apply(change admission.Change) {
 	for _, id := range change.Shed {
 		c.jobs[id].grant <- false
 	}
 	for _, id := range change.Start {
-		c.start(now, c.jobs[id])
+		c.start(c.jobs[id])
 	}
 }
 
-func (c *core) start(now time.Time, j *job) {
-	if c.forbidden(now, j) != "" {
+func (c *core) start(j *job) {
+	if c.forbidden(j) != "" {
 		j.grant <- false
-		c.apply(now, c.gate.Release(c.age(now)))
+		c.apply(c.gate.Release(c.age()))
 		return
 	}
-	c.placedHere(now, j)
+	c.placedHere(j)
 	j.grant <- true
 }
 
 // release frees the slot of a job that the upstream has run for took.
-func (c *core) release(now time.Time, took time.Duration, whole bool) {
+func (c *core) release(took time.Duration, whole bool) {
 	if whole {
-		c.apply(now, c.gate.Done(c.age(now), took))
+		c.apply(c.gate.Done(c.age(), took))
 		return
 	}
-	c.apply(now, c.gate.Release(c.age(now)))
+	c.apply(c.gate.Release(c.age()))
 }
 
 // cancelAll ends the goroutines of the jobs.
--- a/internal/request/executor.go
+++ b/internal/request/executor.go
@@ -62,7 +62,7 @@
 			command(c)
 		case <-ticker.C:
 			last = e.watch(c, last)
-			c.tick(last, e.config.Policy())
+			c.tick(e.config.Policy())
 		}
 	}
 }
@@ -70,6 +70,7 @@
 // watch compares the clock with the last time that the loop ran, and suspects the view after a pause.
 func (e *Executor) watch(c *core, last time.Time) time.Time {
 	now := e.config.Now()
+	c.now = now
 	if !e.paused(last, now) {
 		return now
 	}
@@ -142,10 +143,9 @@
 
 // UpstreamStarted begins the slow start of an upstream that has just come up.
 func (e *Executor) UpstreamStarted() {
-	now := e.config.Now()
 	_ = e.do(context.Background(), func(c *core) {
-		c.warmSince = now
-		c.tick(now, e.config.Policy())
+		c.warmSince = c.now
+		c.tick(e.config.Policy())
 	})
 }
 
--- a/internal/request/failures_test.go
+++ b/internal/request/failures_test.go
@@ -285,3 +285,58 @@
 		}
 	})
 }
+
+// steppingClock jumps at one of the calls after it has been armed.
+type steppingClock struct {
+	mu    sync.Mutex
+	jump  time.Duration
+	calls int
+}
+
+func (c *steppingClock) arm(calls int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls = calls
+}
+
+func (c *steppingClock) now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.calls--; c.calls == 0 {
+		c.jump = pauseLength
+	}
+	return time.Now().Add(c.jump)
+}
+
+// armingPeers arms the clock when the executor looks for a place to run a request.
+type armingPeers struct {
+	fakePeers
+	arm func()
+}
+
+func (p *armingPeers) Loads() []request.PeerLoad {
+	p.arm()
+	return nil
+}
+
+// TestPauseAtAnyMomentBeforeTheStart pauses the server at each reading of the clock from the search for a slot
+// on. An order runs only if the pause comes after its start.
+func TestPauseAtAnyMomentBeforeTheStart(t *testing.T) {
+	const readingsBeforeTheStart = 3
+	for calls := 1; calls <= readingsBeforeTheStart; calls++ {
+		synctest.Test(t, func(t *testing.T) {
+			clock := &steppingClock{}
+			upstream := &fakeUpstream{}
+			peers := &armingPeers{arm: func() { clock.arm(calls) }}
+			e := newExecutor(t, 1, upstream, peers, func(c *request.Config) {
+				c.Now = clock.now
+				c.JumpAfter = time.Second
+			})
+			_, refusal := e.Call(t.Context(), order("a", freshTicket(t, e)))
+			wantOutcome(t, refusal, bramleyv1.Outcome_OUTCOME_NOT_RUN)
+			if upstream.count("a") != 0 {
+				t.Fatalf("an order ran after a pause at reading %d of the clock", calls)
+			}
+		})
+	}
+}
--- a/internal/request/forward.go
+++ b/internal/request/forward.go
@@ -80,19 +80,20 @@
 
 // runDelegated runs a request for the owner of its ticket, only if a slot is free now.
 func (e *Executor) runDelegated(ctx context.Context, req *bramleyv1.CallRequest) result {
-	granted := false
-	now := e.config.Now()
+	var granted time.Time
 	deadline, _ := ctx.Deadline()
 	err := e.do(ctx, func(c *core) {
 		if c.draining || !c.accepting || c.suspect {
 			return
 		}
-		granted = c.gate.TryRun(c.age(now), c.age(deadline))
+		if c.gate.TryRun(c.age(), c.since(deadline)) {
+			granted = c.now
+		}
 	})
-	if err != nil || !granted {
+	if err != nil || granted.IsZero() {
 		return notRun("peer has no free slot")
 	}
-	return e.runHere(ctx, req, now)
+	return e.runHere(ctx, req, granted)
 }
 
 func response(r result, replayed bool) *bramleyv1.ExecuteResponse {
--- a/internal/request/handover.go
+++ b/internal/request/handover.go
@@ -69,7 +69,7 @@
 	_ = e.do(context.Background(), func(c *core) {
 		c.draining = true
 		c.exported = true
-		age := c.age(e.config.Now())
+		age := c.age()
 		bounds, records := c.ledger.Export(age)
 		estates = append([]estate{{from: from, bounds: bounds, records: messages(records)}}, c.inherited(age, from)...)
 	})
@@ -151,12 +151,12 @@
 func (e *Executor) Adopt(req *bramleyv1.HandOverRequest) *bramleyv1.HandOverResponse {
 	accepted := false
 	_ = e.do(context.Background(), func(c *core) {
-		accepted = req.GetFrom().GetService() == e.config.Service && c.adopt(e.config.Now(), req)
+		accepted = req.GetFrom().GetService() == e.config.Service && c.adopt(req)
 	})
 	return &bramleyv1.HandOverResponse{Accepted: accepted}
 }
 
-func (c *core) adopt(now time.Time, req *bramleyv1.HandOverRequest) bool {
+func (c *core) adopt(req *bramleyv1.HandOverRequest) bool {
 	from := source{server: req.GetFrom().GetServer(), incarnation: req.GetFrom().GetIncarnation()}
 	a, ok := c.archives[from]
 	if !ok {
@@ -164,14 +164,14 @@
 			return false
 		}
 		a = &adopted{
-			at:      now,
+			at:      c.now,
 			records: ticket.NewArchive[*bramleyv1.CallResponse](c.policy.RecordBytes, c.policy.RecordLifetime),
 		}
 		c.archives[from] = a
 	}
 	a.records.SetLimit(c.policy.RecordBytes - c.adoptedBytes() + a.records.AnswerBytes())
 	for _, r := range req.GetRecords() {
-		a.records.Add(c.age(now), adoptedRecord(r), proto.Size(r.GetAnswer()))
+		a.records.Add(c.age(), adoptedRecord(r), proto.Size(r.GetAnswer()))
 	}
 	if req.GetLast() {
 		a.records.Complete(ticket.Bounds{Floor: req.GetFirstSequence(), Next: req.GetNextSequence()})
@@ -189,9 +189,9 @@
 }
 
 // forget drops the records of owners whose tickets have expired.
-func (c *core) forget(now time.Time) {
+func (c *core) forget() {
 	for from, a := range c.archives {
-		if now.Sub(a.at) > c.policy.TicketLifetime+c.policy.RecordLifetime {
+		if c.now.Sub(a.at) > c.policy.TicketLifetime+c.policy.RecordLifetime {
 			delete(c.archives, from)
 		}
 	}
@@ -220,7 +220,7 @@
 	_ = e.do(ctx, func(c *core) {
 		a, ok := c.archives[source{server: t.Server, incarnation: t.Incarnation}]
 		if ok {
-			v = a.records.Find(c.age(e.config.Now()), t.Sequence, fingerprint(req))
+			v = a.records.Find(c.age(), t.Sequence, fingerprint(req))
 		}
 	})
 	return v
--- a/internal/request/place.go
+++ b/internal/request/place.go
@@ -1,8 +1,6 @@
 package request
 
 import (
-	"time"
-
 	"github.com/bramleyrack/bramleyrack/admission"
 )
 
@@ -14,21 +12,21 @@
 }
 
 // place decides where a job runs next.
-func (c *core) place(now time.Time, j *job, loads []PeerLoad) decision {
-	if reason := c.forbidden(now, j); reason != "" {
+func (c *core) place(j *job, loads []PeerLoad) decision {
+	if reason := c.forbidden(j); reason != "" {
 		return decision{reason: reason}
 	}
 	local := c.accepting && !c.draining && !j.ranHere
-	place, server := c.dispatcher.Place(c.age(now), admission.Job{
+	place, server := c.dispatcher.Place(c.age(), admission.Job{
 		ID:       j.id,
-		Deadline: c.age(j.deadline),
+		Deadline: c.since(j.deadline),
 		Local:    local,
 		Retry:    j.started,
 		Tried:    j.tried,
 	}, available(loads))
 	switch place {
 	case admission.Here:
-		c.placedHere(now, j)
+		c.placedHere(j)
 	case admission.AtPeer:
 		j.started = true
 		j.tried[server] = true
@@ -43,17 +41,17 @@
 	return "no server accepts the request"
 }
 
-func (c *core) placedHere(now time.Time, j *job) {
+func (c *core) placedHere(j *job) {
 	j.started = true
 	j.ranHere = true
-	j.grantedAt = now
+	j.grantedAt = c.now
 }
 
-func (c *core) forbidden(now time.Time, j *job) string {
+func (c *core) forbidden(j *job) string {
 	switch {
 	case j.abandoned:
 		return "caller has given up"
-	case !now.Before(j.deadline):
+	case !c.now.Before(j.deadline):
 		return "deadline has passed"
 	case c.suspect && j.ticketed:
 		return "server confirms its view after a pause"
@@ -62,10 +60,10 @@
 }
 
 // returned takes the result of a delegated job.
-func (c *core) returned(now time.Time, server uint32, r result) {
+func (c *core) returned(server uint32, r result) {
 	c.dispatcher.Returned(server)
 	if r.provesNotRun() {
-		c.dispatcher.Declined(c.age(now), server)
+		c.dispatcher.Declined(c.age(), server)
 	}
 }
 
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -18,7 +18,7 @@
 func (e *Executor) execute(ctx context.Context, j *job) {
 	defer j.cancel()
 	r := e.attempts(ctx, j)
-	_ = e.do(context.Background(), func(c *core) { c.finish(e.config.Now(), j, r) })
+	_ = e.do(context.Background(), func(c *core) { c.finish(j, r) })
 }
 
 // attempts places the job until it has run or may not be tried again.
@@ -61,7 +61,7 @@
 func (e *Executor) placeJob(ctx context.Context, j *job) (decision, error) {
 	var d decision
 	loads := e.config.Peers.Loads()
-	err := e.do(ctx, func(c *core) { d = c.place(e.config.Now(), j, loads) })
+	err := e.do(ctx, func(c *core) { d = c.place(j, loads) })
 	if err != nil || d.place != admission.Queued {
 		return d, err
 	}
@@ -99,8 +99,8 @@
 func (e *Executor) runHere(ctx context.Context, req *bramleyv1.CallRequest, granted time.Time) result {
 	start := e.config.Now()
 	r := e.callUpstream(ctx, req, granted)
-	now := e.config.Now()
-	_ = e.do(context.Background(), func(c *core) { c.release(now, now.Sub(start), r.answer != nil) })
+	took := e.config.Now().Sub(start)
+	_ = e.do(context.Background(), func(c *core) { c.release(took, r.answer != nil) })
 	return r
 }
 
@@ -143,7 +143,7 @@
 	if r.outcome == bramleyv1.Outcome_OUTCOME_NOT_DELIVERED {
 		r = notRun(r.reason)
 	}
-	_ = e.do(context.Background(), func(c *core) { c.returned(e.config.Now(), server, r) })
+	_ = e.do(context.Background(), func(c *core) { c.returned(server, r) })
 	return r
 }
 
