--- a/client/config.go
+++ b/client/config.go
@@ -6,6 +6,8 @@
 import (
 	"crypto/tls"
 	"time"
+
+	"connectrpc.com/connect"
 )
 
 const (
@@ -36,6 +38,8 @@
 	Deadline time.Duration
 	// RetryShare is the share of successful calls that may be added as retries. Zero means 0.1.
 	RetryShare float64
+	// Interceptors wrap every request, for instance to trace it.
+	Interceptors []connect.Interceptor
 }
 
 func (c Config) withDefaults() Config {
--- a/client/link.go
+++ b/client/link.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"sync"
 
+	"connectrpc.com/connect"
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
@@ -29,6 +30,7 @@
 	service := bramleyv1connect.NewCallServiceClient(
 		&http.Client{Transport: transport},
 		"https://"+config.Address,
+		connect.WithInterceptors(config.Interceptors...),
 	)
 	return &link{service: service, transport: transport}
 }
--- a/cmd/bramleyctl/asker.go
+++ b/cmd/bramleyctl/asker.go
@@ -148,6 +148,25 @@
 	return n
 }
 
+// refusals lists each finding of a refused revision once, with the number of processes that report it.
+func (r *statusReport) refusals() []string {
+	var order []string
+	seen := make(map[string]int)
+	for _, p := range r.Processes {
+		for _, finding := range p.Findings {
+			text := fmt.Sprintf("revision %d refused: %s", p.RefusedRevision, finding)
+			if seen[text] == 0 {
+				order = append(order, text)
+			}
+			seen[text]++
+		}
+	}
+	for i, text := range order {
+		order[i] = fmt.Sprintf("%s (by %d processes)", text, seen[text])
+	}
+	return order
+}
+
 func (p *processStatus) row() []string {
 	if p.Error != "" {
 		return []string{p.Address, "-", "-", "-", "-", "-", "-", "-", "-", "-", p.Note + ": " + p.Error}
@@ -155,6 +174,14 @@
 	age := time.Duration(p.RevisionAgeMs) * time.Millisecond
 	return []string{
 		p.Address, p.VM, p.Place, p.Role, p.State, fmt.Sprint(p.Revision), age.String(),
-		fmt.Sprint(p.Flows), fmt.Sprintf("%d/%d", p.BusySlots, p.Slots), fmt.Sprint(p.Queued), p.Note,
+		fmt.Sprint(p.Flows), p.busy(), fmt.Sprint(p.Queued), p.Note,
+	}
+}
+
+// busy shows busy slots of all slots; a balancer has none.
+func (p *processStatus) busy() string {
+	if p.Slots == 0 {
+		return "-"
 	}
+	return fmt.Sprintf("%d/%d", p.BusySlots, p.Slots)
 }
--- a/cmd/bramleyctl/status.go
+++ b/cmd/bramleyctl/status.go
@@ -135,10 +135,8 @@
 		rows = append(rows, p.row())
 	}
 	c.term.table(rows)
-	for _, p := range report.Processes {
-		for _, finding := range p.Findings {
-			fmt.Fprintf(c.term.out, "%s refused revision %d: %s\n", p.Address, p.RefusedRevision, finding)
-		}
+	for _, line := range report.refusals() {
+		fmt.Fprintln(c.term.out, line)
 	}
 	fmt.Fprintf(c.term.out, "revision=%d processes=%d in_force=%d lagging=%d unreachable=%d\n",
 		report.Revision, len(report.Processes), report.count(noteNone), report.count(noteLags), report.count(noteUnreachable))
--- a/cmd/standin-caller/main.go
+++ b/cmd/standin-caller/main.go
@@ -7,10 +7,13 @@
 	"os"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"github.com/bramleyrack/bramleyrack/internal/options"
 	"github.com/bramleyrack/bramleyrack/internal/secrets"
 	"github.com/bramleyrack/bramleyrack/internal/standin/caller"
 	"github.com/bramleyrack/bramleyrack/internal/standin/process"
+	"github.com/bramleyrack/bramleyrack/internal/telemetry"
 )
 
 // Defaults of the options.
@@ -29,6 +32,7 @@
 	desk, store netip.AddrPort
 	seed        int
 	result      string
+	trace       string
 }
 
 func main() {
@@ -52,6 +56,7 @@
 	set.Int(&l.ObjectBytes, "object-bytes", defaultObjectBytes, "size of an object in `bytes`")
 	set.Int(&c.seed, "seed", 1, "`seed` of pauses and names")
 	set.String(&c.result, "result", "", "file for the result")
+	set.String(&c.trace, "trace", telemetry.ExporterNone, "exporter of traces: none, stderr or otlp")
 	set.Require("desk-service", "desk", "store-service", "store", "result")
 	process.Parse(set)
 	process.Main(func(ctx context.Context) error { return run(ctx, c) })
@@ -63,6 +68,11 @@
 		return err
 	}
 	c.caller.TLS = tls
+	shutdown, err := startTracing(ctx, &c)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = shutdown(context.WithoutCancel(ctx)) }()
 	c.caller.Desk.Address = c.desk.String()
 	c.caller.Store.Address = c.store.String()
 	c.caller.Seed = uint64(c.seed)
@@ -72,3 +82,17 @@
 	}
 	return result.Write(c.result)
 }
+
+// startTracing makes the callers open the span that the rest of the path joins.
+func startTracing(ctx context.Context, c *config) (func(context.Context) error, error) {
+	shutdown, err := telemetry.StartTracing(ctx, "standin-caller", c.trace)
+	if err != nil || c.trace == telemetry.ExporterNone {
+		return shutdown, err
+	}
+	interceptor, err := telemetry.ConnectInterceptor()
+	if err != nil {
+		return nil, err
+	}
+	c.caller.Interceptors = []connect.Interceptor{interceptor}
+	return shutdown, nil
+}
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -9,6 +9,7 @@
 	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
 	"github.com/bramleyrack/bramleyrack/internal/peer"
 	"github.com/bramleyrack/bramleyrack/internal/request"
+	"github.com/bramleyrack/bramleyrack/internal/telemetry"
 	"github.com/bramleyrack/bramleyrack/internal/view"
 	"github.com/bramleyrack/bramleyrack/membership"
 	"github.com/bramleyrack/bramleyrack/placement"
@@ -33,7 +34,7 @@
 	if err != nil {
 		return nil, request.NotDelivered(err)
 	}
-	answer, err := client.Execute(ctx, req)
+	answer, err := client.Execute(telemetry.InjectPeer(ctx), req)
 	var dial *peer.DialError
 	if errors.As(err, &dial) {
 		return nil, request.NotDelivered(err)
--- a/internal/options/help.go
+++ b/internal/options/help.go
@@ -4,13 +4,14 @@
 	"flag"
 	"fmt"
 	"runtime/debug"
+	"strings"
 )
 
 // PrintHelp writes every option with its unit, default and environment variable.
 func (s *Set) PrintHelp() {
 	fmt.Fprintf(s.output, "Usage: %s [options]\n\nOptions:\n", s.program)
 	s.flags.VisitAll(func(f *flag.Flag) {
-		unit, usage := flag.UnquoteUsage(f)
+		unit, usage := s.describe(f)
 		def := f.DefValue
 		if def == "" {
 			def = "none"
@@ -20,6 +21,15 @@
 	fmt.Fprintf(s.output, "  --version\n        print the version and exit\n")
 }
 
+// describe returns the unit and the usage of an option. A word in back quotes in the usage names the
+// unit; otherwise its type does.
+func (s *Set) describe(f *flag.Flag) (unit, usage string) {
+	if strings.Contains(f.Usage, "`") {
+		return flag.UnquoteUsage(f)
+	}
+	return s.units[f.Name], f.Usage
+}
+
 // Version describes the build of a program.
 func Version(program string) string {
 	version, revision := "devel", "unknown"
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -31,13 +31,14 @@
 	program  string
 	output   io.Writer
 	flags    *flag.FlagSet
+	units    map[string]string
 	findings []error
 	required []string
 }
 
 // New returns an empty set for the named program.
 func New(program string) *Set {
-	s := &Set{program: program, output: os.Stderr}
+	s := &Set{program: program, output: os.Stderr, units: make(map[string]string)}
 	s.flags = flag.NewFlagSet(program, flag.ContinueOnError)
 	s.flags.SetOutput(io.Discard)
 	return s
@@ -92,9 +93,7 @@
 }
 
 func (s *Set) add(name, unit, usage string, v flag.Value) {
-	if !strings.Contains(usage, "`") {
-		usage += " `" + unit + "`"
-	}
+	s.units[name] = unit
 	s.flags.Var(v, name, usage)
 }
 
--- a/internal/options/options_test.go
+++ b/internal/options/options_test.go
@@ -71,7 +71,7 @@
 	if err := s.Parse([]string{"--help"}); !errors.Is(err, flag.ErrHelp) {
 		t.Fatalf("got %v", err)
 	}
-	for _, want := range []string{"--limit bytes", "default 10", "--timeout duration", "default 2s", "env BRAMLEY_BIND"} {
+	for _, want := range []string{"--limit bytes", "default 10", "--timeout duration\n        time to wait (default 2s", "env BRAMLEY_BIND"} {
 		if !strings.Contains(output.String(), want) {
 			t.Errorf("%q is missing from:\n%s", want, output)
 		}
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"github.com/bramleyrack/bramleyrack/client"
 	"github.com/bramleyrack/bramleyrack/internal/standin/content"
 )
@@ -26,6 +28,8 @@
 	// Desk takes orders, sheets and feeds; Store takes photos and downloads.
 	Desk, Store Target
 	TLS         *tls.Config
+	// Interceptors wrap every request of a caller.
+	Interceptors []connect.Interceptor
 	// Duration is how long new work is started.
 	Duration time.Duration
 	// Settle is how long running work may take after that.
@@ -97,7 +101,7 @@
 }
 
 func newWorker(config Config, t *tally, target Target, name string, stream uint64) (*worker, error) {
-	c, err := client.New(client.Config{Address: target.Address, TLS: config.TLS})
+	c, err := client.New(client.Config{Address: target.Address, TLS: config.TLS, Interceptors: config.Interceptors})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -31,10 +31,12 @@
 	LogTo(os.Stderr)
 }
 
-// LogTo sends all events to w, one key=value line each.
+// LogTo sends all events to w, one key=value line each, and with them what libraries log.
 func LogTo(w io.Writer) {
 	handler := slog.NewTextHandler(w, &slog.HandlerOptions{ReplaceAttr: renameMessage})
-	klog.SetSlogLogger(slog.New(handler))
+	logger := slog.New(handler)
+	klog.SetSlogLogger(logger)
+	slog.SetDefault(logger)
 }
 
 func renameMessage(_ []string, attr slog.Attr) slog.Attr {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -32,8 +33,9 @@
 	buffer := captureLog(t)
 	Event("test_started", "reason", "two\nlines", "count", 3)
 	Failure("test_failed", errors.New("it broke"), "server", 7)
+	log.Print("a library's message")
 	lines := strings.Split(strings.TrimSpace(buffer.String()), "\n")
-	if len(lines) != 2 {
+	if len(lines) != 3 {
 		t.Fatalf("got %d lines: %q", len(lines), lines)
 	}
 	for _, want := range []string{"op=test_started", `reason="two\nlines"`, "count=3"} {
@@ -41,6 +43,9 @@
 			t.Errorf("%q is missing from %q", want, lines[0])
 		}
 	}
+	if !strings.Contains(lines[2], `op="a library's message"`) {
+		t.Errorf("got %q", lines[2])
+	}
 	for _, want := range []string{"level=ERROR", "op=test_failed", `err="it broke"`, "server=7"} {
 		if !strings.Contains(lines[1], want) {
 			t.Errorf("%q is missing from %q", want, lines[1])
@@ -51,6 +56,7 @@
 func TestRepeatedEventIsLimited(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		buffer := captureLog(t)
+		limiters.Delete("test_repeated")
 		for range eventBurst + 30 {
 			Event("test_repeated")
 		}
@@ -64,7 +70,7 @@
 }
 
 func TestOperatorHandler(t *testing.T) {
-	Counter("test_counter").Add(2)
+	Counter("test_counter").Set(2)
 	Counter("test_counter").Add(3)
 	Gauge("test_gauge", func() any { return "old" })
 	Gauge("test_gauge", func() any { return map[string]int{"a": 1} })
@@ -101,7 +107,7 @@
 	}
 	spans := tracetest.NewSpanRecorder()
 	otel.SetTracerProvider(sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(spans)))
-	ctx, agent := StartSpan(context.Background(), HopAgent)
+	ctx, agent := StartSpan(context.Background(), HopPlacement)
 	sent, _ := drpcmetadata.Get(InjectPeer(ctx))
 	remote := drpcmetadata.AddPairs(context.Background(), sent)
 	_, peer := StartSpan(ExtractPeer(remote), HopPeerAgent)
--- a/internal/telemetry/tracing.go
+++ b/internal/telemetry/tracing.go
@@ -18,6 +18,8 @@
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
 	"storj.io/drpc/drpcmetadata"
+
+	"github.com/bramleyrack/bramleyrack/gen/bramley/v1/bramleyv1connect"
 )
 
 const (
@@ -37,13 +39,11 @@
 // Hop names the part of the path that a span covers.
 type Hop string
 
-// The hops of a request, from the caller to the upstream.
+// The hops that Connect calls don't cover. ConnectInterceptor makes the spans of caller, agent and
+// upstream, which are named after the procedure.
 const (
-	HopCaller    Hop = "caller"
 	HopPlacement Hop = "balancer.placement"
-	HopAgent     Hop = "agent"
 	HopPeerAgent Hop = "peer_agent"
-	HopUpstream  Hop = "upstream"
 )
 
 // StartTracing installs the tracer of the process and the propagation of W3C trace context. The
@@ -100,10 +100,7 @@
 }
 
 func kindOf(hop Hop) trace.SpanKind {
-	switch hop {
-	case HopCaller, HopUpstream:
-		return trace.SpanKindClient
-	case HopAgent, HopPeerAgent:
+	if hop == HopPeerAgent {
 		return trace.SpanKindServer
 	}
 	return trace.SpanKindInternal
@@ -131,9 +128,14 @@
 	span.End(trace.WithTimestamp(end))
 }
 
-// ConnectInterceptor carries the trace context over Connect calls, for clients and handlers.
+// ConnectInterceptor carries the trace context over Connect calls, for clients and handlers. Questions
+// for the health of an upstream, which come several times a second, are not traced.
 func ConnectInterceptor() (connect.Interceptor, error) {
-	return otelconnect.NewInterceptor(otelconnect.WithTrustRemote(), otelconnect.WithoutMetrics())
+	return otelconnect.NewInterceptor(otelconnect.WithTrustRemote(), otelconnect.WithoutMetrics(), otelconnect.WithFilter(traceable))
+}
+
+func traceable(_ context.Context, spec connect.Spec) bool {
+	return spec.Procedure != bramleyv1connect.UpstreamServiceHealthProcedure
 }
 
 // InjectPeer adds the trace context to the metadata of an outgoing drpc call.
