--- a/internal/request/failures_test.go
+++ b/internal/request/failures_test.go
@@ -73,8 +73,12 @@
 			time.Sleep(500 * time.Millisecond)
 			links[1].setSilent(2, 3)
 		}()
+		called := time.Now()
 		_, refusal := fleet[1].Call(t.Context(), req)
 		wantOutcome(t, refusal, bramleyv1.Outcome_OUTCOME_UNKNOWN)
+		if waited := time.Since(called); waited > time.Second {
+			t.Fatalf("the caller waited %v for a peer known to be silent after 500 ms", waited)
+		}
 		if upstream.count("a") != 1 || links[1].sent[2]+links[1].sent[3] != 1 {
 			t.Fatalf("ran %d times, sent %v", upstream.count("a"), links[1].sent)
 		}
