--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -33,16 +33,20 @@
 
 // LogTo sends all events to w, one key=value line each, and with them what libraries log.
 func LogTo(w io.Writer) {
-	handler := slog.NewTextHandler(w, &slog.HandlerOptions{ReplaceAttr: renameMessage})
+	handler := slog.NewTextHandler(w, &slog.HandlerOptions{ReplaceAttr: replaceAttr})
 	logger := slog.New(handler)
 	klog.SetSlogLogger(logger)
 	slog.SetDefault(logger)
 }
 
-func renameMessage(_ []string, attr slog.Attr) slog.Attr {
+// replaceAttr renames the message and keeps the traces of wrapped errors out of the line.
+func replaceAttr(_ []string, attr slog.Attr) slog.Attr {
 	if attr.Key == slog.MessageKey {
 		attr.Key = "op"
 	}
+	if err, ok := attr.Value.Any().(error); ok {
+		attr.Value = slog.StringValue(err.Error())
+	}
 	return attr
 }
 
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -15,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	jujuerrors "github.com/juju/errors"
 	"go.opentelemetry.io/otel"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
@@ -32,7 +33,7 @@
 func TestEventIsOneKeyValueLine(t *testing.T) {
 	buffer := captureLog(t)
 	Event("test_started", "reason", "two\nlines", "count", 3)
-	Failure("test_failed", errors.New("it broke"), "server", 7)
+	Failure("test_failed", jujuerrors.Annotate(errors.New("broke"), "it"), "server", 7)
 	log.Print("a library's message")
 	lines := strings.Split(strings.TrimSpace(buffer.String()), "\n")
 	if len(lines) != 3 {
@@ -46,7 +47,7 @@
 	if !strings.Contains(lines[2], `op="a library's message"`) {
 		t.Errorf("got %q", lines[2])
 	}
-	for _, want := range []string{"level=ERROR", "op=test_failed", `err="it broke"`, "server=7"} {
+	for _, want := range []string{"level=ERROR", "op=test_failed", `err="it: broke"`, "server=7"} {
 		if !strings.Contains(lines[1], want) {
 			t.Errorf("%q is missing from %q", want, lines[1])
 		}
