--- /dev/null
+++ b/capacity/fit.go
@@ -0,0 +1,99 @@
+// Package capacity fits lines to measurements at several sizes and extrapolates them.
+package capacity
+
+import (
+	"cmp"
+	"math"
+
+	"github.com/juju/errors"
+)
+
+// leastPoints is the fewest sizes that a slope is fitted to.
+const leastPoints = 4
+
+// Point is one measurement at one size.
+type Point struct {
+	Size  float64
+	Value float64
+}
+
+// Fit is a line through measurements: Value = Intercept + Slope * Size.
+type Fit struct {
+	Intercept float64
+	Slope     float64
+	// RSquared is the share of the variance that the line explains.
+	RSquared float64
+	// Residuals are the measured values less those of the line, in the order of the points.
+	Residuals []float64
+}
+
+// Line fits a line by least squares. It needs at least four different sizes.
+func Line(points []Point) (Fit, error) {
+	sizes := make(map[float64]bool)
+	for _, p := range points {
+		sizes[p.Size] = true
+	}
+	if len(sizes) < leastPoints {
+		return Fit{}, errors.Errorf("%d sizes; a slope needs at least %d", len(sizes), leastPoints)
+	}
+	return leastSquares(points), nil
+}
+
+func leastSquares(points []Point) Fit {
+	meanSize, meanValue := 0.0, 0.0
+	for _, p := range points {
+		meanSize += p.Size / float64(len(points))
+		meanValue += p.Value / float64(len(points))
+	}
+	covariance, variance, total := 0.0, 0.0, 0.0
+	for _, p := range points {
+		covariance += (p.Size - meanSize) * (p.Value - meanValue)
+		variance += (p.Size - meanSize) * (p.Size - meanSize)
+		total += (p.Value - meanValue) * (p.Value - meanValue)
+	}
+	fit := Fit{Slope: covariance / variance, RSquared: 1}
+	fit.Intercept = meanValue - fit.Slope*meanSize
+	unexplained := 0.0
+	for _, p := range points {
+		residual := p.Value - fit.At(p.Size)
+		fit.Residuals = append(fit.Residuals, residual)
+		unexplained += residual * residual
+	}
+	if total > 0 {
+		fit.RSquared = 1 - unexplained/total
+	}
+	return fit
+}
+
+// At returns the value of the line at a size.
+func (f Fit) At(size float64) float64 {
+	return f.Intercept + f.Slope*size
+}
+
+// LargestResidual returns the largest distance of a measurement from the line.
+func (f Fit) LargestResidual() float64 {
+	largest := 0.0
+	for _, r := range f.Residuals {
+		largest = max(largest, math.Abs(r))
+	}
+	return largest
+}
+
+// SizeAt returns the size at which the line reaches a limit, and false if it never does.
+func (f Fit) SizeAt(limit float64) (float64, bool) {
+	if f.Slope <= 0 {
+		return 0, false
+	}
+	return (limit - f.Intercept) / f.Slope, true
+}
+
+// Range returns the smallest and largest size of the points.
+func Range(points []Point) (smallest, largest float64) {
+	for i, p := range points {
+		if i == 0 || cmp.Less(p.Size, smallest) {
+			smallest = p.Size
+		}
+		largest = max(largest, p.Size)
+	}
+	return smallest, largest
+}
--- a/internal/view/duties.go
+++ b/internal/view/duties.go
@@ -263,7 +263,9 @@
 
 // relayJob is a value on its way to the children of this process.
 type relayJob struct {
-	value    offered
+	value offered
+	// base is the revision that was in force before; children that hold it need only a delta.
+	base     *inForce
 	children []string
 }
 
@@ -285,33 +287,37 @@
 		case <-ctx.Done():
 			return
 		case job := <-v.relay:
+			request := v.announcement(job)
 			for _, child := range job.children {
-				v.workers.Go(func() { v.announce(ctx, child, job.value) })
+				v.workers.Go(func() { v.announce(ctx, child, request) })
 			}
 		}
 	}
 }
 
+func (v *View) announcement(job relayJob) *bramleyv1.AnnounceRequest {
+	value, delta := carried(job.base, job.value.value)
+	return &bramleyv1.AnnounceRequest{
+		From:          v.config.Identity,
+		Key:           v.config.Key,
+		Revision:      job.value.revision,
+		Value:         value,
+		Delta:         delta,
+		Depth:         job.value.depth + 1,
+		RevisionAgeMs: v.ageMs(),
+	}
+}
+
 // announce tells one child. A child that does not hear it learns of the revision by a heartbeat.
-func (v *View) announce(ctx context.Context, child string, value offered) {
+func (v *View) announce(ctx context.Context, child string, request *bramleyv1.AnnounceRequest) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	client, err := v.config.Peers.Client(ctx, child)
 	if err != nil {
 		return
 	}
-	request := &bramleyv1.AnnounceRequest{
-		From:          v.config.Identity,
-		Key:           v.config.Key,
-		Revision:      value.revision,
-		Depth:         value.depth + 1,
-		RevisionAgeMs: v.ageMs(),
-	}
-	if len(value.value) <= inlineBytes {
-		request.Value = value.value
-	}
 	if _, err := client.Announce(ctx, request); err != nil {
-		v.config.Event("announce_failed", "peer", child, "revision", value.revision, "error", err)
+		v.config.Event("announce_failed", "peer", child, "revision", request.GetRevision(), "error", err)
 	}
 }
 
--- a/internal/view/fakes_test.go
+++ b/internal/view/fakes_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
+	"github.com/bramleyrack/bramleyrack/internal/traffic"
 )
 
 var (
@@ -172,6 +173,7 @@
 		Peers:    &ownPeers{fleet: f, self: address},
 		Seeds:    f.seeds,
 		Fleet:    f.size,
+		Meter:    &traffic.Meter{},
 		Event:    f.watchReverts(address),
 	})
 	if err != nil {
--- a/internal/view/handler.go
+++ b/internal/view/handler.go
@@ -34,7 +34,7 @@
 	if c := v.current.Load(); c != nil && request.GetKey() == v.config.Key {
 		response.Revision = c.revision
 		if c.revision > request.GetAboveRevision() {
-			response.Value = c.value
+			v.fill(response, c, request.GetAboveRevision())
 		}
 	}
 	size := proto.Size(response)
@@ -45,6 +45,16 @@
 	return response, nil
 }
 
+// fill adds the value in force, or a delta for a peer that holds the revision before.
+func (v *View) fill(response *bramleyv1.FetchResponse, c *inForce, held uint64) {
+	if p := v.previous.Load(); p != nil && p.revision == held {
+		response.Delta = deltaTo(p, c.value)
+	}
+	if response.Delta == nil {
+		response.Value = c.value
+	}
+}
+
 // Announce takes in a revision from the parent in the relay tree.
 func (v *View) Announce(_ context.Context, request *bramleyv1.AnnounceRequest) (*bramleyv1.AnnounceResponse, error) {
 	v.config.Meter.Add(traffic.Configuration, proto.Size(request))
--- a/internal/view/owner.go
+++ b/internal/view/owner.go
@@ -140,19 +140,21 @@
 		return
 	}
 	state, revision := f.response.GetState(), f.response.GetRevision()
-	o.offer(now, offered{revision: revision, value: f.response.GetValue(), ageMs: f.response.GetRevisionAgeMs(), source: f.address})
+	value := o.view.valueOf(f.response.GetValue(), f.response.GetDelta())
+	o.offer(now, offered{revision: revision, value: value, ageMs: f.response.GetRevisionAgeMs(), source: f.address})
 	o.follower.PeerAnswered(now, observation(f.address, state, revision, f.response.GetRevisionAgeMs()))
 }
 
 func (o *owner) announced(now time.Duration, a *bramleyv1.AnnounceRequest) {
 	source := a.GetFrom().GetPeerAddress()
-	if len(a.GetValue()) == 0 {
+	value := o.view.valueOf(a.GetValue(), a.GetDelta())
+	if len(value) == 0 {
 		if a.GetRevision() > o.seen {
 			o.follower.Observe(now, dissemination.Observation{Revision: a.GetRevision(), Peer: source})
 		}
 		return
 	}
-	o.offer(now, offered{revision: a.GetRevision(), value: a.GetValue(), ageMs: a.GetRevisionAgeMs(), source: source, depth: a.GetDepth()})
+	o.offer(now, offered{revision: a.GetRevision(), value: value, ageMs: a.GetRevisionAgeMs(), source: source, depth: a.GetDepth()})
 }
 
 func (o *owner) platformRead(now time.Duration, r *platformRead) {
@@ -182,13 +184,14 @@
 		return
 	}
 	o.seen = value.revision
+	base := o.view.current.Load()
 	tree, err := settings.Parse(value.value, value.revision)
 	if err != nil {
 		o.refuse(value, err)
 	} else {
 		o.adopt(now, value, tree)
 	}
-	o.view.enqueueRelay(relayJob{value: value, children: o.tree.Children(o.view.config.Identity.GetPeerAddress())})
+	o.view.enqueueRelay(relayJob{value: value, base: base, children: o.tree.Children(o.view.config.Identity.GetPeerAddress())})
 }
 
 func (o *owner) refuse(value offered, err error) {
@@ -211,6 +214,7 @@
 		return
 	}
 	tree = settings.CarryRemoved(o.view.Current(), tree)
+	o.view.previous.Store(o.view.current.Load())
 	o.view.current.Store(&inForce{revision: value.revision, value: value.value, tree: tree})
 	o.view.notify(tree)
 	o.rebuild(now)
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -108,17 +108,19 @@
 	config  Config
 	start   time.Time
 	current atomic.Pointer[inForce]
-	refused atomic.Pointer[refusal]
-	summary atomic.Pointer[summary]
-	events  chan event
-	updates chan *settings.Tree
-	relay   chan relayJob
-	read    chan struct{}
-	dropped atomic.Uint64
-	contact platformContact
-	owner   *owner
-	workers sync.WaitGroup
-	done    chan struct{}
+	// previous is the revision in force before, for deltas to peers that still hold it.
+	previous atomic.Pointer[inForce]
+	refused  atomic.Pointer[refusal]
+	summary  atomic.Pointer[summary]
+	events   chan event
+	updates  chan *settings.Tree
+	relay    chan relayJob
+	read     chan struct{}
+	dropped  atomic.Uint64
+	contact  platformContact
+	owner    *owner
+	workers  sync.WaitGroup
+	done     chan struct{}
 }
 
 // Start returns a view that runs until the context ends. The caller serves it to peers.
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -267,3 +268,30 @@
 		}
 	})
 }
+
+// TestChangeOfALargeTreeSpreadsAsADelta checks that followers receive far less than the tree.
+func TestChangeOfALargeTreeSpreadsAsADelta(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet) {
+		padding := strings.Repeat("# padding of a large tree\n", 4<<10)
+		f.platform.publish(treeValue(5) + padding)
+		startPlaces(f, 10)
+		f.inForce(1, time.Minute)
+		f.advance(30 * time.Second)
+		before := f.configurationBytes()
+		f.inForce(f.platform.publish(treeValue(6)+padding), inForceTarget)
+		f.advance(inForceTarget)
+		received := (f.configurationBytes() - before) / uint64(len(f.views))
+		if received > uint64(len(padding))/10 {
+			t.Fatalf("%d bytes a process for a change of one digit", received)
+		}
+		t.Logf("%d bytes a process", received)
+	})
+}
+
+func (f *fleet) configurationBytes() uint64 {
+	total := uint64(0)
+	for _, v := range f.views {
+		total += v.config.Meter.Bytes()["configuration"]
+	}
+	return total
+}
