Keep the runs of a killed upstream and add failures to the scripts

Cause: the kill of an upstream took its own count of runs with it, so that the verdict of that scenario reported 36 answers without a run.

--- a/cmd/standin-upstream/main.go
+++ b/cmd/standin-upstream/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/netip"
+	"os"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -29,7 +30,9 @@
 	listen, operator netip.AddrPort
 	number           int
 	health           string
-	upstream         upstream.Config
+	// journal is the file that keeps the runs when the process is killed.
+	journal  string
+	upstream upstream.Config
 }
 
 func main() {
@@ -47,6 +50,7 @@
 	set.Int(&u.ObjectBytes, "object-bytes", defaultObjectBytes, "size of each object for download in `bytes`")
 	set.Duration(&u.ChunkInterval, "chunk-interval", defaultChunkInterval, "pause after each chunk of a download")
 	set.String(&c.health, "health", string(upstream.HealthTrue), "what the health endpoint says: true, idle or busy")
+	set.String(&c.journal, "journal", "", "file that keeps the runs when the process is killed")
 	set.Require("listen", "operator", "service")
 	process.Parse(set)
 	process.Main(func(ctx context.Context) error { return run(ctx, c) })
@@ -56,6 +60,16 @@
 	c.upstream.Number = uint32(c.number)
 	c.upstream.Health = upstream.HealthMode(c.health)
 	u := upstream.New(c.upstream)
+	if c.journal != "" {
+		journal, err := os.OpenFile(c.journal, os.O_RDWR|os.O_CREATE|os.O_APPEND, 0o644)
+		if err != nil {
+			return err
+		}
+		defer journal.Close()
+		if err := u.OpenJournal(journal); err != nil {
+			return err
+		}
+	}
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, serving := errgroup.WithContext(serving)
--- a/internal/standin/upstream/runs.go
+++ b/internal/standin/upstream/runs.go
@@ -1,8 +1,10 @@
 package upstream
 
 import (
+	"encoding/json"
+	"errors"
+	"io"
 	"sync"
-	"time"
 )
 
 // Run is one start of one request, as the upstream itself saw it.
@@ -22,7 +24,7 @@
 	Number  uint32 `json:"number"`
 	// Runs holds each start of a request that is not idempotent.
 	Runs []Run `json:"runs"`
-	// Started counts the starts of all requests.
+	// Started counts the starts of all requests, feeds and downloads.
 	Started uint64 `json:"started"`
 	// LastStartMilliseconds is the time of the newest start of any request, feed or download.
 	LastStartMilliseconds int64 `json:"last_start_ms"`
@@ -42,32 +44,43 @@
 
 // ledger counts runs at their start, before any work, so that no later failure hides one.
 type ledger struct {
-	mu     sync.Mutex
-	report Report
+	mu      sync.Mutex
+	report  Report
+	journal *json.Encoder
+}
+
+// open takes in the runs of an earlier process from a journal and continues it.
+func (l *ledger) open(journal io.ReadWriter) error {
+	decoder := json.NewDecoder(journal)
+	for {
+		var run Run
+		err := decoder.Decode(&run)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		l.start(run)
+	}
+	l.journal = json.NewEncoder(journal)
+	return nil
 }
 
 func (l *ledger) start(run Run) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.journal != nil {
+		_ = l.journal.Encode(run) // The count in memory stays true.
+	}
 	l.report.Started++
-	l.note(run.StartedMilliseconds)
+	l.report.LastStartMilliseconds = run.StartedMilliseconds
+	l.report.Starts = append(l.report.Starts, run.StartedMilliseconds)
 	if !run.Idempotent {
 		l.report.Runs = append(l.report.Runs, run)
 	}
 }
 
-// startStream counts the start of a feed or download.
-func (l *ledger) startStream(now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.note(now.UnixMilli())
-}
-
-func (l *ledger) note(ms int64) {
-	l.report.LastStartMilliseconds = ms
-	l.report.Starts = append(l.report.Starts, ms)
-}
-
 func (l *ledger) change(f func(*Report)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/standin/upstream/streams.go
+++ b/internal/standin/upstream/streams.go
@@ -17,7 +17,7 @@
 		return connect.NewError(connect.CodeUnavailable, errDraining)
 	}
 	now := time.Now()
-	u.ledger.startStream(now)
+	u.beginStream("feed", req.Msg.GetTopic(), now)
 	next := req.Msg.GetAfter() + 1
 	if req.Msg.GetAfter() == 0 {
 		next = content.Sequence(now)
@@ -54,7 +54,7 @@
 	if u.draining.Load() {
 		return connect.NewError(connect.CodeUnavailable, errDraining)
 	}
-	u.ledger.startStream(time.Now())
+	u.beginStream("download", req.Msg.GetObject(), time.Now())
 	if req.Msg.GetOffset() > 0 {
 		u.ledger.change(func(r *Report) { r.ResumedDownloads++ })
 	}
@@ -92,3 +92,8 @@
 	}
 	return chunk
 }
+
+// beginStream counts the start of a feed or download.
+func (u *Upstream) beginStream(method, item string, now time.Time) {
+	u.ledger.start(Run{Method: method, Item: item, Idempotent: true, StartedMilliseconds: now.UnixMilli()})
+}
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -7,6 +7,7 @@
 	"crypto/sha256"
 	"encoding/json"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -85,6 +86,10 @@
 	return u
 }
 
+// OpenJournal takes in the runs of an earlier process from a journal and adds the runs of this one. It
+// must be called before the upstream serves.
+func (u *Upstream) OpenJournal(journal io.ReadWriter) error { return u.ledger.open(journal) }
+
 // Handler returns the handler of UpstreamService.
 func (u *Upstream) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"context"
 	"testing"
 	"testing/synctest"
@@ -64,3 +65,33 @@
 		t.Fatalf("report %+v", report)
 	}
 }
+
+func TestRunsSurviveTheProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var journal bytes.Buffer
+		for _, item := range []string{"a", "b"} {
+			u := newUpstream()
+			if err := u.OpenJournal(&journalFile{Buffer: &journal}); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := u.Call(t.Context(), order("orders", item)); err != nil {
+				t.Fatal(err)
+			}
+			if item == "b" && len(u.Report().Runs) != 2 {
+				t.Fatalf("report %+v", u.Report())
+			}
+		}
+	})
+}
+
+// journalFile reads from the start and writes at the end, as a file opened for appending does.
+type journalFile struct {
+	*bytes.Buffer
+	read int
+}
+
+func (f *journalFile) Read(p []byte) (int, error) {
+	n, err := bytes.NewReader(f.Bytes()[f.read:]).Read(p)
+	f.read += n
+	return n, err
+}
--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -63,6 +63,106 @@
   finish --allow-broken
 }
 
+# An upstream of the store is marked as leaving and its agent stops as planned, while downloads run.
+scenario_store_stop() {
+  begin
+  mark_leaving 12
+  sleep 1
+  kill -TERM "${pids[agent-12]}"
+  wait "${pids[agent-12]}" || say "agent 12 ended with status $?"
+  unset "pids[agent-12]"
+  finish
+}
+
+# An agent is paused for longer than its peers wait for it, with requests in its sockets.
+scenario_agent_long_pause() {
+  begin
+  kill -STOP "${pids[agent-2]}"
+  sleep 8
+  kill -CONT "${pids[agent-2]}"
+  finish --allow-broken
+}
+
+# A balancer and an agent are killed at once while another agent is paused.
+scenario_double_failure() {
+  begin
+  kill -STOP "${pids[agent-5]}"
+  end agent-2 KILL
+  balancer_kill 2
+  kill -CONT "${pids[agent-5]}"
+  balancer_start 4
+  agent_start "$desk" 2
+  routes_set 1 3 4
+  finish --allow-broken
+}
+
+# An upstream is killed and started again while its agent lives on.
+scenario_upstream_kill() {
+  begin
+  end upstream-2 KILL
+  sleep 3
+  upstream_start "$desk" 2
+  finish --allow-broken
+}
+
+# An upstream is paused: its requests hang and its health does not answer.
+scenario_upstream_pause() {
+  begin
+  kill -STOP "${pids[upstream-2]}"
+  sleep 4
+  kill -CONT "${pids[upstream-2]}"
+  finish
+}
+
+# Every upstream claims to be idle, whatever it does.
+scenario_health_idle() {
+  UPSTREAM_ARGS="--health idle"
+  begin
+  sleep 5
+  finish
+}
+
+# Far more orders arrive than the slots can take.
+scenario_overload() {
+  CALLER_ARGS="--orders 300 --pause 20ms"
+  UPSTREAM_ARGS="--work 50ms"
+  begin
+  sleep 5
+  finish
+}
+
+# Two agents of different services come back with their addresses exchanged.
+scenario_address_reuse() {
+  begin
+  end agent-2 KILL
+  end agent-11 KILL
+  sed -E -e "s/(127.0.0.1:$prefix)102\"/\1AAA\"/; s/(127.0.0.1:$prefix)111\"/\1102\"/; s/AAA/111/" \
+    -e "s/(127.0.0.1:$prefix)202\"/\1BBB\"/; s/(127.0.0.1:$prefix)211\"/\1202\"/; s/BBB/211/" \
+    "$work/tree-2.yaml" > "$work/tree-4.yaml"
+  publish "$work/tree-4.yaml"
+  agent_peer_port=([2]=211 [11]=202)
+  agent_start "$desk" 2
+  agent_start "$store" 11
+  sleep 2
+  finish --allow-broken
+}
+
+# Every balancer is replaced, one after the other.
+scenario_balancer_roll() {
+  begin
+  balancer_start 4
+  bin/standin-control ready --operators "$(operators)" --timeout 6s
+  routes_set 1 2 3 4
+  balancer_stop 1 2 3 4
+  balancer_start 5
+  bin/standin-control ready --operators "$(operators)" --timeout 6s
+  balancer_stop 2 3 4 5
+  balancer_start 6
+  bin/standin-control ready --operators "$(operators)" --timeout 6s
+  balancer_stop 3 4 5 6
+  finish
+}
+
 # A balancer is paused for five seconds while the fabric keeps handing packets to it.
 scenario_balancer_pause() {
   begin
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -6,6 +6,7 @@
 store_numbers="11 12 13"
 
 declare -A pids=()
+agent_peer_port=()
 in_force_ms=0
 leaving_number=0
 leaving_since=0
@@ -121,7 +122,8 @@
 
 upstream_start() { # SERVICE NUMBER
   run "upstream-$2" bin/standin-upstream --service "$1" --number "$2" --slots "$slots" \
-    --listen "$(at $((300 + $2)))" --operator "$(at $((500 + $2)))" ${UPSTREAM_ARGS:-}
+    --listen "$(at $((300 + $2)))" --operator "$(at $((500 + $2)))" \
+    --journal "$work/runs-$2.json" ${UPSTREAM_ARGS:-}
 }
 
 agent_start() { # SERVICE NUMBER
@@ -129,7 +131,7 @@
   [ "$1" = "$store" ] && number=$((number - 10))
   run "agent-$2" bin/bramley-agent --vm "server-$2" --place "$(place_of_upstream "$2")" \
     --platform "http://$(at 900)" --service "$1" --upstream "$1-$number" \
-    --peer-listen "$(at $((200 + $2)))" --operator "$(at $((400 + $2)))"
+    --peer-listen "$(at "${agent_peer_port[$2]:-$((200 + $2))}")" --operator "$(at $((400 + $2)))"
 }
 
 balancer_start() { # NUMBER ARGS...
@@ -203,9 +205,9 @@
   [ "$ms" -le "$in_force_ms" ] || in_force_ms=$ms
 }
 
-# mark_leaving NUMBER publishes the newest tree with an upstream of the desk marked as leaving.
+# mark_leaving NUMBER publishes the newest tree with an upstream marked as leaving.
 mark_leaving() {
-  sed -E "s/^( +$desk-$1: .*)\}\$/\1, leaving: true}/" "$work/tree-2.yaml" > "$work/tree-3.yaml"
+  sed -E "s/^( +[a-z]+-[0-9]+: \{number: $1, .*)\}\$/\1, leaving: true}/" "$work/tree-2.yaml" > "$work/tree-3.yaml"
   publish "$work/tree-3.yaml"
   leaving_number=$1
   leaving_since=$published_ms
