Let the process chart decide the life of the agent

A stop that came before the start of the duties was undone by it: the state was set to serving after leaving. The chart ignores the late event, and peers now hear of a pause and of the end.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -105,7 +105,11 @@
 
 // start builds the agent once the settings name its upstream.
 func start(running, ctx context.Context, config Config) (*Agent, error) {
-	a := &Agent{config: config, meter: &traffic.Meter{}, metrics: newMetrics(), life: newLifecycle()}
+	life, err := newLifecycle()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	a := &Agent{config: config, meter: &traffic.Meter{}, metrics: newMetrics(), life: life}
 	a.pool = peer.NewPool(peer.PoolConfig{TLS: config.Keys.PeerClient, Meter: a.meter})
 	if err := a.findSelf(ctx); err != nil {
 		return nil, errors.Trace(err)
--- a/internal/agent/status.go
+++ b/internal/agent/status.go
@@ -88,7 +88,7 @@
 func (a *Agent) follow(ctx context.Context) error {
 	ticker := time.NewTicker(confirmDelay)
 	defer ticker.Stop()
-	a.life.set(bramleyv1.ProcessState_PROCESS_STATE_SERVING)
+	a.life.fire(eventStarted)
 	was := false
 	for {
 		select {
--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -22,7 +22,7 @@
 
 // stop is the planned stop: no new work, streams move, running work ends, records are handed over.
 func (a *Agent) stop() {
-	a.life.set(bramleyv1.ProcessState_PROCESS_STATE_LEAVING)
+	a.life.fire(eventStop)
 	a.executor.SetAccepting(false)
 	telemetry.Event("stopping", "flows", a.metrics.flows.Value())
 	ctx, cancel := context.WithTimeout(context.Background(), a.policy().DrainTimeout)
@@ -38,6 +38,8 @@
 	if err := a.handOver(); err != nil {
 		telemetry.Failure("hand_over", err, "outcome", "unknown")
 	}
+	a.life.fire(eventDrained)
+	a.life.fire(eventDrained)
 }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -82,12 +84,16 @@
 
 // confirm settles the executor after a pause, once the view is confirmed again.
 func (a *Agent) confirm() {
+	a.life.fire(eventPaused)
 	telemetry.Event("paused")
+	a.life.fire(eventPaused)
 	time.Sleep(confirmDelay)
 	for a.view.Ready() != nil {
 		time.Sleep(confirmInterval)
 	}
 	a.executor.Settle(true)
+	a.life.fire(eventConfirmed)
+	a.life.fire(eventConfirmed)
 	telemetry.Event("settled")
 }
 
