--- a/flowtrace/packet.go
+++ b/flowtrace/packet.go
@@ -52,7 +52,7 @@
 		if a.service != f.service || a.upstream.Number != server {
 			return verdict{}
 		}
-		d := w.decide(a, packet, candidates, hops)
+		d := w.decide(a, packet, route.Evidence, candidates, hops)
 		switch d.Action {
 		case placement.ActionAccept:
 			return verdict{outcome: outcomeAccepted, agent: a}
@@ -69,13 +69,13 @@
 }
 
 // decide asks the acceptor of an agent, as its daemon does.
-func (w *world) decide(a *agent, packet []byte, candidates []uint32, hops int) placement.Decision {
+func (w *world) decide(a *agent, packet []byte, evidence placement.Evidence, candidates []uint32, hops int) placement.Decision {
 	id, _, err := placement.DestinationConnectionID(packet)
 	if err != nil {
 		return placement.Decision{Action: placement.ActionRefuse}
 	}
 	if owner, ok := w.codec.Decode(id); ok {
-		return a.acceptor.LookUp(w.now, owner, a.self, a.peers, hops)
+		return a.acceptor.LookUp(w.now, owner, a.self, evidence, a.peers, hops)
 	}
 	return a.acceptor.Decide(w.now, placement.FlowHash(id), a.load(), a.peers, candidates, hops)
 }
--- a/internal/agent/inbound.go
+++ b/internal/agent/inbound.go
@@ -149,10 +149,7 @@
 	in.refreshPeers(now)
 	hops := int(in.header.GetHops())
 	if owner, ok := in.codec.Decode(id); ok {
-		if in.header.GetOwnerRefused() {
-			in.acceptor.Refused(now, owner.Server)
-		}
-		return in.acceptor.LookUp(now, owner, in.self, in.peers, hops)
+		return in.acceptor.LookUp(now, owner, in.self, in.evidence(), in.peers, hops)
 	}
 	if !long {
 		return placement.Decision{Action: placement.ActionReset}
@@ -162,6 +159,18 @@
 	return decision
 }
 
+// evidence returns what the balancer says of the owner of the flow.
+func (in *inbound) evidence() placement.Evidence {
+	switch {
+	case in.header.GetOwnerRefused():
+		return placement.EvidenceRefused
+	case in.header.GetOwnerGone():
+		return placement.EvidenceGone
+	default:
+		return placement.EvidenceNone
+	}
+}
+
 func (in *inbound) count(decision placement.Decision) {
 	switch decision.Action {
 	case placement.ActionAccept:
--- a/internal/balancer/forward.go
+++ b/internal/balancer/forward.go
@@ -11,6 +11,7 @@
 	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
 	"github.com/bramleyrack/bramleyrack/internal/datagram"
 	"github.com/bramleyrack/bramleyrack/internal/routing"
+	"github.com/bramleyrack/bramleyrack/placement"
 )
 
 // forwarder carries the packets of callers of one service to agents.
@@ -89,7 +90,8 @@
 	f.header.Caller = f.caller
 	f.header.Server = r.Agent.Server
 	f.header.Candidates = r.Candidates
-	f.header.OwnerRefused = r.OwnerRefused
+	f.header.OwnerRefused = r.Evidence == placement.EvidenceRefused
+	f.header.OwnerGone = r.Evidence == placement.EvidenceGone
 	f.writer.add(datagram.Append(f.writer.next(), &f.header, packet), r.Agent.UDP)
 	r.Agent.Progress.Forwarded.Add(1)
 }
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -51,8 +51,8 @@
 	Flow uint64
 	// Candidates are the servers that follow in rank.
 	Candidates []uint32
-	// OwnerRefused says that the process of the owner does not run.
-	OwnerRefused bool
+	// Evidence is what is known of the owner of an orphan.
+	Evidence placement.Evidence
 }
 
 // Router finds routes. It is not safe for concurrent use.
@@ -90,10 +90,22 @@
 		return Route{Kind: Owner, Agent: a}
 	}
 	route := r.ranked(s, Orphan, placement.FlowHash(id))
-	route.OwnerRefused = a != nil && a.refused
+	route.Evidence = a.evidence()
 	return route
 }
 
+// evidence tells a gone agent from one that the table does not hold.
+func (a *Agent) evidence() placement.Evidence {
+	switch {
+	case a == nil:
+		return placement.EvidenceNone
+	case a.refused:
+		return placement.EvidenceRefused
+	default:
+		return placement.EvidenceGone
+	}
+}
+
 // ranked routes to the first rank. The place of the balancer does not count: packets of one
 // handshake may reach balancers of several places, and all must name the same agent.
 func (r *Router) ranked(s *Service, kind Kind, flow uint64) Route {
--- a/placement/acceptor.go
+++ b/placement/acceptor.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -114,8 +115,6 @@
 	// passed counts the flows passed to the peer since heard.
 	passed uint32
 	heard  time.Duration
-	// refused is the time of the last evidence that the process of the peer does not run.
-	refused time.Duration
 }
 
 // NewAcceptor returns an acceptor of an upstream that starts now.
@@ -321,53 +320,49 @@
 	}
 }
 
-// Refused takes in the evidence of a balancer that the process of a peer does not run, as its
-// address refuses connections. Its flows are reset at once unless the peer is heard.
-func (a *Acceptor) Refused(now time.Duration, server uint32) {
-	if known := a.peers[server]; known != nil {
-		known.refused = now
-	}
-}
+// Evidence is what a balancer knows first hand of the owner of a flow.
+type Evidence uint8
 
-// dead reports whether the flows of a peer can be reset without waiting for ResetAfter.
-func (a *Acceptor) dead(now time.Duration, peer *PeerLoad) bool {
-	known := a.peers[peer.Server]
-	refused := known.refused > peer.Heard && now-known.refused <= a.config.DeadAfter
-	return refused && now-peer.Heard > a.config.DeadAfter
-}
+// The kinds of evidence.
+const (
+	// EvidenceNone says nothing; the balancer may not even know the owner.
+	EvidenceNone Evidence = iota
+	// EvidenceGone says that the owner has long been silent while others of its place answer.
+	EvidenceGone
+	// EvidenceRefused says that the process of the owner does not run.
+	EvidenceRefused
+)
 
 // LookUp returns what to do with a packet whose connection ID names owner. self is the owner that
-// the agent encodes in its own connection IDs.
-func (a *Acceptor) LookUp(now time.Duration, owner, self Owner, peers []PeerLoad, hops int) Decision {
-	if owner == self {
+// the agent encodes in its own connection IDs. A flow of another agent is reset only if a balancer
+// and the agent both miss its owner, since either alone may be cut off from it.
+func (a *Acceptor) LookUp(now time.Duration, owner, self Owner, evidence Evidence, peers []PeerLoad, hops int) Decision {
+	switch {
+	case owner == self:
 		return Decision{Action: ActionAccept}
-	}
-	if owner.Service != self.Service {
+	case owner.Service != self.Service:
 		return Decision{Action: ActionRefuse}
-	}
-	if owner.Server == self.Server {
+	case owner.Server == self.Server:
 		return Decision{Action: ActionReset}
 	}
 	a.observe(now, peers)
-	peer := findPeer(peers, owner.Server)
-	if peer != nil && a.dead(now, peer) {
-		return Decision{Action: ActionReset}
+	silence := maxSilence
+	if peer := findPeer(peers, owner.Server); peer != nil {
+		silence = now - peer.Heard
 	}
-	if peer == nil || now-peer.Heard > a.config.ResetAfter {
-		return a.resetUnlessParted(now)
-	}
-	if hops >= a.config.MaxHops {
+	switch {
+	case evidence == EvidenceRefused && silence > a.config.DeadAfter:
+		return Decision{Action: ActionReset}
+	case evidence == EvidenceGone && silence > a.config.ResetAfter && now >= a.suspectUntil:
+		return Decision{Action: ActionReset}
+	case silence > a.config.ResetAfter || hops >= a.config.MaxHops:
 		return Decision{Action: ActionRefuse}
 	}
 	return Decision{Action: ActionPass, Server: owner.Server}
 }
 
-func (a *Acceptor) resetUnlessParted(now time.Duration) Decision {
-	if now < a.suspectUntil {
-		return Decision{Action: ActionRefuse}
-	}
-	return Decision{Action: ActionReset}
-}
+// maxSilence is the silence of a peer that was never heard.
+const maxSilence = time.Duration(math.MaxInt64)
 
 // Search returns what to do with a packet that names no owner and may belong to an established
 // flow. owned says that the agent has the flow. The candidates end with the best ranked server, so
