--- a/statechart/chart.go
+++ b/statechart/chart.go
@@ -100,16 +100,29 @@
 	if err != nil {
 		return nil, err
 	}
-	var raw rawChart
-	if err := yaml.UnmarshalWithOptions(data, &raw, yaml.Strict()); err != nil {
+	raw, err := decode(data)
+	if err != nil {
 		return nil, &FindingsError{File: file, Findings: []Finding{{Path: "$", Reason: err.Error()}}}
 	}
-	if findings := check(name, &raw); len(findings) > 0 {
+	if findings := check(name, raw); len(findings) > 0 {
 		return nil, &FindingsError{File: file, Findings: findings}
 	}
 	return &Chart{name: raw.Name, initial: raw.Initial, events: raw.Events, states: raw.States}, nil
 }
 
+// decode reads the YAML text of a chart. The library panics on some malformed texts, such as a map
+// with an unknown tag in place of a list; that is an error here.
+func decode(data []byte) (raw *rawChart, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("malformed YAML: %v", r)
+		}
+	}()
+	raw = &rawChart{}
+	err = yaml.UnmarshalWithOptions(data, raw, yaml.Strict())
+	return raw, err
+}
+
 // Name returns the name of the chart.
 func (c *Chart) Name() string {
 	return c.name
--- a/statechart/statechart_test.go
+++ b/statechart/statechart_test.go
@@ -165,3 +165,27 @@
 	// <nil> opened
 	// door chart: event "open" is rejected in state "opened" opened
 }
+
+func FuzzLoad(f *testing.F) {
+	for _, name := range []string{Process, Upstream, Link, Ticket, Adoption} {
+		data, err := fs.ReadFile(builtin, chartDir+"/"+name+chartExt)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Add([]byte("name: fuzz\ninitial: a\nevents: [go]\nstates:\n  a:\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		chart, err := Load(fstest.MapFS{"fuzz.yaml": {Data: data}}, "fuzz")
+		if err != nil {
+			return
+		}
+		machine := chart.New()
+		for _, event := range chart.Events() {
+			_ = machine.Fire(event)
+			if chart.states[machine.State()] == nil {
+				t.Fatalf("unknown state %q", machine.State())
+			}
+		}
+	})
+}
