Search for the owner of a connection ID that an agent can't read

An agent answered a short packet that it could not read with a stateless reset. LookUp needs no bound of hops: it passes to the owner alone.

--- a/flowtrace/flows.go
+++ b/flowtrace/flows.go
@@ -82,6 +82,7 @@
 
 func (w *world) establish(f *flow, a *agent) {
 	f.owner = a
+	f.connectionID = a.codec.Encode(a.self, f.id)
 	f.heard = w.now
 	a.flows[f.id] = f
 	w.flows[f.id] = f
--- a/flowtrace/packet.go
+++ b/flowtrace/packet.go
@@ -22,14 +22,17 @@
 	agent   *agent
 }
 
-// caller is the address of every caller; no route depends on it as long as connection IDs decode.
-var caller = netip.MustParseAddrPort("192.0.2.1:1")
+// caller returns the address that a flow comes from.
+func (f *flow) caller() netip.AddrPort {
+	var ip [4]byte
+	binary.BigEndian.PutUint32(ip[:], uint32(f.id>>32))
+	return netip.AddrPortFrom(netip.AddrFrom4(ip), uint16(f.id))
+}
 
 // packet returns a packet of a flow as a caller sends it.
 func (w *world) packet(f *flow) []byte {
 	if f.owner != nil {
-		id := w.codec.Encode(f.owner.self, f.id)
-		return append([]byte{0x40}, id[:]...)
+		return append([]byte{0x40}, f.connectionID[:]...)
 	}
 	b := []byte{0xc0, 0, 0, 0, 1, 8}
 	return append(binary.BigEndian.AppendUint64(b, f.id), 0)
@@ -42,7 +45,7 @@
 		return verdict{}
 	}
 	packet := w.packet(f)
-	route := b.router.Route(service, packet, caller)
+	route := b.router.Route(service, packet, f.caller())
 	if route.Agent == nil {
 		return verdict{}
 	}
@@ -70,14 +73,21 @@
 
 // decide asks the acceptor of an agent, as its daemon does.
 func (w *world) decide(a *agent, packet []byte, evidence placement.Evidence, candidates []uint32, hops int) placement.Decision {
-	id, _, err := placement.DestinationConnectionID(packet)
+	id, long, err := placement.DestinationConnectionID(packet)
 	if err != nil {
 		return placement.Decision{Action: placement.ActionRefuse}
 	}
-	if owner, ok := w.codec.Decode(id); ok {
-		return a.acceptor.LookUp(w.now, owner, a.self, evidence, a.peers, hops)
+	if owner, ok := a.codec.Decode(id); ok {
+		return a.acceptor.LookUp(w.now, owner, a.self, evidence, a.peers)
+	}
+	if long {
+		return a.acceptor.Decide(w.now, placement.FlowHash(id), a.load(), a.peers, candidates, hops)
+	}
+	d := a.acceptor.Search(w.now, false, a.load(), a.peers, candidates)
+	if d.Action == placement.ActionAccept {
+		d.Action = placement.ActionRefuse
 	}
-	return a.acceptor.Decide(w.now, placement.FlowHash(id), a.load(), a.peers, candidates, hops)
+	return d
 }
 
 // pass takes a packet from one agent to another and returns nil if it is lost.
--- a/flowtrace/replay.go
+++ b/flowtrace/replay.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/bramleyrack/bramleyrack/internal/routing"
 	"github.com/bramleyrack/bramleyrack/settings"
 )
 
@@ -68,6 +69,8 @@
 		w.numbered(e.Server).frozen = w.now + e.For
 	case ReplaceBalancer:
 		w.balancers[e.Balancer] = w.newBalancer(w.balancers[e.Balancer].place)
+	case RotateKeys:
+		w.rotateKeys(e.Lag)
 	case Partition:
 		w.parted = e.Places
 		w.heal = w.now + e.For
@@ -87,6 +90,26 @@
 	a.died = w.now
 }
 
+// rotateKeys reaches the agents and balancers in turn, an agent before each balancer.
+func (w *world) rotateKeys(lag time.Duration) {
+	w.generation++
+	codec := newCodec(w.generation)
+	w.codec = codec
+	at := w.now
+	later := func(change func()) {
+		w.arrivals = append(w.arrivals, arrival{at: at, apply: func(time.Duration, *settings.Tree) { change() }})
+		at += lag
+	}
+	for i := range max(len(w.agents), len(w.balancers)) {
+		if i < len(w.agents) {
+			later(func() { w.agents[i].codec = codec })
+		}
+		if i < len(w.balancers) {
+			later(func() { w.balancers[i].router = routing.NewRouter(codec) })
+		}
+	}
+}
+
 func (w *world) drain(e *Event) {
 	a := w.numbered(e.Server)
 	a.drained = w.now
--- a/flowtrace/trace.go
+++ b/flowtrace/trace.go
@@ -31,6 +31,8 @@
 	Freeze EventKind = "freeze"
 	// ReplaceBalancer ends a balancer and starts another one, which remembers nothing.
 	ReplaceBalancer EventKind = "replace-balancer"
+	// RotateKeys gives every process a new key for connection IDs, one after the other.
+	RotateKeys EventKind = "rotate-keys"
 	// Partition parts the named places from the others for a time. Packets of callers keep arriving
 	// on both sides.
 	Partition EventKind = "partition"
--- a/internal/agent/inbound.go
+++ b/internal/agent/inbound.go
@@ -147,18 +147,27 @@
 func (in *inbound) decide(id []byte, long bool) placement.Decision {
 	now := time.Since(in.start)
 	in.refreshPeers(now)
-	hops := int(in.header.GetHops())
 	if owner, ok := in.codec.Decode(id); ok {
-		return in.acceptor.LookUp(now, owner, in.self, in.evidence(), in.peers, hops)
+		return in.acceptor.LookUp(now, owner, in.self, in.evidence(), in.peers)
 	}
 	if !long {
-		return placement.Decision{Action: placement.ActionReset}
+		return in.search(now)
 	}
-	decision := in.acceptor.Decide(now, placement.FlowHash(id), in.around.load(), in.peers, in.header.GetCandidates(), hops)
+	decision := in.acceptor.Decide(now, placement.FlowHash(id), in.around.load(), in.peers, in.header.GetCandidates(), int(in.header.GetHops()))
 	in.count(decision)
 	return decision
 }
 
+// search passes on a packet whose connection ID this agent can't read, as during a rotation of keys.
+// The last agent drops it: the owner may be out of reach.
+func (in *inbound) search(now time.Duration) placement.Decision {
+	decision := in.acceptor.Search(now, false, in.around.load(), in.peers, in.header.GetCandidates())
+	if decision.Action == placement.ActionAccept {
+		decision.Action = placement.ActionRefuse
+	}
+	return decision
+}
+
 // evidence returns what the balancer says of the owner of the flow.
 func (in *inbound) evidence() placement.Evidence {
 	switch {
--- a/placement/acceptor.go
+++ b/placement/acceptor.go
@@ -335,8 +335,9 @@
 
 // LookUp returns what to do with a packet whose connection ID names owner. self is the owner that
 // the agent encodes in its own connection IDs. A flow of another agent is reset only if a balancer
-// and the agent both miss its owner, since either alone may be cut off from it.
-func (a *Acceptor) LookUp(now time.Duration, owner, self Owner, evidence Evidence, peers []PeerLoad, hops int) Decision {
+// and the agent both miss its owner, since either alone may be cut off from it. A packet is passed
+// to its owner alone, which passes none of its own on, so no loop can form.
+func (a *Acceptor) LookUp(now time.Duration, owner, self Owner, evidence Evidence, peers []PeerLoad) Decision {
 	switch {
 	case owner == self:
 		return Decision{Action: ActionAccept}
@@ -355,7 +356,7 @@
 		return Decision{Action: ActionReset}
 	case evidence == EvidenceGone && silence > a.config.ResetAfter && now >= a.suspectUntil:
 		return Decision{Action: ActionReset}
-	case silence > a.config.ResetAfter || hops >= a.config.MaxHops:
+	case silence > a.config.ResetAfter:
 		return Decision{Action: ActionRefuse}
 	}
 	return Decision{Action: ActionPass, Server: owner.Server}
@@ -364,9 +365,10 @@
 // maxSilence is the silence of a peer that was never heard.
 const maxSilence = time.Duration(math.MaxInt64)
 
-// Search returns what to do with a packet that names no owner and may belong to an established
-// flow. owned says that the agent has the flow. The candidates end with the best ranked server, so
-// that it receives the packet a second time, with no candidates, if no other agent owns the flow.
+// Search returns what to do with a packet that names no owner that the agent can read, and may belong
+// to an established flow. owned says that the agent has the flow. The candidates end with the best
+// ranked server, so that it receives the packet a second time, with no candidates, if no other agent
+// owns the flow. Each pass shortens the list, so no loop can form.
 func (a *Acceptor) Search(now time.Duration, owned bool, own Load, peers []PeerLoad, candidates []uint32) Decision {
 	if owned {
 		return Decision{Action: ActionAccept}
