Make the failure runs meet running orders and honour retry-after

Cause: with 14 callers of 10 ms orders a client that lost its ticket rule still passed the kill and the pause of an agent, since hardly an order was running at that moment.

--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -156,6 +156,15 @@
 	}
 }
 
+// waitFor returns when the service wants the caller back after an error.
+func waitFor(err error) time.Duration {
+	var refusal *client.Error
+	if errors.As(err, &refusal) {
+		return refusal.RetryAfter
+	}
+	return 0
+}
+
 func (w *worker) sheets(starting, settling context.Context) {
 	for n := 0; starting.Err() == nil; n++ {
 		body := content.Body{Service: w.target.Service, Item: fmt.Sprintf("%s-%d", w.name, n)}
@@ -184,6 +193,7 @@
 	outcome := outcomeOf(err)
 	w.keep(method, body, outcome, err)
 	if err != nil {
+		w.sleep(ctx, waitFor(err))
 		return outcome
 	}
 	if string(answer.GetBody()) != string(content.Answer(method, data)) {
--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -16,6 +16,10 @@
 deployment_wanted=agencia
 case ${1:-} in agencia | wislanka) deployment_wanted=$1; shift ;; esac
 
+# Most slots are busy at any moment, so that a failure meets running orders.
+CALLER_ARGS="--orders 42 --pause 100ms"
+UPSTREAM_ARGS="--work 80ms"
+
 # begin starts a deployment under load, with a published change so that each line has its time.
 begin() {
   deployment_start "$deployment_wanted"
@@ -116,7 +120,7 @@
 
 # Every upstream claims to be idle, whatever it does.
 scenario_health_idle() {
-  UPSTREAM_ARGS="--health idle"
+  UPSTREAM_ARGS="--work 80ms --health idle"
   begin
   sleep 5
   finish
@@ -124,11 +128,11 @@
 
 # Far more orders arrive than the slots can take.
 scenario_overload() {
-  CALLER_ARGS="--orders 300 --pause 20ms"
-  UPSTREAM_ARGS="--work 50ms"
+  CALLER_ARGS="--orders 600 --pause 20ms"
+  UPSTREAM_ARGS="--work 300ms"
   begin
   sleep 5
-  finish
+  finish --allow-idle
 }
 
 # Two agents of different services come back with their addresses exchanged.
