--- a/flowtrace/replay_test.go
+++ b/flowtrace/replay_test.go
@@ -54,6 +54,12 @@
 	}
 }
 
+func TestReadRefusesMalformedYAML(t *testing.T) {
+	if _, err := flowtrace.Read(strings.NewReader("name: a\nservices: !0\n  0:\n    0: 0\n")); err == nil {
+		t.Fatal("accepted a map with an unknown tag in place of a list")
+	}
+}
+
 func TestReadRefusesUnknownFields(t *testing.T) {
 	if _, err := flowtrace.Read(strings.NewReader("name: a\nwrong: 1\n")); err == nil {
 		t.Fatal("accepted an unknown field")
--- a/flowtrace/trace.go
+++ b/flowtrace/trace.go
@@ -116,12 +116,25 @@
 
 // Read reads a trace in YAML.
 func Read(r io.Reader) (*Trace, error) {
-	var t Trace
-	if err := yaml.NewDecoder(r, yaml.Strict()).Decode(&t); err != nil {
+	t, err := decode(r)
+	if err != nil {
 		return nil, errors.Annotate(err, "trace")
 	}
 	if len(t.Services) == 0 || len(t.Balancers) == 0 || t.End <= 0 || t.PacketInterval <= 0 {
 		return nil, errors.NotValidf("trace %q without services, balancers, end or packet interval", t.Name)
 	}
-	return &t, nil
+	return t, nil
+}
+
+// decode reads YAML. The library panics on some malformed texts, such as a map with an unknown tag in
+// place of a list; that is an error here.
+func decode(r io.Reader) (t *Trace, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = errors.Errorf("malformed YAML: %v", p)
+		}
+	}()
+	t = &Trace{}
+	err = yaml.NewDecoder(r, yaml.Strict()).Decode(t)
+	return t, err
 }
