Find the flows of a removed upstream through its peers

A balancer that starts after an upstream has left the settings does not know it, and asks another agent of the service. That agent looked for the owner among the named upstreams alone and dropped the packet; it looks among those removed lately as well now.

--- a/internal/agent/inbound.go
+++ b/internal/agent/inbound.go
@@ -214,7 +214,7 @@
 	if service == nil {
 		return
 	}
-	upstream := service.Upstream(server)
+	upstream := service.Known(server)
 	if upstream == nil {
 		return
 	}
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -42,6 +42,20 @@
 	return answer, err
 }
 
+// Offer tells the agent of a server that a slot is free here.
+func (p *peers) Offer(ctx context.Context, server uint32, req *bramleyv1.OfferRequest) error {
+	upstream := p.upstream(server)
+	if upstream == nil {
+		return errors.Annotatef(request.ErrNotDelivered, "server %d is not in the settings", server)
+	}
+	client, err := p.pool.Client(ctx, upstream.Peer.String())
+	if err != nil {
+		return err
+	}
+	_, err = client.Offer(ctx, req)
+	return err
+}
+
 func (p *peers) upstream(server uint32) *settings.Upstream {
 	service := p.settings()
 	if service == nil {
@@ -60,6 +74,11 @@
 
 // members calls f for each other agent of the service that the settings name.
 func (p *peers) members(f func(membership.Member, *settings.Upstream)) {
+	p.each((*settings.Service).Upstream, f)
+}
+
+// each calls f for each other agent of the service whose upstream find returns.
+func (p *peers) each(find func(*settings.Service, uint32) *settings.Upstream, f func(membership.Member, *settings.Upstream)) {
 	service := p.settings()
 	if service == nil {
 		return
@@ -68,7 +87,7 @@
 		if m.Service != p.service || m.Server == p.server || m.State == membership.StateUnknown {
 			continue
 		}
-		if upstream := service.Upstream(m.Server); upstream != nil {
+		if upstream := find(service, m.Server); upstream != nil {
 			f(m, upstream)
 		}
 	}
@@ -90,10 +109,11 @@
 	return loads
 }
 
-// flowLoads returns the flows of the other agents, with times on the clock of the receiver.
+// flowLoads returns the flows of the other agents, with times on the clock of the receiver. Those
+// that the settings no longer name are there for the look-up of their flows.
 func (p *peers) flowLoads(now, viewNow time.Duration) []placement.PeerLoad {
 	loads := []placement.PeerLoad{}
-	p.members(func(m membership.Member, upstream *settings.Upstream) {
+	p.each((*settings.Service).Known, func(m membership.Member, upstream *settings.Upstream) {
 		loads = append(loads, placement.PeerLoad{
 			Server: m.Server,
 			Heard:  now - (viewNow - m.LastHeard),
--- a/settings/removed.go
+++ b/settings/removed.go
@@ -6,7 +6,7 @@
 const maxRemoved = 256
 
 // CarryRemoved returns the next tree with the upstreams that the previous tree named and the next
-// one does not, so that their established flows can still be looked up. Neither argument changes.
+// one does not, marked as leaving, so that their established flows can still be looked up. Neither argument changes.
 func CarryRemoved(previous, next *Tree) *Tree {
 	if previous == nil {
 		return next
@@ -23,10 +23,26 @@
 		candidates := slices.Concat(old.Removed, old.Upstreams)
 		removed := slices.DeleteFunc(candidates, func(u Upstream) bool { return numbers[u.Number] })
 		service.Removed = removed[max(0, len(removed)-maxRemoved):]
+		for j := range service.Removed {
+			service.Removed[j].Leaving = true
+		}
 	}
 	return &carried
 }
 
+// Known returns the upstream with the given number, also if it was removed lately, or nil.
+func (s *Service) Known(number uint32) *Upstream {
+	if upstream := s.Upstream(number); upstream != nil {
+		return upstream
+	}
+	for i := range s.Removed {
+		if s.Removed[i].Number == number {
+			return &s.Removed[i]
+		}
+	}
+	return nil
+}
+
 // upstreamNumbers returns the numbers in use; a number that is used again names its new upstream.
 func upstreamNumbers(tree *Tree) map[uint32]bool {
 	numbers := make(map[uint32]bool)
