--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -120,7 +120,10 @@
 	a.peers = &peers{view: a.view, pool: a.pool, service: a.self.Service, server: a.self.Server}
 	client := bramleyv1connect.NewUpstreamServiceClient(newUpstreamTransport(), a.upstream.URL, traced()...)
 	a.startExecutor(client)
-	a.health = newHealth(client, a.executor)
+	a.health, err = newHealth(client, a.executor, a.leaving, func() time.Duration { return a.policy().SlowStart })
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
 	if err := a.listen(); err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/internal/agent/status.go
+++ b/internal/agent/status.go
@@ -33,10 +33,15 @@
 	return a.upstream.Policy
 }
 
+// leaving reports whether the settings in force mark the upstream as leaving or don't name it.
+func (a *Agent) leaving() bool {
+	upstream := a.current()
+	return upstream == nil || upstream.Leaving
+}
+
 // accepting reports whether new flows and streams may start here.
 func (a *Agent) accepting() bool {
-	upstream := a.current()
-	if upstream == nil || upstream.Leaving {
+	if a.leaving() {
 		return false
 	}
 	return a.life.get() == bramleyv1.ProcessState_PROCESS_STATE_SERVING && a.view.Ready() == nil && a.health.accepting()
