--- a/settings/finding.go
+++ b/settings/finding.go
@@ -62,13 +62,19 @@
 	return t.Position.Line, t.Position.Column
 }
 
-// body returns the root node of a text, or nil if it has none.
-func body(data []byte) ast.Node {
+// errNoTree says that a text holds no tree.
+var errNoTree = errors.New("no tree in the text")
+
+// body returns the root node of a text.
+func body(data []byte) (ast.Node, error) {
 	file, err := yamlparser.ParseBytes(data, 0)
-	if err != nil || len(file.Docs) == 0 {
-		return nil
+	if err != nil {
+		return nil, err
+	}
+	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
+		return nil, errNoTree
 	}
-	return file.Docs[0].Body
+	return file.Docs[0].Body, nil
 }
 
 // located sorts findings by path and adds the place in the text to each that lacks it.
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -77,8 +77,12 @@
 // Parse reads and checks a whole tree. The error is a *FindingsError with every finding, sorted by
 // path. The outcome depends on the arguments alone, so that every process decides alike.
 func Parse(data []byte, revision uint64) (*Tree, error) {
+	root, err := body(data)
+	if err != nil {
+		return nil, &FindingsError{Findings: []Finding{syntaxFinding(err)}}
+	}
 	var raw rawTree
-	if err := yaml.Unmarshal(data, &raw); err != nil {
+	if err := yaml.NodeToValue(root, &raw); err != nil {
 		return nil, &FindingsError{Findings: []Finding{syntaxFinding(err)}}
 	}
 	p := &parser{
@@ -87,7 +91,6 @@
 		addresses: make(map[netip.AddrPort]string),
 	}
 	tree := p.tree(&raw, revision)
-	root := body(data)
 	p.findings = append(p.findings, unknownFields(root, reflect.TypeFor[rawTree](), "")...)
 	if len(p.findings) > 0 {
 		return nil, &FindingsError{Findings: located(root, p.findings)}
