Send whole values compressed, and refuse a fetch whose turn comes too late

A value now goes in gzip form, and a peer without budget for 2 s says so at once, so that the asking process tries another.

--- a/internal/view/delta.go
+++ b/internal/view/delta.go
@@ -24,13 +24,35 @@
 	}
 }
 
-// valueOf returns the value that a message carries, whole or as a delta against the one in force,
-// or nil if it carries neither or the delta does not fit.
-func (v *View) valueOf(value []byte, message *bramleyv1.ValueDelta) []byte {
-	base := v.current.Load()
-	if len(value) > 0 || message == nil || base == nil || base.revision != message.GetBaseRevision() {
+// carrier is a message that carries a value whole, compressed, or as a delta.
+type carrier interface {
+	GetValue() []byte
+	GetCompressed() []byte
+	GetDelta() *bramleyv1.ValueDelta
+}
+
+// valueOf returns the value that a message carries, or nil if it carries none or does not fit the
+// value in force.
+func (v *View) valueOf(message carrier) []byte {
+	if len(message.GetValue()) > 0 {
+		return message.GetValue()
+	}
+	if len(message.GetCompressed()) > 0 {
+		value, err := decompress(message.GetCompressed())
+		if err != nil {
+			v.config.Event("value_unreadable", "error", err)
+		}
 		return value
 	}
+	return v.patched(message.GetDelta())
+}
+
+// patched returns the value in force with a delta applied, or nil if the delta is for another one.
+func (v *View) patched(message *bramleyv1.ValueDelta) []byte {
+	base := v.current.Load()
+	if message == nil || base == nil || base.revision != message.GetBaseRevision() {
+		return nil
+	}
 	if message.GetOffset() > uint64(len(base.value)) || message.GetRemoved() > uint64(len(base.value)) {
 		return nil
 	}
@@ -46,15 +68,3 @@
 	}
 	return next
 }
-
-// carried returns what a message to a process that holds the base carries: a delta, or a value that
-// is small enough, or nothing, so that the process fetches the value.
-func carried(base *inForce, value []byte) ([]byte, *bramleyv1.ValueDelta) {
-	if delta := deltaTo(base, value); delta != nil && len(delta.GetInserted()) <= inlineBytes {
-		return nil, delta
-	}
-	if len(value) <= inlineBytes {
-		return value, nil
-	}
-	return nil, nil
-}
--- a/internal/view/duties.go
+++ b/internal/view/duties.go
@@ -16,6 +16,8 @@
 	exchangeTimeout = time.Second
 	// fetchTimeout bounds a question to a peer, with the time that its budget may delay the value.
 	fetchTimeout = 5 * time.Second
+	// fetchTurn bounds how long the budget may delay the answer to a peer.
+	fetchTurn = 2 * time.Second
 	// announceTimeout bounds an announcement to one child.
 	announceTimeout = 5 * time.Second
 	// platformTimeout bounds one read of the platform.
@@ -295,17 +297,24 @@
 	}
 }
 
+// announcement returns what the children are told: a delta if it is small, or else a value that is
+// small, or else only the revision, so that a child fetches the value when this node's budget allows.
 func (v *View) announcement(job relayJob) *bramleyv1.AnnounceRequest {
-	value, delta := carried(job.base, job.value.value)
-	return &bramleyv1.AnnounceRequest{
+	request := &bramleyv1.AnnounceRequest{
 		From:          v.config.Identity,
 		Key:           v.config.Key,
 		Revision:      job.value.revision,
-		Value:         value,
-		Delta:         delta,
 		Depth:         job.value.depth + 1,
 		RevisionAgeMs: v.ageMs(),
 	}
+	if delta := deltaTo(job.base, job.value.value); delta != nil && len(delta.GetInserted()) <= inlineBytes {
+		request.Delta = delta
+		return request
+	}
+	if compressed := compress(job.value.value); len(compressed) <= inlineBytes {
+		request.Compressed = compressed
+	}
+	return request
 }
 
 // announce tells one child. A child that does not hear it learns of the revision by a heartbeat.
--- a/internal/view/handler.go
+++ b/internal/view/handler.go
@@ -38,6 +38,9 @@
 		}
 	}
 	size := proto.Size(response)
+	// A peer whose turn would come too late asks another instead of waiting.
+	ctx, cancel := context.WithTimeout(ctx, fetchTurn)
+	defer cancel()
 	if err := v.config.Meter.Wait(ctx, traffic.Configuration, size); err != nil {
 		return nil, err
 	}
@@ -51,7 +54,7 @@
 		response.Delta = deltaTo(p, c.value)
 	}
 	if response.Delta == nil {
-		response.Value = c.value
+		response.Compressed = c.compressed()
 	}
 }
 
--- a/internal/view/owner.go
+++ b/internal/view/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -140,14 +141,14 @@
 		return
 	}
 	state, revision := f.response.GetState(), f.response.GetRevision()
-	value := o.view.valueOf(f.response.GetValue(), f.response.GetDelta())
+	value := o.view.valueOf(f.response)
 	o.offer(now, offered{revision: revision, value: value, ageMs: f.response.GetRevisionAgeMs(), source: f.address})
 	o.follower.PeerAnswered(now, observation(f.address, state, revision, f.response.GetRevisionAgeMs()))
 }
 
 func (o *owner) announced(now time.Duration, a *bramleyv1.AnnounceRequest) {
 	source := a.GetFrom().GetPeerAddress()
-	value := o.view.valueOf(a.GetValue(), a.GetDelta())
+	value := o.view.valueOf(a)
 	if len(value) == 0 {
 		if a.GetRevision() > o.seen {
 			o.follower.Observe(now, dissemination.Observation{Revision: a.GetRevision(), Peer: source})
@@ -215,7 +216,12 @@
 	}
 	tree = settings.CarryRemoved(o.view.Current(), tree)
 	o.view.previous.Store(o.view.current.Load())
-	o.view.current.Store(&inForce{revision: value.revision, value: value.value, tree: tree})
+	o.view.current.Store(&inForce{
+		revision:   value.revision,
+		value:      value.value,
+		tree:       tree,
+		compressed: sync.OnceValue(func() []byte { return compress(value.value) }),
+	})
 	o.view.notify(tree)
 	o.rebuild(now)
 	o.view.config.Event("revision_in_force", "revision", value.revision, "source", value.source, "depth", value.depth)
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -84,6 +84,8 @@
 	revision uint64
 	value    []byte
 	tree     *settings.Tree
+	// compressed returns the value in gzip form.
+	compressed func() []byte
 }
 
 // refusal is the newest revision that was not accepted.
