--- a/internal/standin/control/control.go
+++ b/internal/standin/control/control.go
@@ -143,7 +143,7 @@
 		if err == nil {
 			return nil
 		}
-		if ctx.Err() == nil {
+		if last == nil || ctx.Err() == nil {
 			last = err
 		}
 		select {
--- a/internal/standin/verdict/verdict.go
+++ b/internal/standin/verdict/verdict.go
@@ -28,9 +28,10 @@
 	Flows map[string][]float64
 	// InForce is the longest time until a published revision was in force everywhere.
 	InForce time.Duration
-	// AllowBroken accepts broken flows, for scenarios that kill the owner of flows.
+	// AllowBroken accepts broken flows and unknown outcomes, for scenarios that kill the owner of flows.
 	AllowBroken bool
-	// AllowIdle accepts workers that completed nothing, for scenarios with more load than slots.
+	// AllowIdle accepts workers that completed nothing and unknown outcomes at the deadline, for scenarios
+	// with more load than slots.
 	AllowIdle bool
 }
 
@@ -178,6 +179,9 @@
 	if v.BrokenFlows != 0 && !in.AllowBroken {
 		v.Broken = append(v.Broken, "broken_flows")
 	}
+	if v.Unknown != 0 && !in.AllowBroken && !in.AllowIdle {
+		v.Broken = append(v.Broken, "unknown")
+	}
 	if in.Result.IdleWorkers != 0 && !in.AllowIdle {
 		v.Broken = append(v.Broken, "idle_workers")
 	}
--- a/internal/standin/verdict/verdict_test.go
+++ b/internal/standin/verdict/verdict_test.go
@@ -59,6 +59,7 @@
 		{"broken_flows", func(in *verdict.Input) { in.Reports[1].ResumedDownloads = 1 }},
 		{"leaving_new_work", func(in *verdict.Input) { in.Reports[1].Starts[0]++ }},
 		{"idle_workers", func(in *verdict.Input) { in.Result.IdleWorkers = 1 }},
+		{"unknown", func(in *verdict.Input) { in.Result.Unknown = 1 }},
 		{"no_load", func(in *verdict.Input) { in.Result.Downloads = 0 }},
 		{"revision_in_force", func(in *verdict.Input) { in.InForce = verdict.InForceLimit + 1 }},
 		{"revision_in_force", func(in *verdict.Input) { in.InForce = 0 }},
