--- a/admission/dispatcher.go
+++ b/admission/dispatcher.go
@@ -109,6 +109,16 @@
 	d.declined[server] = now + d.gate.estimate.mean
 }
 
+// Freed tells that a peer that declined has a free slot now. It returns the waiting request to ask it for.
+func (d *Dispatcher) Freed(server uint32) (id uint64, ok bool) {
+	delete(d.declined, server)
+	id, ok = d.gate.Next()
+	if ok {
+		d.inFlight[server]++
+	}
+	return id, ok
+}
+
 // Succeeded adds the retries that a success allows.
 func (d *Dispatcher) Succeeded() {
 	d.retries.Success()
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -103,6 +103,20 @@
 	return g.advance(now)
 }
 
+// Next removes the waiting request that would start next.
+func (g *Gate) Next() (id uint64, ok bool) {
+	if g.queue.Len() == 0 {
+		return 0, false
+	}
+	id, _ = g.queue.pop()
+	return id, true
+}
+
+// Free reports whether a request that arrives now would start at once.
+func (g *Gate) Free() bool {
+	return g.free() && g.queue.Len() == 0
+}
+
 // Cancel removes a waiting request and reports whether it was waiting.
 func (g *Gate) Cancel(id uint64) bool {
 	return g.queue.remove(id)
--- a/internal/agent/peerservice.go
+++ b/internal/agent/peerservice.go
@@ -23,6 +23,11 @@
 	return s.executor.Execute(ctx, req), nil
 }
 
+// Offer takes the offer of a free slot at a peer.
+func (s *peerService) Offer(_ context.Context, req *bramleyv1.OfferRequest) (*bramleyv1.OfferResponse, error) {
+	return s.executor.Offer(req), nil
+}
+
 // HandOver takes the request records of a leaving agent.
 func (s *peerService) HandOver(_ context.Context, req *bramleyv1.HandOverRequest) (*bramleyv1.HandOverResponse, error) {
 	answer := s.executor.Adopt(req)
--- a/internal/request/config.go
+++ b/internal/request/config.go
@@ -56,6 +56,8 @@
 	// Execute sends a request to the agent of a server. Its error has ErrNotDelivered in its chain only
 	// when the agent can not have received the request.
 	Execute(ctx context.Context, server uint32, req *bramleyv1.ExecuteRequest) (*bramleyv1.ExecuteResponse, error)
+	// Offer tells the agent of a server that a slot is free here.
+	Offer(ctx context.Context, server uint32, req *bramleyv1.OfferRequest) error
 	// Loads returns every other agent of the service.
 	Loads() []PeerLoad
 }
--- a/internal/request/core.go
+++ b/internal/request/core.go
@@ -41,10 +41,14 @@
 	archives   map[source]*adopted
 	gate       *admission.Gate
 	dispatcher *admission.Dispatcher
-	jobs       map[uint64]*job
-	bySeq      map[uint64]*job
-	nextID     uint64
-	draining   bool
+	// freed is set when the command in progress has freed a slot.
+	freed bool
+	// asked holds the peers whose requests found no free slot, the earliest first.
+	asked    []uint32
+	jobs     map[uint64]*job
+	bySeq    map[uint64]*job
+	nextID   uint64
+	draining bool
 	// exported is set when a successor may have the records: no ticket is claimed from then on.
 	exported  bool
 	accepting bool
@@ -149,7 +153,7 @@
 		id:      c.nextID,
 		req:     req,
 		callers: 1,
-		grant:   make(chan bool, 1),
+		grant:   make(chan decision, 1),
 		done:    make(chan struct{}),
 		tried:   make(map[uint32]bool),
 	}
@@ -204,7 +208,7 @@
 // apply tells waiting jobs what a change of the gate means for them.
 func (c *core) apply(change admission.Change) {
 	for _, id := range change.Shed {
-		c.jobs[id].grant <- false
+		c.jobs[id].grant <- decision{reason: refusalReason(true)}
 	}
 	for _, id := range change.Start {
 		c.start(c.jobs[id])
@@ -212,17 +216,18 @@
 }
 
 func (c *core) start(j *job) {
-	if c.forbidden(j) != "" {
-		j.grant <- false
+	if reason := c.forbidden(j); reason != "" {
+		j.grant <- decision{reason: reason}
 		c.apply(c.gate.Release(c.age()))
 		return
 	}
 	c.placedHere(j)
-	j.grant <- true
+	j.grant <- decision{place: admission.Here}
 }
 
 // release frees the slot of a job that the upstream has run for took.
 func (c *core) release(took time.Duration, whole bool) {
+	c.freed = true
 	if whole {
 		c.apply(c.gate.Done(c.age(), took))
 		return
--- a/internal/request/executor.go
+++ b/internal/request/executor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
@@ -13,8 +14,11 @@
 	config   Config
 	sealer   *ticket.Sealer
 	commands chan func(*core)
-	stop     chan struct{}
-	stopped  chan struct{}
+	// offers holds the peers to tell of a free slot.
+	offers        chan uint32
+	droppedOffers atomic.Uint64
+	stop          chan struct{}
+	stopped       chan struct{}
 }
 
 // New starts an Executor. It panics if the first key is not a ticket key. Close ends it.
@@ -33,10 +37,12 @@
 		config:   config,
 		sealer:   sealer,
 		commands: make(chan func(*core), commandBuffer),
+		offers:   make(chan uint32, offerBuffer),
 		stop:     make(chan struct{}),
 		stopped:  make(chan struct{}),
 	}
 	go e.loop(newCore(config, sealer, config.Now()))
+	go e.sendOffers()
 	return e
 }
 
@@ -60,6 +66,9 @@
 		case command := <-e.commands:
 			last = e.watch(c, last)
 			command(c)
+			if server, ok := c.nextOffer(); ok {
+				e.queueOffer(server)
+			}
 		case <-ticker.C:
 			last = e.watch(c, last)
 			c.tick(e.config.Policy())
@@ -123,6 +132,14 @@
 	return e.config.Incarnation
 }
 
+func (e *Executor) identity() *bramleyv1.Identity {
+	return &bramleyv1.Identity{
+		Service:     e.config.Service,
+		Server:      e.config.Server,
+		Incarnation: e.config.Incarnation,
+	}
+}
+
 // Load returns the slots and the queue of the upstream.
 func (e *Executor) Load() *bramleyv1.Load {
 	load := &bramleyv1.Load{}
@@ -157,6 +174,11 @@
 	return nil, ErrNotDelivered
 }
 
+// Offer sends nothing.
+func (noPeers) Offer(context.Context, uint32, *bramleyv1.OfferRequest) error {
+	return nil
+}
+
 // Loads returns no peers.
 func (noPeers) Loads() []PeerLoad {
 	return nil
--- a/internal/request/executor_test.go
+++ b/internal/request/executor_test.go
@@ -70,6 +70,8 @@
 type fakePeers struct {
 	self  uint32
 	fleet map[uint32]*request.Executor
+	// blind makes every peer look idle, as an old heartbeat does.
+	blind bool
 	cut   map[uint32]bool
 	mute  map[uint32]bool
 
@@ -112,6 +114,13 @@
 	return answer, nil
 }
 
+func (p *fakePeers) Offer(_ context.Context, server uint32, req *bramleyv1.OfferRequest) error {
+	if peer := p.fleet[server]; peer != nil {
+		peer.Offer(req)
+	}
+	return nil
+}
+
 func (p *fakePeers) Loads() []request.PeerLoad {
 	var loads []request.PeerLoad
 	for server := uint32(1); server <= 8; server++ {
@@ -120,6 +129,9 @@
 			continue
 		}
 		load := peer.Load()
+		if p.blind {
+			load = &bramleyv1.Load{Slots: load.GetSlots()}
+		}
 		loads = append(loads, request.PeerLoad{
 			Server:    server,
 			Busy:      int(load.GetBusySlots()),
--- a/internal/request/failures_test.go
+++ b/internal/request/failures_test.go
@@ -344,3 +344,25 @@
 		})
 	}
 }
+
+func TestPeerOffersTheSlotThatItDeclined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := make(map[uint32]*request.Executor)
+		for server, took := range map[uint32]time.Duration{1: time.Hour, 2: time.Second} {
+			peers := &fakePeers{self: server, fleet: fleet, sent: make(map[uint32]int), blind: true}
+			fleet[server] = newExecutor(t, server, &fakeUpstream{took: took}, peers)
+		}
+		for _, e := range fleet {
+			occupy(t, e, testPolicy().Slots)
+		}
+		owner := fleet[1]
+		called := time.Now()
+		answer, refusal := owner.Call(t.Context(), order("a", freshTicket(t, owner)))
+		if refusal != nil || answer.GetUpstream() != 2 {
+			t.Fatalf("answer %v, refusal %v", answer, refusal)
+		}
+		if took := time.Since(called); took != 2*time.Second {
+			t.Fatalf("answered after %v: one second until the slot is free and one to run were due", took)
+		}
+	})
+}
--- a/internal/request/faults_test.go
+++ b/internal/request/faults_test.go
@@ -374,6 +374,17 @@
 	return nil, errors.New("connection lost")
 }
 
+func (p *faultyPeers) Offer(_ context.Context, server uint32, req *bramleyv1.OfferRequest) error {
+	f := p.fleet
+	peer := f.server(server)
+	if peer == nil || f.rnd.chance(f.faults.lostRequests) {
+		return request.ErrNotDelivered
+	}
+	time.Sleep(f.rnd.upTo(100 * time.Millisecond))
+	peer.Offer(req)
+	return nil
+}
+
 func (p *faultyPeers) Loads() []request.PeerLoad {
 	var loads []request.PeerLoad
 	for _, server := range p.fleet.live() {
--- a/internal/request/forward.go
+++ b/internal/request/forward.go
@@ -48,7 +48,7 @@
 	ctx, cancelBound := e.bound(ctx)
 	defer cancelBound()
 	if req.GetDelegated() {
-		return response(e.runDelegated(ctx, req.GetCall()), false)
+		return response(e.runDelegated(ctx, req), false)
 	}
 	return response(e.serveCopy(ctx, req.GetCall()))
 }
@@ -79,7 +79,7 @@
 }
 
 // runDelegated runs a request for the owner of its ticket, only if a slot is free now.
-func (e *Executor) runDelegated(ctx context.Context, req *bramleyv1.CallRequest) result {
+func (e *Executor) runDelegated(ctx context.Context, req *bramleyv1.ExecuteRequest) result {
 	var granted time.Time
 	deadline, _ := ctx.Deadline()
 	err := e.do(ctx, func(c *core) {
@@ -88,12 +88,14 @@
 		}
 		if c.gate.TryRun(c.age(), c.since(deadline)) {
 			granted = c.now
+			return
 		}
+		c.declined(req.GetFrom().GetServer())
 	})
 	if err != nil || granted.IsZero() {
 		return notRun("peer has no free slot")
 	}
-	return e.runHere(ctx, req, granted)
+	return e.runHere(ctx, req.GetCall(), granted)
 }
 
 func response(r result, replayed bool) *bramleyv1.ExecuteResponse {
--- a/internal/request/job.go
+++ b/internal/request/job.go
@@ -18,8 +18,8 @@
 	ticketed bool
 	sequence uint64
 	cancel   context.CancelFunc
-	// grant receives whether a waiting job may start.
-	grant chan bool
+	// grant receives where a waiting job runs.
+	grant chan decision
 	// done is closed when result is set.
 	done   chan struct{}
 	result result
--- a/internal/request/place.go
+++ b/internal/request/place.go
@@ -28,8 +28,7 @@
 	case admission.Here:
 		c.placedHere(j)
 	case admission.AtPeer:
-		j.started = true
-		j.tried[server] = true
+		c.placedAtPeer(j, server)
 	}
 	return decision{place: place, server: server, reason: refusalReason(local)}
 }
@@ -41,6 +40,11 @@
 	return "no server accepts the request"
 }
 
+func (c *core) placedAtPeer(j *job, server uint32) {
+	j.started = true
+	j.tried[server] = true
+}
+
 func (c *core) placedHere(j *job) {
 	j.started = true
 	j.ranHere = true
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -70,8 +70,8 @@
 
 func (e *Executor) awaitGrant(ctx context.Context, j *job) decision {
 	select {
-	case granted := <-j.grant:
-		return grantDecision(granted)
+	case d := <-j.grant:
+		return d
 	case <-e.stopped:
 		return decision{reason: "server has stopped"}
 	case <-ctx.Done():
@@ -80,21 +80,13 @@
 	_ = e.do(context.Background(), func(c *core) {
 		c.gate.Cancel(j.id)
 		select {
-		case granted := <-j.grant:
-			d = grantDecision(granted)
+		case d = <-j.grant:
 		default:
 		}
 	})
 	return d
 }
 
-func grantDecision(granted bool) decision {
-	if granted {
-		return decision{place: admission.Here}
-	}
-	return decision{reason: "no slot becomes free before the deadline"}
-}
-
 // runHere runs a request that holds a slot, and frees the slot.
 func (e *Executor) runHere(ctx context.Context, req *bramleyv1.CallRequest, granted time.Time) result {
 	start := e.config.Now()
@@ -139,7 +131,10 @@
 
 // delegate has a peer run the job once.
 func (e *Executor) delegate(ctx context.Context, j *job, server uint32) result {
-	r := e.executeAt(ctx, server, &bramleyv1.ExecuteRequest{Call: j.req, Delegated: true})
+	r := notRun("caller gave up before the request was sent")
+	if ctx.Err() == nil {
+		r = e.executeAt(ctx, server, &bramleyv1.ExecuteRequest{Call: j.req, Delegated: true})
+	}
 	if r.outcome == bramleyv1.Outcome_OUTCOME_NOT_DELIVERED {
 		r = notRun(r.reason)
 	}
@@ -155,11 +150,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		req.DeadlineMs = milliseconds(deadline.Sub(e.config.Now()))
 	}
-	req.From = &bramleyv1.Identity{
-		Service:     e.config.Service,
-		Server:      e.config.Server,
-		Incarnation: e.config.Incarnation,
-	}
+	req.From = e.identity()
 	response, err := e.config.Peers.Execute(ctx, server, req)
 	if err != nil {
 		return undelivered(err)
--- a/requesttrace/replay.go
+++ b/requesttrace/replay.go
@@ -60,6 +60,8 @@
 	// Delegated counts runs at a peer, Declined the delegations that the peer refused.
 	Delegated int
 	Declined  int
+	// Offers counts the slots that a server has offered to a peer that it had declined.
+	Offers int
 	// Goodput is the work of the good answers until the end of the trace over the capacity of all slots.
 	Goodput float64
 	// Imbalance is the largest over the mean busy slot time of the servers.
@@ -68,7 +70,8 @@
 	P50, P99, P999 time.Duration
 	// Times from a try to its refusal.
 	RefusalP50, RefusalP99 time.Duration
-	// Urgent counts the requests with the shortest patience, GoodUrgent those of them answered in time.
+	// Urgent counts the requests with the shortest patience that an idle service could answer in time,
+	// GoodUrgent those of them answered in time.
 	Urgent     int
 	GoodUrgent int
 }
--- a/requesttrace/server.go
+++ b/requesttrace/server.go
@@ -25,6 +25,8 @@
 	jobs       map[uint64]*job
 	nextJob    uint64
 	reported   admission.Peer
+	// asked holds the peers whose delegations this server has declined since it was last free.
+	asked []*server
 }
 
 // job is a call at the server that decides about it.
@@ -114,6 +116,7 @@
 func (v *server) runHere(j *job) {
 	v.work(j.call, func() {
 		v.apply(v.gate.Done(v.s.now, j.call.request.Work))
+		v.offer()
 		v.answer(j)
 	})
 }
@@ -123,6 +126,21 @@
 	v.s.answered(j.call)
 }
 
+// offer tells one peer that was declined that a slot is free now.
+func (v *server) offer() {
+	if !v.gate.Free() || len(v.asked) == 0 {
+		return
+	}
+	asker := v.asked[0]
+	v.asked = v.asked[1:]
+	v.s.result.Offers++
+	v.s.after(v.s.config.PeerDelay, func() {
+		if id, ok := asker.dispatcher.Freed(uint32(v.number)); ok {
+			asker.delegate(asker.take(id), uint32(v.number))
+		}
+	})
+}
+
 func (v *server) apply(change admission.Change) {
 	for _, id := range change.Start {
 		v.runHere(v.take(id))
@@ -147,6 +165,7 @@
 	v.s.after(v.s.config.PeerDelay, func() {
 		if !peer.gate.TryRun(v.s.now, deadline) {
 			v.s.result.Declined++
+			peer.asked = append(peer.asked, v)
 			v.back(number, func() {
 				v.dispatcher.Declined(v.s.now, number)
 				v.place(j)
@@ -156,6 +175,7 @@
 		v.s.result.Delegated++
 		peer.work(j.call, func() {
 			peer.apply(peer.gate.Done(v.s.now, j.call.request.Work))
+			peer.offer()
 			v.back(number, func() { v.answer(j) })
 		})
 	})
--- a/requesttrace/simulation.go
+++ b/requesttrace/simulation.go
@@ -115,7 +115,7 @@
 			s.work += c.request.Work
 		}
 		s.answers = append(s.answers, s.now-c.request.At)
-		if c.request.Patience == s.shortest {
+		if s.urgent(c.request) {
 			s.result.GoodUrgent++
 		}
 		s.budget(c.request.Caller).Success()
@@ -210,8 +210,13 @@
 			s.shortest = r.Patience
 			s.result.Urgent = 0
 		}
-		if r.Patience == s.shortest {
+		if s.urgent(r) {
 			s.result.Urgent++
 		}
 	}
 }
+
+// urgent reports whether a request has the shortest patience, and work that fits into it.
+func (s *simulation) urgent(r Request) bool {
+	return r.Patience == s.shortest && r.Work+2*s.config.CallerDelay <= r.Patience
+}
