--- a/ticket/ticket_test.go
+++ b/ticket/ticket_test.go
@@ -107,3 +107,16 @@
 		l.Claim(0, minted, 1)
 	}
 }
+
+// BenchmarkArchive adopts the records of an owner without answers.
+func BenchmarkArchive(b *testing.B) {
+	const records = 10_000
+	b.ReportAllocs()
+	for b.Loop() {
+		archive := ticket.NewArchive[string](0, time.Hour)
+		for sequence := range uint64(records) {
+			archive.Add(0, ticket.Record[string]{Sequence: sequence, State: ticket.StateRan}, 0)
+		}
+		archive.Complete(ticket.Bounds{Next: records})
+	}
+}
