Start an agent with one view instead of two

Cause: an agent learns its service and server from the settings, so it first ran a view without them and then a second one, which doubled its reads of the platform in a mass restart. View.Identify adds the numbers to the running view. Ruled out: a direct read of the platform, which would fail while it is down. Tests of view and agent pass.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -37,7 +37,7 @@
 	// Service and Upstream name what the agent stands beside, as in the tree of settings.
 	Service  string
 	Upstream string
-	// PeerListen overrides the peer address of the upstream in the tree.
+	// PeerListen is where the agent serves its peers; the tree must name the same address.
 	PeerListen netip.AddrPort
 	// Operator serves metrics and health; the zero value serves none.
 	Operator netip.AddrPort
@@ -111,10 +111,7 @@
 	}
 	a := &Agent{config: config, meter: &traffic.Meter{}, metrics: newMetrics(), life: life}
 	a.pool = peer.NewPool(peer.PoolConfig{TLS: config.Keys.PeerClient, Meter: a.meter})
-	if err := a.findSelf(ctx); err != nil {
-		return nil, errors.Trace(err)
-	}
-	if err := a.startView(running); err != nil {
+	if err := a.startView(running, ctx); err != nil {
 		return nil, errors.Trace(err)
 	}
 	a.peers = &peers{view: a.view, pool: a.pool, service: a.self.Service, server: a.self.Server}
@@ -259,7 +256,7 @@
 	group.Go(func() error { return a.follow(ctx) })
 	group.Go(func() error {
 		impl := &peerService{View: a.view, executor: a.executor, load: a.protoLoad}
-		return peer.Serve(ctx, a.peerAddress(), a.config.Keys.PeerServer, impl)
+		return peer.Serve(ctx, a.config.PeerListen, a.config.Keys.PeerServer, impl)
 	})
 	if a.config.Operator.IsValid() {
 		group.Go(func() error { return telemetry.ServeOperator(ctx, a.config.Operator, a.ready) })
--- a/internal/agent/self.go
+++ b/internal/agent/self.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"github.com/juju/errors"
@@ -10,43 +9,41 @@
 	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
 	"github.com/bramleyrack/bramleyrack/internal/telemetry"
 	"github.com/bramleyrack/bramleyrack/internal/view"
-	"github.com/bramleyrack/bramleyrack/placement"
 	"github.com/bramleyrack/bramleyrack/settings"
 )
 
 // selfInterval is the time between two looks for the upstream in the settings.
 const selfInterval = 50 * time.Millisecond
 
-// findSelf waits until a revision names the upstream that the agent stands beside.
-func (a *Agent) findSelf(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	first, err := view.Start(ctx, a.viewConfig(&bramleyv1.Identity{
-		Vm:          a.config.VM,
-		Place:       a.config.Place,
-		Role:        bramleyv1.VMRole_VM_ROLE_UPSTREAM,
-		Incarnation: incarnation(),
-		PeerAddress: a.config.PeerListen.String(),
-	}))
+// startView starts the view and waits until a revision names the upstream that the agent stands beside.
+// ctx ends the view, and wait ends the waiting.
+func (a *Agent) startView(ctx, wait context.Context) error {
+	a.incarnation = uint64(time.Now().UnixNano())
+	// Connection IDs carry the low bits, which change every millisecond.
+	a.self.Incarnation = uint32(a.incarnation / uint64(time.Millisecond))
+	v, err := view.Start(ctx, a.viewConfig())
 	if err != nil {
 		return errors.Trace(err)
 	}
+	a.view = v
 	ticker := time.NewTicker(selfInterval)
 	defer ticker.Stop()
-	for {
-		if tree := first.Current(); tree != nil && a.adoptSelf(tree) {
-			return nil
-		}
+	for !a.adoptSelf(v.Current()) {
 		select {
-		case <-ctx.Done():
-			return errors.Annotate(ctx.Err(), "waiting for settings that name the upstream")
+		case <-wait.Done():
+			return errors.Annotate(wait.Err(), "waiting for settings that name the upstream")
 		case <-ticker.C:
 		}
 	}
+	v.Identify(a.self.Service, a.self.Server)
+	return nil
 }
 
 // adoptSelf takes the agent's numbers and addresses from the tree.
 func (a *Agent) adoptSelf(tree *settings.Tree) bool {
+	if tree == nil {
+		return false
+	}
 	service := tree.ServiceByName(a.config.Service)
 	if service == nil {
 		return false
@@ -56,50 +53,22 @@
 			continue
 		}
 		a.upstream = upstream
-		a.self = placement.Owner{Service: service.Number, Server: upstream.Number}
+		a.self.Service = service.Number
+		a.self.Server = upstream.Number
 		return true
 	}
 	return false
 }
 
-// startView starts the view under the full identity of the agent.
-func (a *Agent) startView(ctx context.Context) error {
-	id := &bramleyv1.Identity{
-		Vm:          a.config.VM,
-		Place:       a.config.Place,
-		Role:        bramleyv1.VMRole_VM_ROLE_UPSTREAM,
-		Service:     a.self.Service,
-		Server:      a.self.Server,
-		Incarnation: incarnation(),
-		PeerAddress: a.peerAddress().String(),
-	}
-	// Connection IDs carry the low bits, which change every millisecond.
-	a.incarnation = id.GetIncarnation()
-	a.self.Incarnation = uint32(id.Incarnation / uint64(time.Millisecond))
-	v, err := view.Start(ctx, a.viewConfig(id))
-	if err != nil {
-		return errors.Trace(err)
-	}
-	a.view = v
-	return a.awaitSettings(ctx)
-}
-
-func (a *Agent) awaitSettings(ctx context.Context) error {
-	ticker := time.NewTicker(selfInterval)
-	defer ticker.Stop()
-	for a.view.Current() == nil {
-		select {
-		case <-ctx.Done():
-			return errors.Trace(ctx.Err())
-		case <-ticker.C:
-		}
-	}
-	return nil
-}
-
-func (a *Agent) viewConfig(id *bramleyv1.Identity) view.Config {
+func (a *Agent) viewConfig() view.Config {
 	return view.Config{
-		Identity: id,
+		Identity: &bramleyv1.Identity{
+			Vm:          a.config.VM,
+			Place:       a.config.Place,
+			Role:        bramleyv1.VMRole_VM_ROLE_UPSTREAM,
+			Incarnation: a.incarnation,
+			PeerAddress: a.config.PeerListen.String(),
+		},
 		Platform: a.newPlatform(),
 		Peers:    a.pool,
 		Seeds:    a.config.Seeds,
@@ -109,12 +78,3 @@
 		Event:    telemetry.Event,
 	}
 }
-
-func incarnation() uint64 { return uint64(time.Now().UnixNano()) }
-
-func (a *Agent) peerAddress() netip.AddrPort {
-	if a.config.PeerListen.IsValid() {
-		return a.config.PeerListen
-	}
-	return a.upstream.Peer
-}
--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -51,14 +51,7 @@
 
 // handOver gives the records to the first live agent that takes them.
 func (a *Agent) handOver() error {
-	from := &bramleyv1.Identity{
-		Vm:          a.config.VM,
-		Place:       a.config.Place,
-		Service:     a.self.Service,
-		Server:      a.self.Server,
-		Incarnation: a.executor.Incarnation(),
-		PeerAddress: a.peerAddress().String(),
-	}
+	from := a.view.Identity()
 	last := errors.New("no live agent of the service is known")
 	for _, address := range a.peers.successors() {
 		last = a.executor.HandOver(context.Background(), from, a.sendRecords(address))
--- a/internal/view/clock.go
+++ /dev/null
@@ -1,8 +0,0 @@
-package view
-
-import "time"
-
-// Now returns the time on the clock of Member.LastHeard.
-func (v *View) Now() time.Duration {
-	return v.now()
-}
--- a/internal/view/contacts.go
+++ b/internal/view/contacts.go
@@ -45,7 +45,7 @@
 
 // rebuild computes the relay tree and the peers to exchange heartbeats with.
 func (o *owner) rebuild(now time.Duration) {
-	identity := o.view.config.Identity
+	identity := o.view.Identity()
 	self := identity.GetPeerAddress()
 	o.built = o.table.Version()
 	members := o.table.Usable(identity.GetPlace())
@@ -71,8 +71,8 @@
 	}
 	addresses = append(addresses, o.tree.Children(self)...)
 	if tree := o.view.Current(); tree != nil {
-		addresses = append(addresses, servicePeers(tree, o.view.config.Identity.GetService())...)
-		addresses = append(addresses, remotePeers(tree, o.view.config.Identity.GetPlace(), self)...)
+		addresses = append(addresses, servicePeers(tree, o.view.Identity().GetService())...)
+		addresses = append(addresses, remotePeers(tree, o.view.Identity().GetPlace(), self)...)
 	}
 	if len(addresses) < remoteContacts {
 		addresses = append(addresses, o.view.config.Seeds...)
@@ -138,8 +138,8 @@
 
 // anyPeer returns a random peer that is not known to be dead.
 func (o *owner) anyPeer() (string, bool) {
-	self := o.view.config.Identity.GetPeerAddress()
-	candidates := o.table.Usable(o.view.config.Identity.GetPlace())
+	self := o.view.Identity().GetPeerAddress()
+	candidates := o.table.Usable(o.view.Identity().GetPlace())
 	for _, member := range o.table.Monitored() {
 		if member.State != membership.StateDead {
 			candidates = append(candidates, member.Address)
@@ -156,7 +156,7 @@
 // listed takes in the platform's list and the size of the fleet that it implies.
 func (o *owner) listed(now time.Duration, vms []membership.Listed) {
 	o.hasList = true
-	o.table.List(o.view.config.Identity.GetPlace(), vms)
+	o.table.List(o.view.Identity().GetPlace(), vms)
 	places := 1
 	if tree := o.view.Current(); tree != nil {
 		places = max(1, len(tree.Places))
--- a/internal/view/duties.go
+++ b/internal/view/duties.go
@@ -55,7 +55,7 @@
 		return nil, err
 	}
 	response, err := client.Heartbeat(ctx, &bramleyv1.HeartbeatRequest{
-		From:          v.config.Identity,
+		From:          v.Identity(),
 		State:         v.state(),
 		Revision:      v.Revision(),
 		RevisionAgeMs: v.ageMs(),
@@ -232,7 +232,7 @@
 func (v *View) list(ctx context.Context) int {
 	callCtx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	vms, err := v.config.Platform.ListVMs(callCtx, v.config.Identity.GetPlace())
+	vms, err := v.config.Platform.ListVMs(callCtx, v.Identity().GetPlace())
 	if err != nil {
 		return 0
 	}
@@ -256,7 +256,7 @@
 	if _, _, err := net.SplitHostPort(address); err == nil {
 		return address
 	}
-	_, port, err := net.SplitHostPort(v.config.Identity.GetPeerAddress())
+	_, port, err := net.SplitHostPort(v.Identity().GetPeerAddress())
 	if err != nil {
 		return address
 	}
@@ -301,7 +301,7 @@
 // small, or else only the revision, so that a child fetches the value when this node's budget allows.
 func (v *View) announcement(job relayJob) *bramleyv1.AnnounceRequest {
 	request := &bramleyv1.AnnounceRequest{
-		From:          v.config.Identity,
+		From:          v.Identity(),
 		Key:           v.config.Key,
 		Revision:      job.value.revision,
 		Depth:         job.value.depth + 1,
--- a/internal/view/handler.go
+++ b/internal/view/handler.go
@@ -17,7 +17,7 @@
 	v.config.Meter.Add(traffic.Liveness, proto.Size(request))
 	v.post(event{heard: heardFromRequest(request)})
 	response := &bramleyv1.HeartbeatResponse{
-		From:          v.config.Identity,
+		From:          v.Identity(),
 		State:         v.state(),
 		Revision:      v.Revision(),
 		RevisionAgeMs: v.ageMs(),
@@ -70,7 +70,7 @@
 // Status returns what the view knows, for operators. The caller adds what else it knows.
 func (v *View) Status() *bramleyv1.StatusResponse {
 	response := &bramleyv1.StatusResponse{
-		Identity:      v.config.Identity,
+		Identity:      v.Identity(),
 		State:         v.state(),
 		Revision:      v.Revision(),
 		RevisionAgeMs: v.ageMs(),
--- a/internal/view/owner.go
+++ b/internal/view/owner.go
@@ -192,7 +192,7 @@
 	} else {
 		o.adopt(now, value, tree)
 	}
-	o.view.enqueueRelay(relayJob{value: value, base: base, children: o.tree.Children(o.view.config.Identity.GetPeerAddress())})
+	o.view.enqueueRelay(relayJob{value: value, base: base, children: o.tree.Children(o.view.Identity().GetPeerAddress())})
 }
 
 func (o *owner) refuse(value offered, err error) {
@@ -279,7 +279,7 @@
 	next := &summary{
 		suspect:   o.follower.Suspected(),
 		isolated:  o.table.Isolated(),
-		reader:    o.hasList && o.tree.Reader(o.view.config.Identity.GetPeerAddress()),
+		reader:    o.hasList && o.tree.Reader(o.view.Identity().GetPeerAddress()),
 		confirmed: o.view.start.Add(now - o.follower.Age(now)),
 		members:   o.table.Monitored(),
 	}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -45,7 +45,8 @@
 
 // Config holds the settings of a View.
 type Config struct {
-	// Identity names this run of this process. PeerAddress and Place are required.
+	// Identity names this run of this process. PeerAddress and Place are required; the service and
+	// the server of an agent can follow by Identify.
 	Identity *bramleyv1.Identity
 	Platform Platform
 	Peers    Peers
@@ -107,9 +108,10 @@
 type View struct {
 	bramleyv1.DRPCPeerServiceUnimplementedServer
 
-	config  Config
-	start   time.Time
-	current atomic.Pointer[inForce]
+	config   Config
+	start    time.Time
+	identity atomic.Pointer[bramleyv1.Identity]
+	current  atomic.Pointer[inForce]
 	// previous is the revision in force before, for deltas to peers that still hold it.
 	previous atomic.Pointer[inForce]
 	refused  atomic.Pointer[refusal]
@@ -143,6 +145,7 @@
 		read:    make(chan struct{}, 1),
 		done:    make(chan struct{}),
 	}
+	v.identity.Store(config.Identity)
 	v.summary.Store(&summary{suspect: true, confirmed: v.start})
 	v.owner = newOwner(v, rand.New(rand.NewSource(config.Seed)))
 	v.workers.Go(func() { v.runWatcher(ctx, rand.New(rand.NewSource(config.Seed+1))) })
