--- a/cmd/bramley-balancer/main.go
+++ b/cmd/bramley-balancer/main.go
@@ -39,6 +39,7 @@
 	bind      map[string]netip.AddrPort
 	retention time.Duration
 	batch     int
+	linger    time.Duration
 	trace     string
 }
 
@@ -66,6 +67,7 @@
 	set.Bindings(&c.bind, "bind", "", "address to receive a service on, where it is not the service's own")
 	set.Duration(&c.retention, "retention", 0, "how long a removed upstream stays known for its open flows; 0 means 12h")
 	set.Int(&c.batch, "batch", 0, "datagrams for each system call; 0 means 32")
+	set.Duration(&c.linger, "linger", 10*time.Second, "longest time that a stop goes on forwarding for a fabric that still sends")
 	set.String(&c.trace, "trace", "none", "exporter of traces: none, stderr or otlp")
 	set.Require("vm", "place", "platform", "peer-listen", "agent-listen")
 	set.MustParse(args)
@@ -86,7 +88,10 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	group, ctx := errgroup.WithContext(ctx)
+	signal := ctx
+	running, cancel := context.WithCancel(context.WithoutCancel(signal))
+	defer cancel()
+	group, ctx := errgroup.WithContext(running)
 	meter := &traffic.Meter{}
 	v, err := startView(ctx, c, keys, meter)
 	if err != nil {
@@ -109,13 +114,15 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	stop := linger(signal, cancel, c.linger, func() uint64 { return received(b) })
+	defer stop()
 	telemetry.Gauge("balancer", func() any { return b.Counters() })
 	telemetry.Gauge("revision", func() any { return v.Revision() })
 	telemetry.Event("start", "vm", c.vm, "place", c.place, "agents", b.AgentAddress())
 	group.Go(func() error { return b.Run(ctx) })
 	group.Go(func() error { return peer.Serve(ctx, c.peer, keys.PeerServer, &peerService{View: v}) })
 	if c.operator.IsValid() {
-		group.Go(func() error { return telemetry.ServeOperator(ctx, c.operator, ready(v, b)) })
+		group.Go(func() error { return telemetry.ServeOperator(ctx, c.operator, ready(signal, v, b)) })
 	}
 	err = group.Wait()
 	<-v.Done()
@@ -132,8 +139,11 @@
 	return s.View.Status(), nil
 }
 
-func ready(v *view.View, b *balancer.Balancer) func() error {
+func ready(signal context.Context, v *view.View, b *balancer.Balancer) func() error {
 	return func() error {
+		if signal.Err() != nil {
+			return errors.New("process is leaving")
+		}
 		if err := v.Ready(); err != nil {
 			return err
 		}
