Log the health of an agent once it is in force; keep unchanged agents between tables

A test that sent a packet on the event of a silent agent failed on a busy machine (no datagram forwarded within 20 s): the event came before the table.

--- a/internal/balancer/keeper.go
+++ b/internal/balancer/keeper.go
@@ -75,16 +75,19 @@
 }
 
 func (k *keeper) keep(now time.Duration) {
-	changed := k.checkLiveness(now)
-	changed = k.takeRefusals() || changed
+	k.checkLiveness(now)
+	k.takeRefusals()
 	k.dialSilent(now)
 	tree := k.balancer.config.View.Current()
 	if tree == nil {
 		return
 	}
-	if tree != k.tree || changed {
+	agents := k.balancer.table.Load().Agents()
+	changed := k.changed(agents)
+	if tree != k.tree || len(changed) > 0 {
 		k.rebuild(now, tree)
 	}
+	k.report(changed)
 	if tree != k.tree {
 		k.tree = tree
 		k.listened = 0
@@ -101,8 +104,8 @@
 	k.balancer.table.Store(k.builder.Build(now, tree, previous))
 }
 
-// checkLiveness steps the liveness of all agents and reports whether any changed.
-func (k *keeper) checkLiveness(now time.Duration) bool {
+// checkLiveness steps the liveness of all agents.
+func (k *keeper) checkLiveness(now time.Duration) {
 	agents := k.balancer.table.Load().Agents()
 	k.progress = k.progress[:0]
 	k.healths = k.healths[:0]
@@ -117,7 +120,6 @@
 	}
 	k.ping(k.liveness.Step(now, k.progress))
 	k.reportCutOff()
-	return k.reportChanges(agents)
 }
 
 func (k *keeper) reportCutOff() {
@@ -127,19 +129,25 @@
 	}
 }
 
-func (k *keeper) reportChanges(agents []*routing.Agent) bool {
-	changed := false
+// changed returns the agents whose health is not what it was before this look.
+func (k *keeper) changed(agents []*routing.Agent) []uint32 {
+	var changed []uint32
 	for i, a := range agents {
-		health := k.liveness.Health(a.Server)
-		if health == k.healths[i] {
-			continue
+		if k.liveness.Health(a.Server) != k.healths[i] {
+			changed = append(changed, a.Server)
 		}
-		changed = true
-		k.balancer.config.Event("agent-health", "server", a.Server, "health", health.String())
 	}
 	return changed
 }
 
+// report logs changes of health once they are in force.
+func (k *keeper) report(servers []uint32) {
+	for _, server := range servers {
+		health := k.liveness.Health(server)
+		k.balancer.config.Event("agent-health", "server", server, "health", health.String(), "refused", k.liveness.Refused(server))
+	}
+}
+
 // ping asks agents for a sign of life.
 func (k *keeper) ping(servers []uint32) {
 	t := k.balancer.table.Load()
--- a/internal/balancer/refusal.go
+++ b/internal/balancer/refusal.go
@@ -31,11 +31,11 @@
 	dials := 0
 	for _, a := range k.balancer.table.Load().Agents() {
 		silent := k.liveness.Health(a.Server) == placement.HealthSilent
-		if !silent || a.Peer == "" || dials == maxDials {
+		if !silent || !a.Peer.IsValid() || dials == maxDials {
 			continue
 		}
 		dials++
-		k.dials.Go(func() { k.dial(a.Server, a.Peer) })
+		k.dials.Go(func() { k.dial(a.Server, a.Peer.String()) })
 	}
 }
 
@@ -56,18 +56,14 @@
 	}
 }
 
-// takeRefusals hands the refusals to the liveness and reports whether an agent is gone by them.
-func (k *keeper) takeRefusals() bool {
-	changed := false
+// takeRefusals hands the refusals to the liveness.
+func (k *keeper) takeRefusals() {
 	for {
 		select {
 		case server := <-k.refusals:
-			if k.liveness.Refuse(server) {
-				changed = true
-				k.balancer.config.Event("agent-health", "server", server, "health", placement.HealthGone.String(), "reason", "connection refused")
-			}
+			k.liveness.Refuse(server)
 		default:
-			return changed
+			return
 		}
 	}
 }
--- a/internal/balancer/returns.go
+++ b/internal/balancer/returns.go
@@ -105,7 +105,7 @@
 		return
 	}
 	r.observed = r.header.Revision
-	r.view.Observe(r.header.Revision, source.Peer)
+	r.view.Observe(r.header.Revision, source.Peer.String())
 }
 
 func (r *returner) answer(t *routing.Table, to *net.UDPAddr) {
--- a/internal/routing/build.go
+++ b/internal/routing/build.go
@@ -33,6 +33,8 @@
 func (b *Builder) Build(now time.Duration, tree *settings.Tree, previous *Table) *Table {
 	c := &build{Builder: b, now: now, previous: previous, table: Empty()}
 	c.table.Revision = tree.Revision
+	c.table.sources = make(map[netip.AddrPort]*Agent, len(previous.agents))
+	c.table.agents = make([]*Agent, 0, len(previous.agents))
 	for i := range tree.Services {
 		c.addService(&tree.Services[i])
 	}
@@ -44,7 +46,11 @@
 }
 
 func (b *build) addService(service *settings.Service) {
-	s := &Service{Number: service.Number, agents: map[uint32]*Agent{}}
+	s := &Service{
+		Number:     service.Number,
+		agents:     make(map[uint32]*Agent, len(service.Upstreams)),
+		candidates: make([]placement.Candidate, 0, len(service.Upstreams)),
+	}
 	b.table.services[service.Number] = s
 	for i := range service.Upstreams {
 		upstream := &service.Upstreams[i]
@@ -62,35 +68,28 @@
 
 func (b *build) add(s *Service, upstream *settings.Upstream, health placement.Health) *Agent {
 	a := &Agent{
-		Server:   upstream.Number,
-		Service:  s.Number,
-		Place:    upstream.Place,
-		Address:  upstream.Agent,
-		UDP:      net.UDPAddrFromAddrPort(upstream.Agent),
-		Peer:     peerAddress(upstream),
-		Progress: b.progress(upstream.Number, upstream.Agent),
-		gone:     health == placement.HealthGone,
-		refused:  health == placement.HealthGone && b.Refused(upstream.Number),
+		Server:  upstream.Number,
+		Service: s.Number,
+		Place:   upstream.Place,
+		Address: upstream.Agent,
+		Peer:    upstream.Peer,
+		gone:    health == placement.HealthGone,
+		refused: health == placement.HealthGone && b.Refused(upstream.Number),
 	}
+	b.keep(a)
 	s.agents[a.Server] = a
 	b.table.sources[a.Address] = a
 	b.table.agents = append(b.table.agents, a)
 	return a
 }
 
-func peerAddress(upstream *settings.Upstream) string {
-	if !upstream.Peer.IsValid() {
-		return ""
-	}
-	return upstream.Peer.String()
-}
-
-// progress keeps the counts of an agent that stays at its address.
-func (b *build) progress(server uint32, address netip.AddrPort) *Progress {
-	if before := b.previous.sources[address]; before != nil && before.Server == server {
-		return before.Progress
+// keep takes over the address and the counts of an agent that stays where it was.
+func (b *build) keep(a *Agent) {
+	if before := b.previous.sources[a.Address]; before != nil && before.Server == a.Server {
+		a.UDP, a.Progress = before.UDP, before.Progress
+		return
 	}
-	return &Progress{}
+	a.UDP, a.Progress = net.UDPAddrFromAddrPort(a.Address), &Progress{}
 }
 
 // addRemoved adds the upstreams that an earlier revision named.
@@ -125,8 +124,7 @@
 
 // upstream returns what a table needs to know of an upstream that the settings no longer name.
 func (a *Agent) upstream() *settings.Upstream {
-	peer, _ := netip.ParseAddrPort(a.Peer)
-	return &settings.Upstream{Number: a.Server, Place: a.Place, Agent: a.Address, Peer: peer}
+	return &settings.Upstream{Number: a.Server, Place: a.Place, Agent: a.Address, Peer: a.Peer}
 }
 
 // taken reports whether the number is in use or the address now belongs to another upstream.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -24,8 +24,8 @@
 	Address netip.AddrPort
 	// UDP is Address in the form that a socket takes.
 	UDP *net.UDPAddr
-	// Peer is where the agent serves its peers.
-	Peer string
+	// Peer is where the agent serves its peers; it may not be valid.
+	Peer netip.AddrPort
 	// Progress is shared by all tables that hold the agent at the same address.
 	Progress *Progress
 	gone     bool
