--- a/membership/membership.go
+++ b/membership/membership.go
@@ -142,6 +142,8 @@
 	member Member
 	// since is the start of the silence that counts against the member.
 	since time.Duration
+	// leaving says that the platform's newest list names the VM as leaving.
+	leaving bool
 }
 
 // Table is what one process knows of its peers. It is not safe for concurrent use.
@@ -174,6 +176,7 @@
 	for _, e := range t.entries {
 		if e.member.Place == place {
 			e.member.Listed = false
+			e.leaving = false
 		}
 	}
 	for _, vm := range vms {
@@ -182,6 +185,7 @@
 		e.member.Place = vm.Place
 		e.member.Role = vm.Role
 		e.member.Listed = true
+		e.leaving = vm.Leaving
 		if vm.Leaving && e.member.State != StateDead {
 			e.member.State = StateLeaving
 		}
@@ -225,7 +229,7 @@
 		Server:      h.Server,
 		Incarnation: h.Incarnation,
 		Revision:    h.Revision,
-		State:       heardState(h),
+		State:       heardState(h, e.leaving),
 		Load:        h.Load,
 		Listed:      listed,
 		LastHeard:   now,
@@ -234,11 +238,13 @@
 	return true
 }
 
-func heardState(h Heartbeat) State {
+// heardState is the state of a member that has just been heard. One that the platform lists as leaving
+// may not know it yet.
+func heardState(h Heartbeat, listedLeaving bool) State {
 	switch {
 	case h.Stopped:
 		return StateDead
-	case h.Leaving:
+	case h.Leaving || listedLeaving:
 		return StateLeaving
 	default:
 		return StateAlive
