--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -181,6 +181,7 @@
 		acceptor:  placement.NewAcceptor(a.acceptorConfig(), 0),
 		around:    a,
 		conn:      a.conn,
+		resetter:  newResetter(a.resetKey()),
 		out:       a.out,
 		metrics:   a.metrics,
 		start:     time.Now(),
@@ -198,9 +199,14 @@
 	return config
 }
 
+func (a *Agent) resetKey() quic.StatelessResetKey {
+	var key quic.StatelessResetKey
+	copy(key[:], a.config.Keys.Reset)
+	return key
+}
+
 func (a *Agent) listenQUIC(codec *placement.Codec) error {
-	reset := quic.StatelessResetKey{}
-	copy(reset[:], a.config.Keys.Reset)
+	reset := a.resetKey()
 	a.quic = &quic.Transport{
 		Conn:                  a.conn,
 		ConnectionIDGenerator: &connectionIDs{codec: codec, owner: a.self},
--- a/internal/agent/inbound.go
+++ b/internal/agent/inbound.go
@@ -41,6 +41,7 @@
 	acceptor *placement.Acceptor
 	around   surroundings
 	conn     *virtualConn
+	resetter *resetter
 	out      *outbound
 	metrics  *metrics
 	start    time.Time
@@ -140,7 +141,22 @@
 		in.metrics.malformed.Add(1)
 		return
 	}
-	in.carryOut(in.decide(id, long), payload, caller)
+	decision := in.decide(id, long)
+	if decision.Action == placement.ActionReset && !long && len(payload) < transportAnswers {
+		in.reset(id, len(payload), caller)
+		return
+	}
+	in.carryOut(decision, payload, caller)
+}
+
+// reset answers a packet that is too small for the transport to answer.
+func (in *inbound) reset(id []byte, size int, caller netip.AddrPort) {
+	packet := in.resetter.answer(id, size)
+	if packet == nil {
+		return
+	}
+	in.metrics.resets.Add(1)
+	_ = in.out.sendToCaller(packet, caller)
 }
 
 // decide returns what to do with a packet that has the given destination connection ID.
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -18,6 +18,7 @@
 	accepted      *expvar.Int
 	passed        *expvar.Int
 	refusedFlows  *expvar.Int
+	resets        *expvar.Int
 	malformed     *expvar.Int
 	otherService  *expvar.Int
 	otherServer   *expvar.Int
@@ -40,6 +41,7 @@
 		accepted:      telemetry.Counter("first_packets_accepted"),
 		passed:        telemetry.Counter("first_packets_passed"),
 		refusedFlows:  telemetry.Counter("first_packets_refused"),
+		resets:        telemetry.Counter("resets"),
 		malformed:     telemetry.Counter("malformed_datagrams"),
 		otherService:  telemetry.Counter("other_service_datagrams"),
 		otherServer:   telemetry.Counter("other_server_datagrams"),
