Stop new work at an agent whose VM the platform lists as leaving

By hand, an agent whose VM had been listed as leaving for 14 s still was in state serving: only the mark in the tree counted. The view now tells its process what the newest list says of its own VM.

--- a/internal/agent/status.go
+++ b/internal/agent/status.go
@@ -33,10 +33,11 @@
 	return a.upstream.Policy
 }
 
-// leaving reports whether the settings in force mark the upstream as leaving or don't name it.
+// leaving reports whether the settings in force mark the upstream as leaving or don't name it, or the
+// platform lists the VM as leaving.
 func (a *Agent) leaving() bool {
 	upstream := a.current()
-	return upstream == nil || upstream.Leaving
+	return upstream == nil || upstream.Leaving || a.view.Leaving()
 }
 
 // accepting reports whether new flows and streams may start here.
--- a/internal/view/duties.go
+++ b/internal/view/duties.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -247,10 +248,17 @@
 			Leaving: vm.GetState() == bramleyv1.VMState_VM_STATE_LEAVING,
 		})
 	}
+	v.leaving.Store(v.listedLeaving(listed))
 	v.deliver(ctx, event{listed: listed})
 	return len(listed)
 }
 
+// listedLeaving reports whether the list names this VM as leaving.
+func (v *View) listedLeaving(listed []membership.Listed) bool {
+	own := v.Identity().GetPeerAddress()
+	return slices.ContainsFunc(listed, func(vm membership.Listed) bool { return vm.Leaving && vm.Address == own })
+}
+
 // peerAddress completes an address without a port by the port that this process serves peers at.
 func (v *View) peerAddress(address string) string {
 	if _, _, err := net.SplitHostPort(address); err == nil {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -64,7 +64,8 @@
 	HeartbeatInterval time.Duration
 	// ListInterval is the least time between two reads of the list of VMs. Zero means 10 s.
 	ListInterval time.Duration
-	// WatchTimeout bounds one watch, so that a silent connection is replaced. Zero means 2 s.
+	// WatchTimeout bounds one watch, so that a silent connection is replaced and the age of
+	// the revision stays low. Zero means 1 s.
 	WatchTimeout time.Duration
 	// Membership holds the time limits for peers; its zero value takes the default.
 	Membership membership.Config
@@ -121,10 +122,12 @@
 	relay    chan relayJob
 	read     chan struct{}
 	dropped  atomic.Uint64
-	contact  platformContact
-	owner    *owner
-	workers  sync.WaitGroup
-	done     chan struct{}
+	// leaving says that the platform's newest list names this VM as leaving.
+	leaving atomic.Bool
+	contact platformContact
+	owner   *owner
+	workers sync.WaitGroup
+	done    chan struct{}
 }
 
 // Start returns a view that runs until the context ends. The caller serves it to peers.
@@ -176,7 +179,7 @@
 		config.ListInterval = 10 * time.Second
 	}
 	if config.WatchTimeout == 0 {
-		config.WatchTimeout = 2 * time.Second
+		config.WatchTimeout = time.Second
 	}
 	if config.Membership == (membership.Config{}) {
 		config.Membership = membership.DefaultConfig()
@@ -219,6 +222,11 @@
 	}
 }
 
+// Leaving reports whether the platform lists this VM as leaving.
+func (v *View) Leaving() bool {
+	return v.leaving.Load()
+}
+
 // Isolated reports that most peers fell silent together, so that this process is likely cut off.
 func (v *View) Isolated() bool {
 	return v.summary.Load().isolated
