Keep followers from reading the platform while its readers are well

In a fleet of 16 with a tree of 2,000 upstreams, a change was not in force after 30 s on a busy machine: followers deep in the relay tree saw confirmations older than the 3 s that they allow, read the platform four times a second, and used up the call budget that the watch of the same process needs.

--- a/dissemination/follower.go
+++ b/dissemination/follower.go
@@ -8,6 +8,9 @@
 const (
 	// bootstrapTries is how many peers a process asks in vain before the platform's word suffices.
 	bootstrapTries = 2
+	// leastPlatformInterval is the least mean time between two reads of the platform by a follower,
+	// however small the fleet, so that followers do not crowd out the watch of their own process.
+	leastPlatformInterval = time.Second
 	// maxBackoff bounds the time between two questions to peers while nobody has news.
 	maxBackoff = 4 * time.Second
 )
@@ -30,7 +33,7 @@
 // DefaultFollowerConfig returns limits for a fleet of the given size.
 func DefaultFollowerConfig(fleet int) FollowerConfig {
 	return FollowerConfig{
-		SilenceTimeout: 3 * time.Second,
+		SilenceTimeout: 4 * time.Second,
 		RetryInterval:  250 * time.Millisecond,
 		Fleet:          fleet,
 		CallsPerSecond: 2000,
@@ -46,7 +49,7 @@
 		return c.SilenceTimeout
 	}
 	interval := time.Duration(float64(max(1, c.Fleet)) / budget * float64(time.Second))
-	return max(interval, c.RetryInterval)
+	return max(interval, leastPlatformInterval)
 }
 
 // ActionKind says what a follower should do.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -30,9 +30,10 @@
 	// HTTPClient carries the calls; nil takes a client with its own connections.
 	HTTPClient connect.HTTPClient
 	// CallsPerSecond bounds the calls of this process. Lower values protect the platform's budget,
-	// which all readers share; higher ones shorten catching up. Zero means one call a second.
+	// which all readers share; higher ones let a watch pass while the process also repairs its view.
+	// Zero means 4 calls a second.
 	CallsPerSecond float64
-	// Burst is how many calls may be made at once after a pause. Zero means 4.
+	// Burst is how many calls may be made at once after a pause. Zero means 8.
 	Burst int
 	// Meter counts the bytes of answers; nil counts nothing.
 	Meter *traffic.Meter
@@ -51,10 +52,10 @@
 		config.HTTPClient = &http.Client{Transport: &http.Transport{IdleConnTimeout: idleConnTimeout}}
 	}
 	if config.CallsPerSecond == 0 {
-		config.CallsPerSecond = 1
+		config.CallsPerSecond = 4
 	}
 	if config.Burst == 0 {
-		config.Burst = 4
+		config.Burst = 8
 	}
 	return &Client{
 		service: bramleyv1connect.NewPlatformServiceClient(
