Dial an agent as soon as it leaves a probe unanswered

A refused connection is evidence enough that a process does not run, so neither side waits for DeadAfter before it acts on one.

TestRefusedConnectionTellsDeathFromPause no longer waits for the state silent before gone, which is skipped now; it still asserts that the flow of a dead agent goes to a live one with the evidence, and that of a paused one stays.

--- a/internal/balancer/failure_test.go
+++ b/internal/balancer/failure_test.go
@@ -156,9 +156,9 @@
 				}
 			}
 			b.caller.send(flowOf(2), b.address(orders))
-			await(t, b.events, "agent-health 2 silent")
 			packet := b.known(placement.Owner{Service: orders, Server: 2})
 			if !test.dead {
+				await(t, b.events, "agent-health 2 silent")
 				acceptOne(t, open)
 				b.caller.send(packet, b.address(orders))
 				for string(b.agents[2].receiveForward().payload) != string(packet) {
--- a/internal/balancer/refusal.go
+++ b/internal/balancer/refusal.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// dialInterval is the time between two connections to a silent agent.
-	dialInterval = time.Second
-	// dialTimeout bounds one connection to a silent agent.
+	// dialInterval is the time between two connections to an agent that does not answer.
+	dialInterval = 500 * time.Millisecond
+	// dialTimeout bounds one connection.
 	dialTimeout = 500 * time.Millisecond
 	// maxDials bounds the connections of one interval, as when a whole place is silent.
 	maxDials = 8
@@ -21,7 +21,7 @@
 	refusalCapacity = 16
 )
 
-// dialSilent connects to the peer addresses of silent agents, to tell a process that has died from
+// dialSilent connects to the peer addresses of agents that do not answer, to tell a process that has died from
 // one that is paused or out of reach: only the first refuses a connection.
 func (k *keeper) dialSilent(now time.Duration) {
 	if now-k.dialed < dialInterval {
@@ -30,8 +30,8 @@
 	k.dialed = now
 	dials := 0
 	for _, a := range k.balancer.table.Load().Agents() {
-		silent := k.liveness.Health(a.Server) == placement.HealthSilent
-		if !silent || !a.Peer.IsValid() || dials == maxDials {
+		open := k.liveness.Unanswered(now, a.Server) && k.liveness.Health(a.Server) != placement.HealthGone
+		if !open || !a.Peer.IsValid() || dials == maxDials {
 			continue
 		}
 		dials++
--- a/placement/acceptor.go
+++ b/placement/acceptor.go
@@ -69,6 +69,9 @@
 	DeadAfter time.Duration
 	// ResetAfter is the silence after which the flows of a peer are reset.
 	ResetAfter time.Duration
+	// RefusedAfter is the silence after which the flows of a peer whose process does not run are
+	// reset. It must exceed the interval of heartbeats.
+	RefusedAfter time.Duration
 	// MaxSilent is how many peers may be silent before the agent takes the network for parted. It
 	// resets no flow then, since the owner may serve it on the other side.
 	MaxSilent int
@@ -89,6 +92,7 @@
 		Settle:        6 * time.Second,
 		DeadAfter:     2 * time.Second,
 		ResetAfter:    15 * time.Second,
+		RefusedAfter:  time.Second,
 		MaxSilent:     1,
 		Memory:        15 * time.Second,
 		MaxRemembered: 1 << 16,
@@ -352,7 +356,7 @@
 		silence = now - peer.Heard
 	}
 	switch {
-	case evidence == EvidenceRefused && silence > a.config.DeadAfter:
+	case evidence == EvidenceRefused && silence > a.config.RefusedAfter:
 		return Decision{Action: ActionReset}
 	case evidence == EvidenceGone && silence > a.config.ResetAfter && now >= a.suspectUntil:
 		return Decision{Action: ActionReset}
--- a/placement/liveness.go
+++ b/placement/liveness.go
@@ -245,12 +245,19 @@
 	return HealthLive
 }
 
+// Unanswered reports whether an agent has left a probe without an answer, so that it is worth
+// finding out whether its process runs.
+func (l *Liveness) Unanswered(now time.Duration, server uint32) bool {
+	a := l.agents[server]
+	return a != nil && a.waiting && now-a.since > l.config.ProbeAfter+l.config.ProbeInterval
+}
+
 // Refuse takes in the evidence that the process of an agent does not run, as its address refuses
 // connections. A paused process does not refuse them. It reports whether the agent counts as gone
 // for this reason.
 func (l *Liveness) Refuse(server uint32) bool {
 	a := l.agents[server]
-	if a == nil || a.health == HealthLive {
+	if a == nil || !a.waiting {
 		return false
 	}
 	a.health = HealthGone
