Report every value of a wrong type with its path

bramleyctl validate gave one finding for a tree with three, without a path and with the name of a Go type.

--- a/settings/finding.go
+++ b/settings/finding.go
@@ -12,6 +12,9 @@
 	"github.com/goccy/go-yaml/token"
 )
 
+// wholeTree is the path of a finding that is not about one place.
+const wholeTree = "$"
+
 // Finding is one fault of a tree.
 type Finding struct {
 	// Path is the place in the tree, with dots between the levels; "$" is the whole tree.
@@ -46,7 +49,7 @@
 
 // syntaxFinding turns an error of the YAML library into a finding.
 func syntaxFinding(err error) Finding {
-	finding := Finding{Path: "$", Reason: err.Error()}
+	finding := Finding{Path: wholeTree, Reason: err.Error()}
 	var located yaml.Error
 	if errors.As(err, &located) {
 		finding.Reason = located.GetMessage()
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
 )
 
 type rawPolicy struct {
@@ -83,7 +84,7 @@
 	}
 	var raw rawTree
 	if err := yaml.NodeToValue(root, &raw); err != nil {
-		return nil, &FindingsError{Findings: []Finding{syntaxFinding(err)}}
+		return nil, &FindingsError{Findings: decodeFindings(root, err)}
 	}
 	p := &parser{
 		services:  make(map[uint32]string),
@@ -98,6 +99,16 @@
 	return tree, nil
 }
 
+// decodeFindings returns why a text can't be decoded into the raw form of a tree.
+func decodeFindings(root ast.Node, err error) []Finding {
+	kind := reflect.TypeFor[rawTree]()
+	findings := mistyped(root, kind, "")
+	if len(findings) == 0 {
+		return []Finding{syntaxFinding(err)}
+	}
+	return located(root, append(findings, unknownFields(root, kind, "")...))
+}
+
 func (p *parser) tree(raw *rawTree, revision uint64) *Tree {
 	tree := &Tree{Revision: revision, Firm: raw.Firm}
 	p.name("firm", raw.Firm)
