--- a/client/feed.go
+++ b/client/feed.go
@@ -18,7 +18,8 @@
 var errSilent = errors.New("stream made no progress")
 
 // Feed is an open subscription. It opens a new stream, on a new connection, when the old one ends or makes
-// no progress, and continues after the last event that it has seen.
+// no progress, and continues after the last event that it has seen. When its server announces a stop, it
+// opens the new stream before it leaves the old one.
 type Feed struct {
 	client     *Client
 	topic      string
@@ -27,6 +28,7 @@
 	ended      chan struct{}
 	last       uint64
 	reconnects atomic.Uint64
+	moves      atomic.Uint64
 }
 
 // Subscribe opens a feed that lives until ctx ends or Close.
@@ -66,11 +68,19 @@
 	<-f.ended
 }
 
+// Moves returns how often the feed moved to another server before its old stream ended.
+func (f *Feed) Moves() uint64 {
+	return f.moves.Load()
+}
+
 func (f *Feed) run(ctx context.Context) {
 	defer close(f.ended)
 	waits := newBackOff()
 	for ctx.Err() == nil {
-		f.stream(ctx, waits)
+		s := f.open(ctx)
+		for s != nil {
+			s = f.follow(ctx, s, waits)
+		}
 		if ctx.Err() != nil || f.client.sleep(ctx, waits.NextBackOff()) != nil {
 			return
 		}
@@ -78,27 +88,61 @@
 	}
 }
 
-// stream reads one stream to its end.
-func (f *Feed) stream(ctx context.Context, waits *backoff.ExponentialBackOff) {
+// feedStream is one stream of a feed, on a connection of its own.
+type feedStream struct {
+	link     *link
+	stream   *connect.ServerStreamForClient[bramleyv1.FeedEvent]
+	cancel   context.CancelCauseFunc
+	watchdog *time.Timer
+}
+
+// open returns a stream that has received its first event, or nil.
+func (f *Feed) open(ctx context.Context) *feedStream {
 	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	k := newLink(f.client.config)
-	defer func() { _ = k.transport.Close() }()
-	watchdog := time.AfterFunc(f.client.config.FeedTimeout, func() { cancel(errSilent) })
-	defer watchdog.Stop()
+	s := &feedStream{link: newLink(f.client.config), cancel: cancel}
+	s.watchdog = time.AfterFunc(f.client.config.FeedTimeout, func() { cancel(errSilent) })
 	request := &bramleyv1.SubscribeRequest{Topic: f.topic, After: f.last}
-	stream, err := k.service.Subscribe(ctx, connect.NewRequest(request))
+	stream, err := s.link.service.Subscribe(ctx, connect.NewRequest(request))
 	if err != nil {
-		return
+		s.close()
+		return nil
+	}
+	s.stream = stream
+	if !stream.Receive() {
+		s.close()
+		return nil
 	}
-	defer func() { _ = stream.Close() }()
-	for stream.Receive() {
-		watchdog.Reset(f.client.config.FeedTimeout)
+	return s
+}
+
+func (s *feedStream) close() {
+	s.watchdog.Stop()
+	s.cancel(nil)
+	if s.stream != nil {
+		_ = s.stream.Close()
+	}
+	_ = s.link.transport.Close()
+}
+
+// follow reads one stream to its end. It returns the stream that the feed has moved to, or nil.
+func (f *Feed) follow(ctx context.Context, s *feedStream, waits *backoff.ExponentialBackOff) *feedStream {
+	defer s.close()
+	for more := true; more; more = s.stream.Receive() {
+		s.watchdog.Reset(f.client.config.FeedTimeout)
 		waits.Reset()
-		if !f.deliver(ctx, stream.Msg()) {
-			return
+		event := s.stream.Msg()
+		if !event.GetMoving() {
+			if !f.deliver(ctx, event) {
+				return nil
+			}
+			continue
+		}
+		if next := f.open(ctx); next != nil {
+			f.moves.Add(1)
+			return next
 		}
 	}
+	return nil
 }
 
 // deliver hands an event to Next, unless it is a heartbeat, of another topic, or a repeat.
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"hash"
-	"math/rand/v2"
 	"time"
 
 	"connectrpc.com/connect"
@@ -18,8 +17,6 @@
 const (
 	// maxRetryAfter bounds the time that a refused caller is told to wait.
 	maxRetryAfter = 30 * time.Second
-	// moveShare is the part of the drain timeout over which feeds move to other agents: one in moveShare.
-	moveShare = 10
 	// feedBuffer is how many events of an upstream may wait for a slow caller.
 	feedBuffer = 64
 )
@@ -79,38 +76,6 @@
 	}
 }
 
-func (s *callService) relayFeed(ctx context.Context, topic string, events <-chan *bramleyv1.FeedEvent, out *connect.ServerStream[bramleyv1.FeedEvent]) error {
-	heartbeat := time.NewTicker(s.policy().FeedHeartbeat)
-	defer heartbeat.Stop()
-	stopping := s.stopping
-	var move <-chan time.Time
-	for {
-		var event *bramleyv1.FeedEvent
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-stopping:
-			// Feeds move one by one, so that their callers don't all connect at once.
-			stopping = nil
-			move = time.After(rand.N(s.policy().DrainTimeout/moveShare + 1))
-			continue
-		case <-move:
-			return s.unavailable("agent is stopping; reconnect")
-		case next, open := <-events:
-			if !open {
-				return s.unavailable("upstream ended the feed")
-			}
-			event = next
-		case <-heartbeat.C:
-			event = &bramleyv1.FeedEvent{Topic: topic, Heartbeat: true}
-		}
-		event.Upstream = s.number
-		if err := out.Send(event); err != nil {
-			return err
-		}
-	}
-}
-
 // Download relays one object and checks it against the length and digest of its last chunk.
 func (s *callService) Download(ctx context.Context, req *connect.Request[bramleyv1.DownloadRequest], out *connect.ServerStream[bramleyv1.DownloadChunk]) error {
 	if !s.accepting() {
