Add the kill of every balancer and of an agent during an outage

Cause: a process that starts while the platform is down knows only its peers, and no balancer holds state of a flow; both were claims without a run over real processes. Ports in TIME_WAIT no longer use up a range, since the ranges ran out after a few runs in a row.

--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -190,6 +190,29 @@
   finish
 }
 
+# The platform is down while an agent dies and its replacement starts, which knows only its peers.
+scenario_platform_outage_agent() {
+  begin
+  bin/standin-control platform-faults --platform "http://$(at 900)" --outage
+  end agent-2 KILL
+  agent_start "$desk" 2 --seeds "$(at 203),$(at 211)"
+  bin/standin-control ready --operators "$(operators)" --timeout 8s
+  bin/standin-control revision --operators "$(operators)" --at-least 2
+  sleep 3
+  bin/standin-control platform-faults --platform "http://$(at 900)"
+  finish --allow-broken
+}
+
+# Every balancer is killed; replacements come one second later.
+scenario_all_balancers_kill() {
+  begin
+  for n in 1 2 3; do end "balancer-$n" KILL; done
+  sleep 1
+  for n in 1 2 3; do balancer_start "$n"; done
+  bin/standin-control ready --operators "$(operators)" --timeout 8s
+  finish
+}
+
 # The platform answers with an old revision while a new balancer starts; no process may go back to it.
 scenario_platform_stale() {
   begin
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -19,7 +19,7 @@
   for prefix in $(seq 20 31 | shuf); do
     if ! awk -v prefix="$prefix" '
       function hex(s,  i, n) { for (i = 1; i <= length(s); i++) n = n * 16 + index("0123456789ABCDEF", substr(s, i, 1)) - 1; return n }
-      { split($2, a, ":"); if (int(hex(a[2]) / 1000) == prefix) used = 1 }
+      { split($2, a, ":"); if ($4 != "06" && int(hex(a[2]) / 1000) == prefix) used = 1 }
       END { exit !used }' /proc/net/tcp /proc/net/udp /proc/net/tcp6 /proc/net/udp6; then
       echo "$prefix"
       return
@@ -126,12 +126,12 @@
     --journal "$work/runs-$2.json" ${UPSTREAM_ARGS:-}
 }
 
-agent_start() { # SERVICE NUMBER
+agent_start() { # SERVICE NUMBER ARGS...
   local number=$2
   [ "$1" = "$store" ] && number=$((number - 10))
   run "agent-$2" bin/bramley-agent --vm "server-$2" --place "$(place_of_upstream "$2")" \
     --platform "http://$(at 900)" --service "$1" --upstream "$1-$number" \
-    --peer-listen "$(at "${agent_peer_port[$2]:-$((200 + $2))}")" --operator "$(at $((400 + $2)))"
+    --peer-listen "$(at "${agent_peer_port[$2]:-$((200 + $2))}")" --operator "$(at $((400 + $2)))" "${@:3}"
 }
 
 balancer_start() { # NUMBER ARGS...
@@ -222,7 +222,7 @@
   esac
   run caller bin/standin-caller --desk-service "$desk" --desk "$(at 1)" --store-service "$store" --store "$(at 2)" \
     --duration "${DURATION:-26s}" --seed "${SEED:-1}" --result "$work/result.json" $kinds ${CALLER_ARGS:-}
-  say "load runs: $kinds"
+  say "load runs: $kinds ${CALLER_ARGS:-}"
 }
 
 load_wait() {
