--- a/internal/view/owner.go
+++ b/internal/view/owner.go
@@ -215,7 +215,10 @@
 		return
 	}
 	tree = settings.CarryRemoved(o.view.Current(), tree)
-	o.view.previous.Store(o.view.current.Load())
+	if c := o.view.current.Load(); c != nil {
+		// The tree of the previous revision is not kept; deltas need only its text.
+		o.view.previous.Store(&inForce{revision: c.revision, value: c.value})
+	}
 	o.view.current.Store(&inForce{
 		revision:   value.revision,
 		value:      value.value,
