Test membership; count a peer heard at time zero as heard

TestAllSilentMeansCutOff failed first: a member heard at the very start of the clock was taken for one never heard, so a process that lost all its peers blamed them.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -140,6 +140,8 @@
 
 type entry struct {
 	member Member
+	// heard says that the member has sent a heartbeat.
+	heard bool
 	// since is the start of the silence that counts against the member.
 	since time.Duration
 	// leaving says that the platform's newest list names the VM as leaving.
@@ -216,7 +218,7 @@
 	if h.Incarnation == e.member.Incarnation && h.Revision < e.member.Revision {
 		h.Revision = e.member.Revision
 	}
-	if e.member.LastHeard == 0 || e.member.State == StateDead || h.Stopped {
+	if !e.heard || e.member.State == StateDead || h.Stopped {
 		t.version++
 	}
 	listed := e.member.Listed
@@ -234,6 +236,7 @@
 		Listed:      listed,
 		LastHeard:   now,
 	}
+	e.heard = true
 	e.since = now
 	return true
 }
@@ -281,7 +284,7 @@
 	const fewest = 3
 	monitored, silent := 0, 0
 	for _, e := range t.watched {
-		if e.member.LastHeard == 0 {
+		if !e.heard {
 			continue
 		}
 		monitored++
