--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -8,125 +8,153 @@
 	"github.com/bramleyrack/bramleyrack/membership"
 )
 
-func ExampleTable() {
-	table := membership.New(membership.DefaultConfig())
-	table.List("zone", []membership.Listed{{Name: "vm-1", Place: "zone", Address: "10.0.0.1:9101"}})
-	table.Heard(time.Second, membership.Heartbeat{Address: "10.0.0.1:9101", Place: "zone", Incarnation: 1})
-	member, _ := table.Member("10.0.0.1:9101")
-	fmt.Println(member.State, member.Listed)
-	// Output: alive true
-}
+const (
+	place    = "bog-norte"
+	interval = 500 * time.Millisecond
+	// start is when the members of newTable are heard; a time of zero means that one never was.
+	start = time.Second
+)
 
-// peers is a table that monitors a few peers, all heard at time zero.
-type peers struct {
-	*membership.Table
-	addresses []string
-}
+func address(i int) string { return fmt.Sprintf("127.0.0.1:%d", 9000+i) }
 
-func newPeers(count int) *peers {
-	p := &peers{Table: membership.New(membership.DefaultConfig())}
+// newTable returns a table that monitors count members, all heard at the start.
+func newTable(count int) *membership.Table {
+	t := membership.New(membership.DefaultConfig())
+	var addresses []string
 	for i := range count {
-		p.addresses = append(p.addresses, fmt.Sprintf("10.0.0.%d:9101", i+1))
+		addresses = append(addresses, address(i))
 	}
-	p.Monitor(0, p.addresses)
-	p.hear(0, p.addresses...)
-	return p
+	t.Monitor(start, addresses)
+	hear(t, start, addresses...)
+	t.Tick(start)
+	return t
 }
 
-func (p *peers) hear(now time.Duration, addresses ...string) {
-	for _, address := range addresses {
-		p.Heard(now, membership.Heartbeat{Address: address, Place: "zone", Incarnation: 5, Revision: 7})
+func hear(t *membership.Table, now time.Duration, addresses ...string) {
+	for _, a := range addresses {
+		t.Heard(now, membership.Heartbeat{Address: a, Place: place, Incarnation: 2, Revision: 5})
 	}
 }
 
-// run ticks from one time to another while the given peers keep answering.
-func (p *peers) run(from, to time.Duration, answering ...string) membership.Verdict {
-	var verdict membership.Verdict
-	for now := from; now <= to; now += 100 * time.Millisecond {
-		p.hear(now, answering...)
-		verdict = p.Tick(now)
+func wantState(t *testing.T, table *membership.Table, address string, want membership.State) {
+	t.Helper()
+	if m, _ := table.Member(address); m.State != want {
+		t.Errorf("%s is %v, want %v", address, m.State, want)
 	}
-	return verdict
-}
-
-func (p *peers) state(address string) membership.State {
-	member, _ := p.Member(address)
-	return member.State
 }
 
-func TestOneSilentPeerIsDeadWithinTwoSeconds(t *testing.T) {
-	p := newPeers(5)
-	verdict := p.run(0, 2200*time.Millisecond, p.addresses[1:]...)
-	if got := p.state(p.addresses[0]); got != membership.StateDead || verdict.Isolated {
-		t.Fatalf("%v, isolated %v", got, verdict.Isolated)
-	}
-	for _, address := range p.addresses[1:] {
-		if got := p.state(address); got != membership.StateAlive {
-			t.Fatalf("%s is %v", address, got)
+func TestSilentMemberIsSuspectedThenDead(t *testing.T) {
+	config := membership.DefaultConfig()
+	table := newTable(4)
+	for now := start; now <= start+3*time.Second; now += interval {
+		hear(table, now, address(0), address(1), address(2))
+		table.Tick(now)
+		want := membership.StateAlive
+		if now-start > config.SuspectAfter {
+			want = membership.StateSuspect
+		}
+		if now-start > config.DeadAfter {
+			want = membership.StateDead
 		}
+		wantState(t, table, address(3), want)
+		wantState(t, table, address(0), membership.StateAlive)
+	}
+	if usable := table.Usable(place); len(usable) != 3 {
+		t.Errorf("usable: %v", usable)
 	}
+	hear(table, start+4*time.Second, address(3))
+	wantState(t, table, address(3), membership.StateAlive)
 }
 
-func TestAllSilentMeansCutOff(t *testing.T) {
-	p := newPeers(5)
-	verdict := p.run(0, time.Minute)
-	if !verdict.Isolated {
-		t.Fatal("blames its peers")
-	}
-	for _, address := range p.addresses {
-		if got := p.state(address); got != membership.StateSuspect {
-			t.Fatalf("%s is %v", address, got)
-		}
+func TestCutOffProcessSuspectsItselfAndKillsNobody(t *testing.T) {
+	table := newTable(6)
+	var verdict membership.Verdict
+	for now := start; now <= start+5*time.Second; now += interval {
+		hear(table, now, address(0), address(1))
+		verdict = table.Tick(now)
 	}
-	if verdict = p.run(time.Minute, time.Minute+time.Second, p.addresses...); verdict.Isolated {
-		t.Fatal("still cut off with all peers back")
+	if !verdict.Isolated || !table.Isolated() {
+		t.Error("four silent members of six, and not isolated")
+	}
+	for i := range 6 {
+		if m, _ := table.Member(address(i)); m.State == membership.StateDead {
+			t.Errorf("%s was declared dead", m.Address)
+		}
 	}
 }
 
-func TestPauseIsNotThePeersSilence(t *testing.T) {
-	p := newPeers(5)
-	p.run(0, time.Second, p.addresses...)
-	verdict := p.Tick(time.Minute)
-	if !verdict.Paused || verdict.Gap != 59*time.Second {
+func TestPausedProcessBlamesNobody(t *testing.T) {
+	table := newTable(3)
+	const pause = 20 * time.Second
+	verdict := table.Tick(start + pause)
+	if !verdict.Paused || verdict.Gap != pause {
 		t.Fatalf("got %+v", verdict)
 	}
-	p.run(time.Minute, time.Minute+time.Second)
-	for _, address := range p.addresses {
-		if got := p.state(address); got != membership.StateAlive {
-			t.Fatalf("%s is %v after the pause", address, got)
-		}
+	for i := range 3 {
+		wantState(t, table, address(i), membership.StateAlive)
+	}
+	if verdict := table.Tick(start + pause + interval); verdict.Paused {
+		t.Error("still paused after an ordinary tick")
 	}
 }
 
-func TestOldIncarnationIsOldNews(t *testing.T) {
-	p := newPeers(1)
-	newer := membership.Heartbeat{Address: p.addresses[0], Incarnation: 6, Server: 2}
-	older := membership.Heartbeat{Address: p.addresses[0], Incarnation: 5, Server: 1}
-	if !p.Heard(time.Second, newer) || p.Heard(2*time.Second, older) {
-		t.Fatal("an earlier incarnation was believed")
+func TestOldIncarnationIsIgnored(t *testing.T) {
+	table := newTable(1)
+	if table.Heard(start+interval, membership.Heartbeat{Address: address(0), Incarnation: 1, Revision: 9}) {
+		t.Error("took a heartbeat of an earlier run")
 	}
-	if member, _ := p.Member(p.addresses[0]); member.Server != 2 || member.LastHeard != time.Second {
-		t.Fatalf("got %+v", member)
+	if !table.Heard(start+interval, membership.Heartbeat{Address: address(0), Incarnation: 3, Revision: 1}) {
+		t.Error("refused a heartbeat of a later run")
+	}
+	if m, _ := table.Member(address(0)); m.Revision != 1 || m.Incarnation != 3 {
+		t.Errorf("got %+v", m)
+	}
+	table.Heard(start+2*interval, membership.Heartbeat{Address: address(0), Incarnation: 3, Revision: 0})
+	if m, _ := table.Member(address(0)); m.Revision != 1 {
+		t.Errorf("the revision went back to %d", m.Revision)
 	}
 }
 
-func TestReplacedVMIsAliveAgain(t *testing.T) {
-	p := newPeers(5)
-	p.run(0, 3*time.Second, p.addresses[1:]...)
-	p.Heard(4*time.Second, membership.Heartbeat{Address: p.addresses[0], Incarnation: 6})
-	if got := p.state(p.addresses[0]); got != membership.StateAlive {
-		t.Fatalf("got %v", got)
-	}
+func TestListedLeavingMemberStaysLeaving(t *testing.T) {
+	table := newTable(2)
+	table.List(place, []membership.Listed{
+		{Address: address(0), Place: place, Leaving: true},
+		{Address: address(1), Place: place},
+	})
+	wantState(t, table, address(0), membership.StateLeaving)
+	hear(table, start+interval, address(0), address(1))
+	wantState(t, table, address(0), membership.StateLeaving)
+	wantState(t, table, address(1), membership.StateAlive)
+	table.List(place, []membership.Listed{{Address: address(0), Place: place}, {Address: address(1), Place: place}})
+	hear(table, start+2*interval, address(0))
+	wantState(t, table, address(0), membership.StateAlive)
 }
 
-func TestLaggingListDoesNotDropWhoIsHeard(t *testing.T) {
-	p := newPeers(2)
-	p.List("zone", []membership.Listed{{Name: "vm-1", Place: "zone", Address: p.addresses[0]}})
-	p.List("zone", nil)
-	if got := len(p.Usable("zone")); got != 2 {
-		t.Fatalf("%d usable", got)
+func TestListThatLagsKeepsWhoIsHeard(t *testing.T) {
+	table := newTable(2)
+	table.List(place, []membership.Listed{{Address: address(1), Place: place}})
+	wantState(t, table, address(0), membership.StateAlive)
+	table.List(place, nil)
+	if m, _ := table.Member(address(1)); !m.Listed {
+		t.Error("an empty list emptied the view")
 	}
-	if member, _ := p.Member(p.addresses[0]); !member.Listed {
-		t.Fatal("an empty list emptied the view")
+}
+
+func TestStoppedMemberIsDeadAtOnce(t *testing.T) {
+	table := newTable(2)
+	table.Heard(start+interval, membership.Heartbeat{Address: address(0), Place: place, Incarnation: 2, Stopped: true})
+	wantState(t, table, address(0), membership.StateDead)
+}
+
+func Example() {
+	table := membership.New(membership.DefaultConfig())
+	table.List("waw-wola", []membership.Listed{{Name: "server-1", Place: "waw-wola", Address: "127.0.0.1:9001"}})
+	table.Monitor(0, []string{"127.0.0.1:9001"})
+	table.Heard(time.Second, membership.Heartbeat{Name: "server-1", Place: "waw-wola", Address: "127.0.0.1:9001", Incarnation: 1})
+	for now := time.Second; now <= 4*time.Second; now += 500 * time.Millisecond {
+		table.Tick(now)
 	}
+	member, _ := table.Member("127.0.0.1:9001")
+	fmt.Println(member.Name, member.State, table.Usable("waw-wola"))
+	// Output: server-1 dead []
 }
