Ask for the move of a feed until the caller moves

Cause: TestPlannedStopsBreakNothing failed now and then with 'the feed moved 0 times and broke 1 times': one try to open the feed elsewhere could fail, and it was not repeated.

--- a/client/feed.go
+++ b/client/feed.go
@@ -15,6 +15,9 @@
 // feedBuffer is how many events wait for Next before the feed stops reading.
 const feedBuffer = 64
 
+// moveInterval is the least time between two tries to move a feed.
+const moveInterval = 250 * time.Millisecond
+
 var errSilent = errors.New("stream made no progress")
 
 // Feed is an open subscription. It opens a new stream, on a new connection, when the old one ends or makes
@@ -127,16 +130,18 @@
 // follow reads one stream to its end. It returns the stream that the feed has moved to, or nil.
 func (f *Feed) follow(ctx context.Context, s *feedStream, waits *backoff.ExponentialBackOff) *feedStream {
 	defer s.close()
+	var tried time.Time
 	for more := true; more; more = s.stream.Receive() {
 		s.watchdog.Reset(f.client.config.FeedTimeout)
 		waits.Reset()
 		event := s.stream.Msg()
-		if !event.GetMoving() {
-			if !f.deliver(ctx, event) {
-				return nil
-			}
+		if !f.deliver(ctx, event) {
+			return nil
+		}
+		if !event.GetMoving() || time.Since(tried) < moveInterval {
 			continue
 		}
+		tried = time.Now()
 		if next := f.open(ctx); next != nil {
 			f.moves.Add(1)
 			return next
--- a/internal/agent/feed.go
+++ b/internal/agent/feed.go
@@ -15,7 +15,7 @@
 	// moveShare is the part of the drain timeout over which feeds are asked to move: one in moveShare.
 	moveShare = 10
 	// moveGrace is how long a caller may take to leave a stream that is moving.
-	moveGrace = 3 * time.Second
+	moveGrace = 5 * time.Second
 )
 
 // feedRelay decides what a caller gets next: an event, a heartbeat, or the request to move.
@@ -41,9 +41,10 @@
 		stopping:  s.stopping,
 	}
 	defer r.heartbeat.Stop()
-	event := r.silence(false)
+	event := r.silence()
 	for event != nil {
 		event.Upstream = s.number
+		event.Moving = r.end != nil
 		if err := out.Send(event); err != nil {
 			return err
 		}
@@ -64,7 +65,7 @@
 		case event := <-r.events:
 			return event
 		case <-r.heartbeat.C:
-			return r.silence(false)
+			return r.silence()
 		case <-r.stopping:
 			// Feeds move one by one, so that their callers don't all connect at once.
 			r.stopping = nil
@@ -72,7 +73,7 @@
 		case <-r.move:
 			r.move = nil
 			r.end = time.After(moveGrace)
-			return r.silence(true)
+			return r.silence()
 		case <-r.end:
 			return nil
 		}
@@ -80,6 +81,6 @@
 }
 
 // silence returns an event without a body.
-func (r *feedRelay) silence(moving bool) *bramleyv1.FeedEvent {
-	return &bramleyv1.FeedEvent{Topic: r.topic, Heartbeat: true, Moving: moving}
+func (r *feedRelay) silence() *bramleyv1.FeedEvent {
+	return &bramleyv1.FeedEvent{Topic: r.topic, Heartbeat: true}
 }
--- a/internal/agent/path_test.go
+++ b/internal/agent/path_test.go
@@ -330,6 +330,7 @@
 	}
 	defer feed.Close()
 	last := uint64(0)
+	broken := uint64(0)
 	for {
 		event, err := feed.Next(ctx)
 		if err != nil {
@@ -338,6 +339,7 @@
 		}
 		if last == 0 {
 			owner <- event.GetUpstream()
+			broken = feed.Reconnects()
 		}
 		if last != 0 && event.GetSequence() != last+1 {
 			t.Errorf("event %d follows %d", event.GetSequence(), last)
@@ -345,6 +347,9 @@
 		last = event.GetSequence()
 		select {
 		case <-end:
+			if feed.Moves() == 0 || feed.Reconnects() != broken {
+				t.Errorf("the feed moved %d times and broke %d times", feed.Moves(), feed.Reconnects()-broken)
+			}
 			return
 		default:
 		}
