--- a/internal/agent/conn.go
+++ b/internal/agent/conn.go
@@ -11,9 +11,9 @@
 // inboundLength is how many datagrams may wait for the QUIC transport.
 const inboundLength = 4096
 
-// inboundPacket is a caller's packet without its header.
+// inboundPacket is a caller's packet without its header, in a buffer of the pool.
 type inboundPacket struct {
-	payload []byte
+	payload *[]byte
 	caller  netip.AddrPort
 }
 
@@ -28,6 +28,7 @@
 	local    net.Addr
 	inbound  chan inboundPacket
 	sender   sender
+	pool     sync.Pool
 	closed   chan struct{}
 	close    sync.Once
 	deadline readDeadline
@@ -37,18 +38,22 @@
 	return &virtualConn{
 		local:    local,
 		inbound:  make(chan inboundPacket, inboundLength),
+		pool:     sync.Pool{New: func() any { b := make([]byte, 0, maxDatagram); return &b }},
 		sender:   s,
 		closed:   make(chan struct{}),
 		deadline: readDeadline{expired: make(chan struct{})},
 	}
 }
 
-// deliver queues a packet for the transport and reports false when the queue is full.
-func (c *virtualConn) deliver(p inboundPacket) bool {
+// deliver queues a copy of a packet for the transport and reports false when the queue is full.
+func (c *virtualConn) deliver(payload []byte, caller netip.AddrPort) bool {
+	buffer := c.pool.Get().(*[]byte)
+	*buffer = append((*buffer)[:0], payload...)
 	select {
-	case c.inbound <- p:
+	case c.inbound <- inboundPacket{payload: buffer, caller: caller}:
 		return true
 	default:
+		c.pool.Put(buffer)
 		return false
 	}
 }
@@ -57,7 +62,8 @@
 func (c *virtualConn) ReadFrom(b []byte) (int, net.Addr, error) {
 	select {
 	case p := <-c.inbound:
-		n := copy(b, p.payload)
+		n := copy(b, *p.payload)
+		c.pool.Put(p.payload)
 		return n, net.UDPAddrFromAddrPort(p.caller), nil
 	case <-c.deadline.wait():
 		return 0, nil, os.ErrDeadlineExceeded
--- a/internal/agent/inbound.go
+++ b/internal/agent/inbound.go
@@ -211,8 +211,7 @@
 	switch decision.Action {
 	case placement.ActionAccept, placement.ActionReset:
 		// The transport answers a packet of a flow that it does not know with a stateless reset.
-		packet := inboundPacket{payload: append([]byte(nil), payload...), caller: caller}
-		if !in.conn.deliver(packet) {
+		if !in.conn.deliver(payload, caller) {
 			in.metrics.inboundDrops.Add(1)
 		}
 	case placement.ActionPass:
--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -39,7 +39,6 @@
 		telemetry.Failure("hand_over", err, "outcome", "unknown")
 	}
 	a.life.fire(eventDrained)
-	a.life.fire(eventDrained)
 }
 
 func pause(ctx context.Context, d time.Duration) {
