--- a/cmd/bramley-capacity/fleet.go
+++ b/cmd/bramley-capacity/fleet.go
@@ -41,11 +41,11 @@
 	finished sync.WaitGroup
 }
 
-// The services of a fleet. Agents of the first exchange heartbeats with one another; agents of the
-// second only with their neighbours in the relay tree.
+// The services of a fleet. Agents of the first exchange heartbeats with one another; processes
+// without a service only with their neighbours in the relay tree.
 const (
-	ownService   = 1
-	otherService = 2
+	ownService = 1
+	noService  = 0
 )
 
 // startFleet starts the agents of one service, in a tree with so many more upstreams of others.
--- a/cmd/bramley-capacity/links.go
+++ b/cmd/bramley-capacity/links.go
@@ -16,7 +16,7 @@
 // linkSlopes measure running views with real links.
 func linkSlopes() []slope {
 	fleets := []int{4, 8, 12, 16, 24}
-	trees := []int{60, 125, 250, 500, 1000}
+	trees := []int{125, 250, 500, 1000, 2000}
 	return []slope{
 		{
 			name: "link-bytes", title: "Control traffic of a node at rest, both directions", size: "agents of a service", unit: "bytes/s",
@@ -95,7 +95,7 @@
 const relayFleet = 16
 
 func changeBytes(upstreams int) (float64, error) {
-	f, err := startFleet(relayFleet, upstreams, otherService)
+	f, err := startFleet(relayFleet, upstreams, noService)
 	if err != nil {
 		return 0, err
 	}
@@ -113,7 +113,7 @@
 }
 
 func firstBytes(upstreams int) (float64, error) {
-	f, err := startFleet(relayFleet, upstreams, otherService)
+	f, err := startFleet(relayFleet, upstreams, noService)
 	if err != nil {
 		return 0, err
 	}
@@ -127,7 +127,7 @@
 // changeTime returns the median of a few changes in one fleet.
 func changeTime(n int) (float64, error) {
 	const changes = 5
-	f, err := startFleet(n, 0, otherService)
+	f, err := startFleet(n, 0, noService)
 	if err != nil {
 		return 0, err
 	}
