--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -150,11 +150,11 @@
 		Liveness: b.liveness,
 		Event: func(op string, kv ...any) {
 			switch op {
-			case "service-received":
+			case "service_received":
 				opened <- struct{}{}
-			case "agent-health":
+			case "agent_health":
 				b.events <- fmt.Sprint(op, " ", kv[1], " ", kv[3])
-			case "cut-off":
+			case "cut_off":
 				b.events <- fmt.Sprint(op, " ", kv[0], " ", kv[1])
 			}
 		},
--- a/internal/balancer/failure_test.go
+++ b/internal/balancer/failure_test.go
@@ -97,12 +97,12 @@
 	<-forwarded[2]
 
 	close(frozen)
-	await(t, b.events, "agent-health 2 silent")
+	await(t, b.events, "agent_health 2 silent")
 	got := awaitForward(t, func() { b.caller.send(flowOf(2), address) }, forwarded[1], forwarded[3])
 	if got.header.Server == 2 {
 		t.Fatal("a silent agent got a new flow")
 	}
-	await(t, b.events, "agent-health 2 gone")
+	await(t, b.events, "agent_health 2 gone")
 	packet := b.known(placement.Owner{Service: orders, Server: 2})
 	resend := func() { b.caller.send(packet, address) }
 	if got := awaitForward(t, resend, forwarded[1], forwarded[3]); string(got.payload) != string(packet) {
@@ -158,14 +158,14 @@
 			b.caller.send(flowOf(2), b.address(orders))
 			packet := b.known(placement.Owner{Service: orders, Server: 2})
 			if !test.dead {
-				await(t, b.events, "agent-health 2 silent")
+				await(t, b.events, "agent_health 2 silent")
 				acceptOne(t, open)
 				b.caller.send(packet, b.address(orders))
 				for string(b.agents[2].receiveForward().payload) != string(packet) {
 				}
 				return
 			}
-			await(t, b.events, "agent-health 2 gone")
+			await(t, b.events, "agent_health 2 gone")
 			got := awaitForward(t, func() { b.caller.send(packet, b.address(orders)) }, forwarded, nil)
 			if string(got.payload) != string(packet) || !got.header.OwnerRefused {
 				t.Fatalf("got %v with %x", got.header, got.payload)
@@ -183,7 +183,7 @@
 	}
 	b.caller.send(flowOf(1), b.address(orders))
 	close(cut)
-	await(t, b.events, "cut-off cut_off true")
+	await(t, b.events, "cut_off cut_off true")
 	for {
 		select {
 		case got := <-b.events:
--- a/internal/balancer/keeper.go
+++ b/internal/balancer/keeper.go
@@ -91,7 +91,7 @@
 	if tree != k.tree {
 		k.tree = tree
 		k.listened = 0
-		k.balancer.config.Event("settings-in-force", "revision", tree.Revision)
+		k.balancer.config.Event("settings_in_force", "revision", tree.Revision)
 	}
 	if k.listened == 0 || now-k.listened >= listenInterval {
 		k.listened = now
@@ -125,7 +125,7 @@
 func (k *keeper) reportCutOff() {
 	if cutOff := k.liveness.CutOff(); cutOff != k.cutOff {
 		k.cutOff = cutOff
-		k.balancer.config.Event("cut-off", "cut_off", cutOff)
+		k.balancer.config.Event("cut_off", "cut_off", cutOff)
 	}
 }
 
@@ -144,7 +144,7 @@
 func (k *keeper) report(servers []uint32) {
 	for _, server := range servers {
 		health := k.liveness.Health(server)
-		k.balancer.config.Event("agent-health", "server", server, "health", health.String(), "refused", k.liveness.Refused(server))
+		k.balancer.config.Event("agent_health", "server", server, "health", health.String(), "refused", k.liveness.Refused(server))
 	}
 }
 
@@ -208,12 +208,12 @@
 func (k *keeper) open(service *settings.Service, address netip.AddrPort) *socket {
 	s, err := listen(address, k.balancer.config.ReadBuffer)
 	if err != nil {
-		k.balancer.config.Event("listen-failed", "service", service.Name, "address", address, "error", err)
+		k.balancer.config.Event("listen_failed", "service", service.Name, "address", address, "error", err)
 		return nil
 	}
 	k.bound[service.Number] = address
 	k.start(newForwarder(k.balancer, service.Number, s))
-	k.balancer.config.Event("service-received", "service", service.Name, "address", s.localAddr())
+	k.balancer.config.Event("service_received", "service", service.Name, "address", s.localAddr())
 	return s
 }
 
