Bound the probes of a balancer, and let agents report the peers they miss

Cause: the answers of an agent return through any balancer, so a balancer before thousands of agents always misses some, and probed each of them after 300 ms. At most 4 probes go out in a step now (at most 50 a second with the idle ones), those in doubt first, and an agent is condemned only after three unanswered probes or on the word of its peers, who exchange heartbeats anyway and name whom they miss in each returned datagram. With the reports ignored, TestAgentThatItsPeersMissGetsNoNewFlow fails. Ruled out: more probes for longer silences, which at that size find a dead agent after 5 s (computed).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -167,7 +167,7 @@
 	rnd := rand.New(rand.NewSource(time.Now().UnixNano()))
 	path := placement.NewReplyPath(placement.DefaultReplyPathConfig())
 	a.socket = socket
-	a.out = newOutbound(socket, a.self, a.view.Revision, path, rnd, a.metrics)
+	a.out = newOutbound(socket, a.self, a.view.Revision, a.peers.silent, path, rnd, a.metrics)
 	a.conn = newVirtualConn(socket.LocalAddr(), a.out)
 	a.in = a.newInbound(codec)
 	return a.listenQUIC(codec)
--- a/internal/agent/outbound.go
+++ b/internal/agent/outbound.go
@@ -40,22 +40,25 @@
 	service  uint32
 	server   uint32
 	revision func() uint64
-	path     *placement.ReplyPath
-	rnd      *rand.Rand
-	start    time.Time
-	packets  chan outboundPacket
-	heard    chan netip.AddrPort
-	pool     sync.Pool
-	metrics  *metrics
-	scratch  []byte
+	// silent returns the other agents of the service that this one misses.
+	silent  func() []uint32
+	path    *placement.ReplyPath
+	rnd     *rand.Rand
+	start   time.Time
+	packets chan outboundPacket
+	heard   chan netip.AddrPort
+	pool    sync.Pool
+	metrics *metrics
+	scratch []byte
 }
 
-func newOutbound(socket *net.UDPConn, self placement.Owner, revision func() uint64, path *placement.ReplyPath, rnd *rand.Rand, m *metrics) *outbound {
+func newOutbound(socket *net.UDPConn, self placement.Owner, revision func() uint64, silent func() []uint32, path *placement.ReplyPath, rnd *rand.Rand, m *metrics) *outbound {
 	return &outbound{
 		socket:   socket,
 		service:  self.Service,
 		server:   self.Server,
 		revision: revision,
+		silent:   silent,
 		path:     path,
 		rnd:      rnd,
 		start:    time.Now(),
@@ -135,6 +138,7 @@
 		Server:   o.server,
 		Revision: o.revision(),
 		Caller:   datagram.PutAddr(p.caller),
+		Silent:   o.silent(),
 	}
 	o.scratch = datagram.Append(o.scratch[:0], &header, *p.buffer)
 	o.write(o.scratch, balancer)
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -22,6 +23,28 @@
 	pool    *peer.Pool
 	service uint32
 	server  uint32
+	missed  atomic.Pointer[[]uint32]
+}
+
+// silent returns the agents that were dead at the last refresh.
+func (p *peers) silent() []uint32 {
+	if missed := p.missed.Load(); missed != nil {
+		return *missed
+	}
+	return nil
+}
+
+// refreshSilent notes which agents are dead. One that is cut off itself accuses none.
+func (p *peers) refreshSilent() {
+	var missed []uint32
+	if !p.view.Isolated() {
+		p.members(func(m membership.Member, _ *settings.Upstream) {
+			if m.State == membership.StateDead {
+				missed = append(missed, m.Server)
+			}
+		})
+	}
+	p.missed.Store(&missed)
 }
 
 // Execute sends a request to the agent of a server.
--- a/internal/agent/status.go
+++ b/internal/agent/status.go
@@ -103,6 +103,7 @@
 		case <-a.view.Updates():
 		case <-ticker.C:
 		}
+		a.peers.refreshSilent()
 		if is := a.accepting(); is != was {
 			a.executor.SetAccepting(is)
 			telemetry.Event("accepting", "now", is, "revision", a.view.Revision())
--- a/internal/balancer/failure_test.go
+++ b/internal/balancer/failure_test.go
@@ -110,6 +110,33 @@
 	}
 }
 
+// A balancer that has no probes left to find a silent agent by itself believes its peers.
+func TestAgentThatItsPeersMissGetsNoNewFlow(t *testing.T) {
+	liveness := quickLiveness()
+	liveness.MaxProbes = 0
+	b := newBenchWith(t, liveness, netip.AddrPort{})
+	never := make(chan struct{})
+	live := make(chan received, 1024)
+	for _, server := range []uint32{1, 3} {
+		go answerPings(b.agents[server], never, live)
+	}
+	report := datagram.Append(nil, &bramleyv1.DatagramHeader{
+		Kind:    bramleyv1.DatagramKind_DATAGRAM_KIND_RETURN,
+		Service: orders,
+		Server:  1,
+		Caller:  datagram.PutAddr(b.caller.address()),
+		Silent:  []uint32{2},
+	}, []byte("answer"))
+	got := awaitForward(t, func() {
+		b.agents[1].send(report, b.balancer.AgentAddress())
+		b.caller.send(flowOf(2), b.address(orders))
+	}, live, nil)
+	if got.header.Server == 2 {
+		t.Fatalf("forwarded to %d", got.header.Server)
+	}
+	await(t, b.events, "agent_health 2 silent")
+}
+
 // closedPort returns an address that refuses connections, and openPort one that accepts them.
 func closedPort(t *testing.T) netip.AddrPort {
 	listener := openPort(t)
--- a/internal/balancer/keeper.go
+++ b/internal/balancer/keeper.go
@@ -115,6 +115,7 @@
 			Place:     a.Place,
 			Forwarded: a.Progress.Forwarded.Load(),
 			Returned:  a.Progress.Returned.Load(),
+			Reported:  time.Duration(a.Progress.Reported.Load()),
 		})
 		k.healths = append(k.healths, k.liveness.Health(a.Server))
 	}
--- a/internal/balancer/returns.go
+++ b/internal/balancer/returns.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/net/ipv4"
 
@@ -23,6 +24,7 @@
 	answers   *writer
 	batch     int
 	counts    *counters
+	now       func() time.Duration
 	// observed is the highest revision that was reported to the view.
 	observed uint64
 }
@@ -41,6 +43,7 @@
 		answers: newWriter(b.config.Batch),
 		batch:   b.config.Batch,
 		counts:  b.counts,
+		now:     b.now,
 	}
 }
 
@@ -90,6 +93,7 @@
 	if source != nil {
 		source.Progress.Returned.Add(1)
 		r.observe(t, source)
+		r.takeReports(t, source)
 	}
 	switch r.header.Kind {
 	case bramleyv1.DatagramKind_DATAGRAM_KIND_PING:
@@ -99,6 +103,15 @@
 	}
 }
 
+// takeReports notes the agents of its service that an agent misses.
+func (r *returner) takeReports(t *routing.Table, source *routing.Agent) {
+	for _, server := range r.header.Silent {
+		if peer := t.Peer(source, server); peer != nil {
+			peer.Progress.Reported.Store(int64(r.now()))
+		}
+	}
+}
+
 // observe tells the view, once for each revision, that an agent has a higher one.
 func (r *returner) observe(t *routing.Table, source *routing.Agent) {
 	if r.header.Revision <= t.Revision || r.header.Revision <= r.observed {
--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -58,9 +58,9 @@
 
 // reset clears h and keeps the memory of its fields.
 func reset(h *bramleyv1.DatagramHeader) {
-	caller, balancer, candidates := h.Caller, h.Balancer, h.Candidates
+	caller, balancer, candidates, silent := h.Caller, h.Balancer, h.Candidates, h.Silent
 	h.Reset()
-	h.Caller, h.Balancer, h.Candidates = caller[:0], balancer[:0], candidates[:0]
+	h.Caller, h.Balancer, h.Candidates, h.Silent = caller[:0], balancer[:0], candidates[:0], silent[:0]
 }
 
 // PutAddr returns the encoded form of an address: 4 or 16 bytes of IP and 2 bytes of port.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -13,6 +13,8 @@
 type Progress struct {
 	Forwarded atomic.Uint64
 	Returned  atomic.Uint64
+	// Reported is when a peer last said that it misses the agent, as time since the start.
+	Reported atomic.Int64
 }
 
 // Agent is where the packets for one upstream go.
@@ -69,6 +71,15 @@
 	return t.sources[address]
 }
 
+// Peer returns another agent of the service of an agent by its number, or nil.
+func (t *Table) Peer(agent *Agent, server uint32) *Agent {
+	service := t.services[agent.Service]
+	if service == nil || server == agent.Server {
+		return nil
+	}
+	return service.agents[server]
+}
+
 // Agents returns all agents, those of upstreams removed lately included.
 func (t *Table) Agents() []*Agent {
 	return t.agents
--- a/placement/liveness.go
+++ b/placement/liveness.go
@@ -25,6 +25,10 @@
 	ProbeAfter time.Duration
 	// ProbeInterval is the time between probes of an agent that does not answer.
 	ProbeInterval time.Duration
+	// MaxProbes bounds the probes in one step of agents that get traffic. The answers of an agent
+	// return through many balancers, so a balancer before thousands of agents always misses some.
+	// Higher values find dead agents earlier without the help of their peers and cost more traffic.
+	MaxProbes int
 	// IdleProbes bounds the probes in one step of agents that get no traffic. Higher values find
 	// dead idle agents earlier and cost more control traffic.
 	IdleProbes int
@@ -42,6 +46,7 @@
 	return LivenessConfig{
 		ProbeAfter:    300 * time.Millisecond,
 		ProbeInterval: 300 * time.Millisecond,
+		MaxProbes:     4,
 		IdleProbes:    1,
 		DeadAfter:     2 * time.Second,
 		GoneAfter:     15 * time.Second,
@@ -58,6 +63,9 @@
 	Forwarded uint64
 	// Returned counts packets and answers to probes.
 	Returned uint64
+	// Reported is the last time at which another agent of the service said that it misses this one;
+	// zero if none ever did.
+	Reported time.Duration
 }
 
 // Liveness tells dead agents from slow and idle ones by comparing what was forwarded to them with
@@ -65,8 +73,9 @@
 type Liveness struct {
 	config LivenessConfig
 	agents map[uint32]*agentLiveness
-	// places holds the last time at which any agent of a place returned anything.
-	places map[string]time.Duration
+	// listed holds the agents in the order of the last step.
+	listed []*agentLiveness
+	places map[string]*placeLiveness
 	last   time.Duration
 	// heard is the last time at which any agent returned anything.
 	heard time.Duration
@@ -75,8 +84,20 @@
 	cutOff bool
 }
 
+// placeLiveness is what is known of the agents of one place together.
+type placeLiveness struct {
+	// heard is the last time at which any agent of the place returned anything.
+	heard time.Duration
+	known bool
+	// now says that an agent of the place was heard in this step.
+	now bool
+	// reconnected says that the place had fallen silent before this step heard it.
+	reconnected bool
+}
+
 type agentLiveness struct {
 	progress Progress
+	place    *placeLiveness
 	// waiting says that something was forwarded since the agent was last heard.
 	waiting bool
 	since   time.Duration
@@ -84,12 +105,16 @@
 	heard   time.Duration
 	health  Health
 	refused bool
-	seen    bool
+	// probes counts the probes since the agent was last heard.
+	probes int
 }
 
+// minProbes is how many probes an agent must leave without an answer before it is condemned.
+const minProbes = 3
+
 // NewLiveness returns a Liveness that takes every agent for live.
 func NewLiveness(config LivenessConfig, now time.Duration) *Liveness {
-	return &Liveness{config: config, agents: map[uint32]*agentLiveness{}, places: map[string]time.Duration{}, last: now, heard: now}
+	return &Liveness{config: config, agents: map[uint32]*agentLiveness{}, places: map[string]*placeLiveness{}, last: now, heard: now}
 }
 
 // Step takes the counts of all agents and returns the agents to probe now. Agents that are not
@@ -97,70 +122,100 @@
 func (l *Liveness) Step(now time.Duration, progress []Progress) (probes []uint32) {
 	paused := now-l.last > l.config.MaxStep
 	l.last = now
-	for _, p := range progress {
-		l.update(now, p)
+	l.list(progress)
+	for i, a := range l.listed {
+		l.update(now, a, progress[i])
 	}
-	reconnected := l.cutOff && l.heard == now
-	for _, a := range l.agents {
-		if paused || reconnected || l.placeReconnected(now, a.progress.Place) {
+	restart := paused || l.cutOff && l.heard == now
+	l.hearPlaces(now)
+	for _, a := range l.listed {
+		if restart || a.place.reconnected {
 			a.restartWait(now)
 		}
 	}
-	l.hearPlaces(now)
 	if paused {
 		l.heard = now
 	}
-	l.forget()
 	l.judge(now)
-	return l.probes(now, progress)
+	return l.probes(now)
 }
 
-// restartWait discards the silence while the balancer was paused or a part of the network cut off.
-func (a *agentLiveness) restartWait(now time.Duration) {
-	a.since = now
-	a.next = now
+// list finds the agents of the progress in their order, and forgets the others.
+func (l *Liveness) list(progress []Progress) {
+	if len(l.listed) > len(progress) {
+		l.listed = l.listed[:len(progress)]
+	}
+	for i := range progress {
+		if i == len(l.listed) {
+			l.listed = append(l.listed, nil)
+		}
+		if a := l.listed[i]; a == nil || a.progress.Server != progress[i].Server {
+			l.listed[i] = l.agent(progress[i].Server)
+		}
+	}
+	if len(l.agents) == len(progress) {
+		return
+	}
+	clear(l.agents)
+	for _, a := range l.listed {
+		l.agents[a.progress.Server] = a
+	}
 }
 
-// placeReconnected reports whether a place is heard again after a silence.
-func (l *Liveness) placeReconnected(now time.Duration, place string) bool {
-	if l.reachable(now, place) {
-		return false
+// agent returns what is known of an agent.
+func (l *Liveness) agent(server uint32) *agentLiveness {
+	a := l.agents[server]
+	if a == nil {
+		a = &agentLiveness{progress: Progress{Server: server}}
+		l.agents[server] = a
 	}
-	for _, a := range l.agents {
-		if a.progress.Place == place && a.heard == now {
-			return true
-		}
+	return a
+}
+
+func (l *Liveness) place(name string) *placeLiveness {
+	place := l.places[name]
+	if place == nil {
+		place = &placeLiveness{}
+		l.places[name] = place
 	}
-	return false
+	return place
+}
+
+// restartWait discards the silence while the balancer was paused or a part of the network cut off.
+func (a *agentLiveness) restartWait(now time.Duration) {
+	a.since = now
+	a.next = now
 }
 
+// hearPlaces notes which places were heard, and which of them had fallen silent.
 func (l *Liveness) hearPlaces(now time.Duration) {
-	for _, a := range l.agents {
-		if a.heard == now {
-			l.places[a.progress.Place] = now
+	for _, place := range l.places {
+		place.reconnected = place.now && !l.reachable(now, place)
+		if place.now {
+			place.heard = now
+			place.known = true
 		}
+		place.now = false
 	}
 }
 
 // reachable reports whether any agent of a place was heard lately.
-func (l *Liveness) reachable(now time.Duration, place string) bool {
-	heard, ok := l.places[place]
-	return ok && now-heard <= l.config.DeadAfter
+func (l *Liveness) reachable(now time.Duration, place *placeLiveness) bool {
+	return place.known && now-place.heard <= l.config.DeadAfter
 }
 
-func (l *Liveness) update(now time.Duration, p Progress) {
-	a := l.agents[p.Server]
-	if a == nil {
-		a = &agentLiveness{progress: Progress{Server: p.Server}}
-		l.agents[p.Server] = a
+func (l *Liveness) update(now time.Duration, a *agentLiveness, p Progress) {
+	if a.place == nil || a.progress.Place != p.Place {
+		a.place = l.place(p.Place)
 	}
-	a.seen = true
 	switch {
 	case p.Returned != a.progress.Returned:
 		a.waiting = false
+		a.probes = 0
 		a.health = HealthLive
 		a.refused = false
 		a.heard = now
+		a.place.now = true
 		l.heard = now
 	case p.Forwarded != a.progress.Forwarded && !a.waiting:
 		a.waiting = true
@@ -170,15 +225,6 @@
 	a.progress = p
 }
 
-func (l *Liveness) forget() {
-	for server, a := range l.agents {
-		if !a.seen {
-			delete(l.agents, server)
-		}
-		a.seen = false
-	}
-}
-
 // judge sets the health of agents that do not answer. A balancer that hears no agent at all takes
 // itself for cut off, well before DeadAfter, and condemns none.
 func (l *Liveness) judge(now time.Duration) {
@@ -186,21 +232,29 @@
 	if l.cutOff {
 		return
 	}
-	for _, a := range l.agents {
+	for _, a := range l.listed {
 		if !a.waiting {
 			continue
 		}
-		switch silence := now - a.since; {
-		case silence > l.config.GoneAfter && l.reachable(now, a.progress.Place):
+		silence := now - a.since
+		probed := a.probes >= minProbes
+		switch {
+		case probed && silence > l.config.GoneAfter && l.reachable(now, a.place):
 			a.health = HealthGone
-		case silence > l.config.DeadAfter:
+		case probed && silence > l.config.DeadAfter, l.reported(now, a):
 			a.health = max(a.health, HealthSilent)
 		}
 	}
 }
 
+// reported says whether a peer of the agent misses it and this balancer has not heard it either.
+func (l *Liveness) reported(now time.Duration, a *agentLiveness) bool {
+	at := a.progress.Reported
+	return at > 0 && now-at <= l.config.DeadAfter && now-a.heard > l.config.DeadAfter
+}
+
 func (l *Liveness) anyWaiting() bool {
-	for _, a := range l.agents {
+	for _, a := range l.listed {
 		if a.waiting {
 			return true
 		}
@@ -208,33 +262,68 @@
 	return false
 }
 
-func (l *Liveness) probes(now time.Duration, progress []Progress) []uint32 {
+func (l *Liveness) probes(now time.Duration) []uint32 {
 	var probes []uint32
-	for _, p := range progress {
-		a := l.agents[p.Server]
-		if a.waiting && now >= a.next {
-			a.next = now + l.probeDelay(a)
-			probes = append(probes, p.Server)
-		}
+	for _, a := range l.dueProbes(now) {
+		a.probes++
+		a.next = now + l.probeDelay(a)
+		probes = append(probes, a.progress.Server)
 	}
-	for range min(l.config.IdleProbes, len(progress)) {
-		l.idle = (l.idle + 1) % len(progress)
-		server := progress[l.idle].Server
-		if !l.agents[server].waiting && !slices.Contains(probes, server) {
-			probes = append(probes, server)
+	for range min(l.config.IdleProbes, len(l.listed)) {
+		l.idle = (l.idle + 1) % len(l.listed)
+		if a := l.listed[l.idle]; !a.waiting {
+			probes = append(probes, a.progress.Server)
 		}
 	}
 	return probes
 }
 
-// goneProbeFactor lengthens the time between probes of an agent that is gone.
-const goneProbeFactor = 10
+// dueProbes returns the agents that most need a probe, at most MaxProbes.
+func (l *Liveness) dueProbes(now time.Duration) []*agentLiveness {
+	var due []*agentLiveness
+	for _, a := range l.listed {
+		if !a.waiting || now < a.next {
+			continue
+		}
+		i := len(due)
+		for i > 0 && a.before(due[i-1]) {
+			i--
+		}
+		if i == l.config.MaxProbes {
+			continue
+		}
+		due = slices.Insert(due, i, a)
+		due = due[:min(len(due), l.config.MaxProbes)]
+	}
+	return due
+}
+
+// before reports whether an agent needs a probe more than another: first those that have left one
+// without an answer and are not condemned yet, then those that have been silent for longer.
+func (a *agentLiveness) before(b *agentLiveness) bool {
+	if a.doubted() != b.doubted() {
+		return a.doubted()
+	}
+	return a.since < b.since
+}
+
+func (a *agentLiveness) doubted() bool { return a.probes > 0 && a.health == HealthLive }
+
+// Factors that lengthen the time between probes of an agent that is condemned.
+const (
+	silentProbeFactor = 3
+	goneProbeFactor   = 10
+)
 
 func (l *Liveness) probeDelay(a *agentLiveness) time.Duration {
-	if a.health == HealthGone {
+	switch a.health {
+	case HealthSilent:
+		return silentProbeFactor * l.config.ProbeInterval
+	case HealthGone:
 		return goneProbeFactor * l.config.ProbeInterval
+	default:
+		return l.config.ProbeInterval
 	}
-	return l.config.ProbeInterval
 }
 
 // Health returns the health of an agent.
@@ -249,7 +338,7 @@
 // finding out whether its process runs.
 func (l *Liveness) Unanswered(now time.Duration, server uint32) bool {
 	a := l.agents[server]
-	return a != nil && a.waiting && now-a.since > l.config.ProbeAfter+l.config.ProbeInterval
+	return a != nil && a.waiting && a.probes > 1 && now-a.since > l.config.ProbeAfter+l.config.ProbeInterval
 }
 
 // Refuse takes in the evidence that the process of an agent does not run, as its address refuses
--- a/placement/liveness_test.go
+++ b/placement/liveness_test.go
@@ -1,6 +1,8 @@
 package placement_test
 
 import (
+	"fmt"
+	"math/rand"
 	"testing"
 	"time"
 
@@ -155,3 +157,79 @@
 	f.run(5*time.Second, 5*time.Second+livenessStep, check)
 	f.run(60*time.Second, 65*time.Second, check)
 }
+
+// A balancer before a whole region forwards to every agent, and the answers of a third of them return
+// through other balancers. One agent dies; its peers say so in what they return.
+func TestLivenessOfALargeFleetStaysWithinItsProbes(t *testing.T) {
+	const (
+		agents     = 2000
+		dead       = 3
+		death      = 5 * time.Second
+		end        = 15 * time.Second
+		perStep    = agents / 10
+		detection  = 3 * time.Second
+		probeLimit = 50
+	)
+	rnd := rand.New(rand.NewSource(1))
+	f := newAgentFleet(agents, func(server uint32, now time.Duration) bool { return server != dead || now < death })
+	var silentAt time.Duration
+	f.run(0, end, func(now time.Duration) {
+		for range perStep {
+			server := uint32(rnd.Intn(agents)) + 1
+			f.progress[server-1].Forwarded++
+			if rnd.Intn(3) > 0 && (server != dead || now < death) {
+				f.progress[server-1].Returned++
+			}
+		}
+		if now > death+2*time.Second {
+			f.progress[dead-1].Reported = now
+		}
+		if silentAt == 0 && f.liveness.Health(dead) == placement.HealthSilent {
+			silentAt = now
+		}
+		for server := uint32(1); server <= agents; server++ {
+			if server != dead && f.liveness.Health(server) != placement.HealthLive {
+				t.Fatalf("agent %d condemned at %v", server, now)
+			}
+		}
+	})
+	if silentAt == 0 || silentAt > death+detection {
+		t.Errorf("the dead agent is silent from %v", silentAt)
+	}
+	if rate := f.probes / int(end/time.Second); rate > probeLimit {
+		t.Errorf("%d probes a second", rate)
+	}
+}
+
+// A peer that misses an agent does not condemn it where the balancer hears it.
+func TestLivenessTrustsItsOwnEarsOverReports(t *testing.T) {
+	f := newAgentFleet(3, func(uint32, time.Duration) bool { return true })
+	f.run(0, 20*time.Second, func(now time.Duration) {
+		f.progress[2].Forwarded++
+		f.progress[2].Reported = now
+		if f.liveness.Health(3) != placement.HealthLive {
+			t.Fatalf("condemned at %v", now)
+		}
+	})
+}
+
+// BenchmarkLivenessStep steps a balancer that forwards to a tenth of its agents in each step.
+func BenchmarkLivenessStep(b *testing.B) {
+	for _, agents := range []uint32{1000, 2000, 4000, 8000, 16000} {
+		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
+			f := newAgentFleet(agents, func(uint32, time.Duration) bool { return true })
+			now := time.Duration(0)
+			for b.Loop() {
+				for i := range agents / 10 {
+					p := &f.progress[(uint32(now/livenessStep)*agents/10+i)%agents]
+					p.Forwarded++
+					if i%3 > 0 {
+						p.Returned++
+					}
+				}
+				f.run(now, now+livenessStep, func(time.Duration) {})
+				now += livenessStep
+			}
+		})
+	}
+}
