--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -64,7 +64,7 @@
   kill -TERM "${pids[agent-3]}"
   wait "${pids[agent-3]}" || say "agent 3 ended with status $?"
   unset "pids[agent-3]"
-  finish --allow-broken
+  finish
 }
 
 # An upstream of the store is marked as leaving and its agent stops as planned, while downloads run.
