Give a stalled download 6 s, so that QUIC can recover before it is opened anew

The journals show download-1-7-5 started 1 s before the kill of a balancer and resumed 5.0 s later, the 4 s of the watchdog after the kill. Until the fabric drops the dead balancer, 2 s later, half of the caller's acknowledgements are lost; a sender that is down to probes then waits up to about 4 s. That cause is inferred, not traced. Ruled out: a refusal by the agent, whose logs show none.

--- a/client/config.go
+++ b/client/config.go
@@ -29,10 +29,11 @@
 	// KeepAlive is the time between packets on a quiet connection. Shorter notices a dead path earlier, at
 	// the cost of packets. Zero means 1.5 s.
 	KeepAlive time.Duration
-	// IdleTimeout is the silence after which a connection is given up. Zero means 6 s.
+	// IdleTimeout is the silence after which a connection is given up, and a download is opened anew. It
+	// should leave QUIC the time to recover from a burst of losses. Zero means 6 s.
 	IdleTimeout time.Duration
-	// FeedTimeout is the silence after which a feed or a download is opened anew. It must exceed the
-	// heartbeat of the service's feeds. Zero means 4 s.
+	// FeedTimeout is the silence after which a feed is opened anew. It must exceed the heartbeat of the
+	// service's feeds. Zero means 4 s.
 	FeedTimeout time.Duration
 	// Deadline is given to calls whose context has none. Zero means 10 s.
 	Deadline time.Duration
--- a/client/download.go
+++ b/client/download.go
@@ -66,7 +66,7 @@
 	defer cancel(nil)
 	k := newLink(c.config)
 	defer func() { _ = k.transport.Close() }()
-	watchdog := time.AfterFunc(c.config.FeedTimeout, func() { cancel(errSilent) })
+	watchdog := time.AfterFunc(c.config.IdleTimeout, func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	request := &bramleyv1.DownloadRequest{RequestId: rand.Text(), Object: object, Offset: uint64(len(data))}
 	stream, err := k.service.Download(ctx, connect.NewRequest(request))
@@ -75,7 +75,7 @@
 	}
 	defer func() { _ = stream.Close() }()
 	for stream.Receive() {
-		watchdog.Reset(c.config.FeedTimeout)
+		watchdog.Reset(c.config.IdleTimeout)
 		chunk := stream.Msg()
 		if chunk.GetRequestId() != request.GetRequestId() || chunk.GetOffset() != uint64(len(data)) {
 			return data, nil, errOtherAnswer
