--- a/cmd/bramley-agent/main.go
+++ b/cmd/bramley-agent/main.go
@@ -5,7 +5,6 @@
 	"context"
 	"os"
 	"os/signal"
-	"strings"
 	"syscall"
 
 	"github.com/juju/errors"
@@ -29,23 +28,21 @@
 	telemetry.Event("stop")
 }
 
-func parse(args []string) (agent.Config, string) {
-	var c agent.Config
-	var seeds, trace string
+func parse(args []string) (config agent.Config, trace string) {
+	var daemon options.Daemon
 	set := options.New(program)
-	set.String(&c.VM, "vm", "", "name of this VM")
-	set.String(&c.Place, "place", "", "availability zone of this VM")
-	set.String(&c.Platform, "platform", "", "base URL of the platform's configuration service")
-	set.String(&c.Service, "service", "", "name of the service in the settings")
-	set.String(&c.Upstream, "upstream", "", "name of the upstream in the settings")
-	set.AddrPort(&c.PeerListen, "peer-listen", "", "address that this process serves its peers on")
-	set.AddrPort(&c.Operator, "operator", "", "address of metrics and health for operators")
-	set.String(&seeds, "seeds", "", "addresses of peers to ask while the platform is down, separated by commas")
-	set.String(&trace, "trace", "none", "exporter of traces: none, stderr or otlp")
-	set.Require("vm", "place", "platform", "service", "upstream", "peer-listen")
+	set.Daemon(&daemon)
+	set.String(&config.Service, "service", "", "name of the service in the settings")
+	set.String(&config.Upstream, "upstream", "", "name of the upstream in the settings")
+	set.Require("service", "upstream")
 	set.MustParse(args)
-	c.Seeds = strings.FieldsFunc(seeds, func(r rune) bool { return r == ',' })
-	return c, trace
+	config.VM = daemon.VM
+	config.Place = daemon.Place
+	config.Platform = daemon.Platform
+	config.PeerListen = daemon.Peer
+	config.Operator = daemon.Operator
+	config.Seeds = daemon.Seeds()
+	return config, daemon.Trace
 }
 
 func run(ctx context.Context, config agent.Config, trace string) error {
--- a/cmd/bramley-balancer/main.go
+++ b/cmd/bramley-balancer/main.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"os"
 	"os/signal"
-	"strings"
 	"syscall"
 	"time"
 
@@ -29,18 +28,12 @@
 
 // config holds the options of the program.
 type config struct {
-	vm        string
-	place     string
-	platform  string
-	seeds     string
-	peer      netip.AddrPort
+	options.Daemon
 	agents    netip.AddrPort
-	operator  netip.AddrPort
 	bind      map[string]netip.AddrPort
 	retention time.Duration
 	batch     int
 	linger    time.Duration
-	trace     string
 }
 
 func main() {
@@ -57,25 +50,19 @@
 func parse(args []string) config {
 	var c config
 	set := options.New(program)
-	set.String(&c.vm, "vm", "", "name of this VM")
-	set.String(&c.place, "place", "", "availability zone of this VM")
-	set.String(&c.platform, "platform", "", "base URL of the platform's configuration service")
-	set.String(&c.seeds, "seeds", "", "addresses of peers to ask while the platform is down, separated by commas")
-	set.AddrPort(&c.peer, "peer-listen", "", "address that this process serves its peers on")
+	set.Daemon(&c.Daemon)
 	set.AddrPort(&c.agents, "agent-listen", "", "address that agents return datagrams to")
-	set.AddrPort(&c.operator, "operator", "", "address of metrics and health for operators")
 	set.Bindings(&c.bind, "bind", "", "address to receive a service on, where it is not the service's own")
 	set.Duration(&c.retention, "retention", 0, "how long a removed upstream stays known for its open flows; 0 means 12h")
 	set.Int(&c.batch, "batch", 0, "datagrams for each system call; 0 means 32")
 	set.Duration(&c.linger, "linger", 10*time.Second, "longest time that a stop goes on forwarding for a fabric that still sends")
-	set.String(&c.trace, "trace", "none", "exporter of traces: none, stderr or otlp")
-	set.Require("vm", "place", "platform", "peer-listen", "agent-listen")
+	set.Require("agent-listen")
 	set.MustParse(args)
 	return c
 }
 
 func run(ctx context.Context, c config) error {
-	shutdown, err := telemetry.StartTracing(ctx, program, c.trace)
+	shutdown, err := telemetry.StartTracing(ctx, program, c.Trace)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -98,7 +85,7 @@
 		return errors.Trace(err)
 	}
 	var placed func(start, end time.Time, flow uint64, service, server uint32)
-	if c.trace != "none" {
+	if c.Trace != "none" {
 		placed = telemetry.RecordPlacement
 	}
 	b, err := balancer.New(balancer.Config{
@@ -118,11 +105,11 @@
 	defer stop()
 	telemetry.Gauge("balancer", func() any { return b.Counters() })
 	telemetry.Gauge("revision", func() any { return v.Revision() })
-	telemetry.Event("start", "vm", c.vm, "place", c.place, "agents", b.AgentAddress())
+	telemetry.Event("start", "vm", c.VM, "place", c.Place, "agents", b.AgentAddress())
 	group.Go(func() error { return b.Run(ctx) })
-	group.Go(func() error { return peer.Serve(ctx, c.peer, keys.PeerServer, &peerService{View: v}) })
-	if c.operator.IsValid() {
-		group.Go(func() error { return telemetry.ServeOperator(ctx, c.operator, ready(signal, v, b)) })
+	group.Go(func() error { return peer.Serve(ctx, c.Peer, keys.PeerServer, &peerService{View: v}) })
+	if c.Operator.IsValid() {
+		group.Go(func() error { return telemetry.ServeOperator(ctx, c.Operator, ready(signal, v, b)) })
 	}
 	err = group.Wait()
 	<-v.Done()
@@ -154,20 +141,16 @@
 func startView(ctx context.Context, c config, keys *secrets.Keys, meter *traffic.Meter) (*view.View, error) {
 	return view.Start(ctx, view.Config{
 		Identity: &bramleyv1.Identity{
-			Vm:          c.vm,
-			Place:       c.place,
+			Vm:          c.VM,
+			Place:       c.Place,
 			Role:        bramleyv1.VMRole_VM_ROLE_ENTRY,
 			Incarnation: uint64(time.Now().UnixNano()),
-			PeerAddress: c.peer.String(),
+			PeerAddress: c.Peer.String(),
 		},
-		Platform: platform.New(platform.Config{URL: c.platform, Meter: meter}),
+		Platform: platform.New(platform.Config{URL: c.Platform, Meter: meter}),
 		Peers:    peer.NewPool(peer.PoolConfig{TLS: keys.PeerClient, Meter: meter}),
-		Seeds:    splitList(c.seeds),
+		Seeds:    c.Seeds(),
 		Meter:    meter,
 		Event:    telemetry.Event,
 	})
 }
-
-func splitList(text string) []string {
-	return strings.FieldsFunc(text, func(r rune) bool { return r == ',' })
-}
