--- a/flowtrace/flows.go
+++ b/flowtrace/flows.go
@@ -6,7 +6,7 @@
 	"github.com/bramleyrack/bramleyrack/placement"
 )
 
-func (w *world) scheduleOpens(e *Event) {
+func (w *simulation) scheduleOpens(e *Event) {
 	for i := range e.Count {
 		at := w.now + time.Duration(int64(e.Over)*int64(i)/int64(e.Count))
 		w.lastID++
@@ -26,12 +26,12 @@
 	return placement.FlowHash([]byte{byte(n), byte(n >> 8), byte(n >> 16), byte(n >> 24)})
 }
 
-func (w *world) schedule(f *flow, at time.Duration) {
+func (w *simulation) schedule(f *flow, at time.Duration) {
 	slot := int64((at + tick - 1) / tick)
 	w.due[slot] = append(w.due[slot], f)
 }
 
-func (w *world) sendDue() {
+func (w *simulation) sendDue() {
 	slot := int64(w.now / tick)
 	due := w.due[slot]
 	delete(w.due, slot)
@@ -45,14 +45,14 @@
 }
 
 // balancerFor returns the balancer that the fabric hands a packet to.
-func (w *world) balancerFor(f *flow) *balancer {
+func (w *simulation) balancerFor(f *flow) *balancer {
 	if w.policy.pinned() {
 		return w.balancers[f.id%uint64(len(w.balancers))]
 	}
 	return w.balancers[w.rnd.Intn(len(w.balancers))]
 }
 
-func (w *world) send(f *flow) verdict {
+func (w *simulation) send(f *flow) verdict {
 	w.result.Packets++
 	v := w.policy.send(w, w.balancerFor(f), f)
 	if v.outcome == outcomeAccepted && v.agent.service != f.service {
@@ -62,7 +62,7 @@
 }
 
 // open sends the two packets of a first flight, which may take different ways.
-func (w *world) open(f *flow) {
+func (w *simulation) open(f *flow) {
 	f.attempts++
 	first, second := w.send(f), w.send(f)
 	accepted := first.outcome == outcomeAccepted && second.outcome == outcomeAccepted
@@ -80,7 +80,7 @@
 	w.schedule(f, w.now+retryInterval)
 }
 
-func (w *world) establish(f *flow, a *agent) {
+func (w *simulation) establish(f *flow, a *agent) {
 	f.owner = a
 	f.connectionID = a.codec.Encode(a.self, f.id)
 	f.heard = w.now
@@ -93,7 +93,7 @@
 	w.schedule(f, w.now+time.Duration(w.rnd.Int63n(int64(w.trace.PacketInterval))))
 }
 
-func (w *world) sendEstablished(f *flow) {
+func (w *simulation) sendEstablished(f *flow) {
 	if w.now >= f.closes {
 		w.end(f)
 		return
@@ -114,7 +114,7 @@
 }
 
 // breakFlow ends a flow and counts it, by its upstream if that is dead.
-func (w *world) breakFlow(f *flow, count *int) {
+func (w *simulation) breakFlow(f *flow, count *int) {
 	if f.owner.dead {
 		count = &w.result.BrokenByOwner
 	}
@@ -122,7 +122,7 @@
 	w.end(f)
 }
 
-func (w *world) end(f *flow) {
+func (w *simulation) end(f *flow) {
 	delete(f.owner.flows, f.id)
 	delete(w.flows, f.id)
 	if f.inherited {
--- a/flowtrace/packet.go
+++ b/flowtrace/packet.go
@@ -30,7 +30,7 @@
 }
 
 // packet returns a packet of a flow as a caller sends it.
-func (w *world) packet(f *flow) []byte {
+func (w *simulation) packet(f *flow) []byte {
 	if f.owner != nil {
 		return append([]byte{0x40}, f.connectionID[:]...)
 	}
@@ -39,7 +39,7 @@
 }
 
 // forward sends a packet of a flow through a balancer along the decisions under test.
-func (w *world) forward(b *balancer, f *flow) verdict {
+func (w *simulation) forward(b *balancer, f *flow) verdict {
 	service := b.table.Service(f.service)
 	if service == nil {
 		return verdict{}
@@ -72,7 +72,7 @@
 }
 
 // decide asks the acceptor of an agent, as its daemon does.
-func (w *world) decide(a *agent, packet []byte, evidence placement.Evidence, candidates []uint32, hops int) placement.Decision {
+func (w *simulation) decide(a *agent, packet []byte, evidence placement.Evidence, candidates []uint32, hops int) placement.Decision {
 	id, long, err := placement.DestinationConnectionID(packet)
 	if err != nil {
 		return placement.Decision{Action: placement.ActionRefuse}
@@ -91,7 +91,7 @@
 }
 
 // pass takes a packet from one agent to another and returns nil if it is lost.
-func (w *world) pass(from *agent, server uint32) *agent {
+func (w *simulation) pass(from *agent, server uint32) *agent {
 	a := w.numbered(server)
 	if a == nil || !a.running(w.now) || !w.reachable(from.upstream.Place, a.upstream.Place) {
 		return nil
--- a/flowtrace/policy.go
+++ b/flowtrace/policy.go
@@ -13,7 +13,7 @@
 	// pinned says that the fabric sends all packets of a flow to one balancer, as long as the
 	// balancers stay the same. Otherwise it sends each packet to a random one.
 	pinned() bool
-	send(w *world, b *balancer, f *flow) verdict
+	send(w *simulation, b *balancer, f *flow) verdict
 }
 
 // ownerHint is the policy of the product.
@@ -23,7 +23,7 @@
 
 func (ownerHint) pinned() bool { return false }
 
-func (ownerHint) send(w *world, b *balancer, f *flow) verdict { return w.forward(b, f) }
+func (ownerHint) send(w *simulation, b *balancer, f *flow) verdict { return w.forward(b, f) }
 
 // plainRendezvous ranks the upstreams for every packet and passes none on.
 type plainRendezvous struct{}
@@ -32,7 +32,7 @@
 
 func (plainRendezvous) pinned() bool { return false }
 
-func (plainRendezvous) send(w *world, b *balancer, f *flow) verdict {
+func (plainRendezvous) send(w *simulation, b *balancer, f *flow) verdict {
 	return w.direct(b, f, w.firstRank(b.tree, f))
 }
 
@@ -43,7 +43,7 @@
 
 func (flowTable) pinned() bool { return true }
 
-func (flowTable) send(w *world, b *balancer, f *flow) verdict {
+func (flowTable) send(w *simulation, b *balancer, f *flow) verdict {
 	server, ok := b.flows[f.id]
 	if !ok || f.owner == nil && w.knownDead(server) {
 		server = w.firstRank(b.tree, f)
@@ -59,7 +59,7 @@
 
 func (randomChoice) pinned() bool { return true }
 
-func (randomChoice) send(w *world, b *balancer, f *flow) verdict {
+func (randomChoice) send(w *simulation, b *balancer, f *flow) verdict {
 	server, ok := b.flows[f.id]
 	if !ok || f.owner == nil && w.knownDead(server) {
 		choices := w.staying(b.tree, f.service)
@@ -73,7 +73,7 @@
 }
 
 // direct sends a packet to a server, which resets a flow that it does not know.
-func (w *world) direct(b *balancer, f *flow, server uint32) verdict {
+func (w *simulation) direct(b *balancer, f *flow, server uint32) verdict {
 	a := w.numbered(server)
 	if a == nil || !a.running(w.now) || !w.reachable(b.place, a.upstream.Place) {
 		return verdict{}
@@ -87,11 +87,11 @@
 // healthCheck is the time after which the baselines know that an upstream is dead.
 const healthCheck = 2 * time.Second
 
-func (w *world) knownDead(server uint32) bool {
+func (w *simulation) knownDead(server uint32) bool {
 	return w.numbered(server) == nil && !w.diedLately(server)
 }
 
-func (w *world) diedLately(server uint32) bool {
+func (w *simulation) diedLately(server uint32) bool {
 	for _, a := range w.agents {
 		if a.upstream.Number == server && a.dead && w.now-a.died < healthCheck {
 			return true
@@ -100,7 +100,7 @@
 	return false
 }
 
-func (w *world) staying(tree *settings.Tree, service uint32) []placement.Candidate {
+func (w *simulation) staying(tree *settings.Tree, service uint32) []placement.Candidate {
 	var candidates []placement.Candidate
 	for _, u := range tree.Service(service).Upstreams {
 		if !u.Leaving && !w.knownDead(u.Number) {
@@ -110,7 +110,7 @@
 	return candidates
 }
 
-func (w *world) firstRank(tree *settings.Tree, f *flow) uint32 {
+func (w *simulation) firstRank(tree *settings.Tree, f *flow) uint32 {
 	var buffer [64]uint32
 	ranks := placement.Rank(buffer[:0], f.id, "", w.staying(tree, f.service))
 	if len(ranks) == 0 {
--- a/flowtrace/replay.go
+++ b/flowtrace/replay.go
@@ -11,7 +11,7 @@
 
 // Replay runs a trace against the placement of flows.
 func Replay(t *Trace) *Result {
-	return newWorld(t, ownerHint{}).run()
+	return newSimulation(t, ownerHint{}).run()
 }
 
 // Baselines runs a trace against random choice, plain rendezvous hashing and a flow table in each
@@ -19,12 +19,12 @@
 func Baselines(t *Trace) []*Result {
 	var results []*Result
 	for _, p := range []policy{randomChoice{}, plainRendezvous{}, flowTable{}} {
-		results = append(results, newWorld(t, p).run())
+		results = append(results, newSimulation(t, p).run())
 	}
 	return results
 }
 
-func (w *world) run() *Result {
+func (w *simulation) run() *Result {
 	events := slices.Clone(w.trace.Events)
 	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	for w.now = 0; w.now <= w.trace.End; w.now += tick {
@@ -45,7 +45,7 @@
 	return w.result
 }
 
-func (w *world) handle(e *Event) {
+func (w *simulation) handle(e *Event) {
 	switch e.Kind {
 	case Open:
 		w.scheduleOpens(e)
@@ -77,7 +77,7 @@
 	}
 }
 
-func (w *world) markRemoved(server uint32) {
+func (w *simulation) markRemoved(server uint32) {
 	for _, a := range w.agents {
 		if a.upstream.Number == server {
 			a.removed = true
@@ -85,13 +85,13 @@
 	}
 }
 
-func (w *world) kill(a *agent) {
+func (w *simulation) kill(a *agent) {
 	a.dead = true
 	a.died = w.now
 }
 
 // rotateKeys reaches the agents and balancers in turn, an agent before each balancer.
-func (w *world) rotateKeys(lag time.Duration) {
+func (w *simulation) rotateKeys(lag time.Duration) {
 	w.generation++
 	codec := newCodec(w.generation)
 	w.codec = codec
@@ -110,7 +110,7 @@
 	}
 }
 
-func (w *world) drain(e *Event) {
+func (w *simulation) drain(e *Event) {
 	a := w.numbered(e.Server)
 	a.drained = w.now
 	w.inherit()
@@ -129,7 +129,7 @@
 }
 
 // publish makes a revision that reaches one balancer after the other.
-func (w *world) publish(e *Event, change func(*settings.Tree)) {
+func (w *simulation) publish(e *Event, change func(*settings.Tree)) {
 	next := &settings.Tree{Revision: w.tree.Revision + 1}
 	for _, s := range w.tree.Services {
 		s.Upstreams = slices.Clone(s.Upstreams)
@@ -150,7 +150,7 @@
 	}
 }
 
-func (w *world) arrive() {
+func (w *simulation) arrive() {
 	var later []arrival
 	for _, a := range w.arrivals {
 		if a.at > w.now {
@@ -163,7 +163,7 @@
 }
 
 // inherit marks the open flows as ones that no placement can move any more.
-func (w *world) inherit() {
+func (w *simulation) inherit() {
 	for _, a := range w.agents {
 		a.inherited = len(a.flows)
 	}
@@ -173,7 +173,7 @@
 }
 
 // sample measures the imbalance among the upstreams that take flows.
-func (w *world) sample() {
+func (w *simulation) sample() {
 	for _, s := range w.tree.Services {
 		w.sampleService(s.Number)
 	}
@@ -182,7 +182,7 @@
 // minSampled is the mean number of flows below which imbalance means nothing.
 const minSampled = 200
 
-func (w *world) sampleService(service uint32) {
+func (w *simulation) sampleService(service uint32) {
 	var flows, weights, most, mostInherited float64
 	for _, a := range w.agents {
 		if a.service != service || a.dead || a.drained > 0 || a.removed {
--- a/flowtrace/world.go
+++ b/flowtrace/simulation.go
@@ -83,8 +83,8 @@
 	apply func(now time.Duration, tree *settings.Tree)
 }
 
-// world is the state of a replay.
-type world struct {
+// simulation is the state of a replay.
+type simulation struct {
 	trace  *Trace
 	policy policy
 	rnd    *rand.Rand
@@ -122,8 +122,8 @@
 	retention = 12 * time.Hour
 )
 
-func newWorld(t *Trace, p policy) *world {
-	w := &world{
+func newSimulation(t *Trace, p policy) *simulation {
+	w := &simulation{
 		trace:  t,
 		policy: p,
 		rnd:    rand.New(rand.NewSource(t.Seed)),
@@ -158,7 +158,7 @@
 	return codec
 }
 
-func (w *world) addAgent(service uint32, u Upstream) *agent {
+func (w *simulation) addAgent(service uint32, u Upstream) *agent {
 	if u.Weight == 0 {
 		u.Weight = 1
 	}
@@ -181,7 +181,7 @@
 	return a
 }
 
-func (w *world) acceptorConfig(server uint32) placement.AcceptorConfig {
+func (w *simulation) acceptorConfig(server uint32) placement.AcceptorConfig {
 	config := placement.DefaultAcceptorConfig(server)
 	if w.trace.SlowStart > 0 {
 		config.SlowStart = w.trace.SlowStart
@@ -198,7 +198,7 @@
 	return settings.Upstream{Number: a.upstream.Number, Place: a.upstream.Place, Agent: a.address, Leaving: a.leaving, Policy: policy}
 }
 
-func (w *world) newBalancer(place string) *balancer {
+func (w *simulation) newBalancer(place string) *balancer {
 	b := &balancer{place: place, router: routing.NewRouter(w.codec), flows: map[uint64]uint32{}}
 	b.liveness = placement.NewLiveness(placement.DefaultLivenessConfig(), w.now)
 	b.builder = routing.Builder{Health: b.liveness.Health, Refused: b.liveness.Refused, Retention: retention}
@@ -213,7 +213,7 @@
 }
 
 // reachable reports whether a partition leaves two places joined.
-func (w *world) reachable(a, b string) bool {
+func (w *simulation) reachable(a, b string) bool {
 	if w.now >= w.heal {
 		return true
 	}
@@ -221,7 +221,7 @@
 }
 
 // at returns the agent that receives datagrams at an address: the newest VM that has it.
-func (w *world) at(address netip.AddrPort) *agent {
+func (w *simulation) at(address netip.AddrPort) *agent {
 	for i := len(w.agents) - 1; i >= 0; i-- {
 		if w.agents[i].address == address {
 			return w.agents[i]
@@ -231,7 +231,7 @@
 }
 
 // numbered returns the running agent of a server.
-func (w *world) numbered(server uint32) *agent {
+func (w *simulation) numbered(server uint32) *agent {
 	for i := len(w.agents) - 1; i >= 0; i-- {
 		if w.agents[i].upstream.Number == server && !w.agents[i].dead {
 			return w.agents[i]
@@ -241,7 +241,7 @@
 }
 
 // heartbeats exchanges the loads of the agents of each service.
-func (w *world) heartbeats() {
+func (w *simulation) heartbeats() {
 	for _, a := range w.agents {
 		if !a.running(w.now) {
 			continue
@@ -266,13 +266,13 @@
 }
 
 // checkAgents steps the liveness of the agents at each balancer.
-func (w *world) checkAgents() {
+func (w *simulation) checkAgents() {
 	for _, b := range w.balancers {
 		b.checkAgents(w)
 	}
 }
 
-func (b *balancer) checkAgents(w *world) {
+func (b *balancer) checkAgents(w *simulation) {
 	agents := b.table.Agents()
 	progress := make([]placement.Progress, 0, len(agents))
 	before := make([]placement.Health, 0, len(agents))
@@ -296,7 +296,7 @@
 }
 
 // deliver takes a datagram to an agent and returns it, or nil if it is lost. The agent answers.
-func (w *world) deliver(b *balancer, to *routing.Agent) *agent {
+func (w *simulation) deliver(b *balancer, to *routing.Agent) *agent {
 	to.Progress.Forwarded.Add(1)
 	a := w.at(to.Address)
 	if a == nil || !a.running(w.now) || !w.reachable(b.place, a.upstream.Place) {
--- a/placement/liveness.go
+++ b/placement/liveness.go
@@ -109,7 +109,7 @@
 	probes int
 }
 
-// minProbes is how many probes an agent must leave without an answer before it is condemned.
+// minProbes is how many probes an agent must leave without an answer before it counts as silent.
 const minProbes = 3
 
 // NewLiveness returns a Liveness that takes every agent for live.
@@ -226,7 +226,7 @@
 }
 
 // judge sets the health of agents that do not answer. A balancer that hears no agent at all takes
-// itself for cut off, well before DeadAfter, and condemns none.
+// itself for cut off, well before DeadAfter, and marks none as silent.
 func (l *Liveness) judge(now time.Duration) {
 	l.cutOff = len(l.agents) > 1 && now-l.heard > l.config.DeadAfter/2 && l.anyWaiting()
 	if l.cutOff {
@@ -299,7 +299,7 @@
 }
 
 // before reports whether an agent needs a probe more than another: first those that have left one
-// without an answer and are not condemned yet, then those that have been silent for longer.
+// without an answer and do not count as silent yet, then those that have been silent for longer.
 func (a *agentLiveness) before(b *agentLiveness) bool {
 	if a.doubted() != b.doubted() {
 		return a.doubted()
@@ -309,7 +309,7 @@
 
 func (a *agentLiveness) doubted() bool { return a.probes > 0 && a.health == HealthLive }
 
-// Factors that lengthen the time between probes of an agent that is condemned.
+// Factors that lengthen the time between probes of an agent that does not answer.
 const (
 	silentProbeFactor = 3
 	goneProbeFactor   = 10
--- a/placement/liveness_test.go
+++ b/placement/liveness_test.go
@@ -202,7 +202,7 @@
 }
 
 // A peer that misses an agent does not condemn it where the balancer hears it.
-func TestLivenessTrustsItsOwnEarsOverReports(t *testing.T) {
+func TestLivenessTrustsItsOwnEvidenceOverReports(t *testing.T) {
 	f := newAgentFleet(3, func(uint32, time.Duration) bool { return true })
 	f.run(0, 20*time.Second, func(now time.Duration) {
 		f.progress[2].Forwarded++
