--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -14,6 +14,7 @@
 
 	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
 	"github.com/bramleyrack/bramleyrack/internal/traffic"
+	"github.com/bramleyrack/bramleyrack/statechart"
 )
 
 // PoolConfig holds the settings of a Pool.
@@ -38,9 +39,10 @@
 type Pool struct {
 	config PoolConfig
 	links  *drpcpool.Pool[string, drpcpool.Conn]
+	chart  *statechart.Chart
 }
 
-// NewPool returns a pool without links.
+// NewPool returns a pool without links. It panics if the embedded link chart is not valid.
 func NewPool(config PoolConfig) *Pool {
 	if config.DialTimeout == 0 {
 		config.DialTimeout = time.Second
@@ -59,7 +61,11 @@
 		Capacity:    config.Capacity,
 		KeyCapacity: 4,
 	})
-	return &Pool{config: config, links: links}
+	chart, err := statechart.Builtin(statechart.Link)
+	if err != nil {
+		panic(err)
+	}
+	return &Pool{config: config, links: links, chart: chart}
 }
 
 // Client returns a client of the peer at the address. The link is dialed by the first call.
@@ -80,11 +86,12 @@
 	ctx, cancel := context.WithTimeout(ctx, p.config.DialTimeout)
 	defer cancel()
 	dialer := tls.Dialer{NetDialer: &net.Dialer{}, Config: p.config.TLS}
+	l := newLink(p.chart)
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, &DialError{Address: addr, Err: err}
+		return nil, l.opened(nil, &DialError{Address: addr, Err: err})
 	}
-	return drpcconn.New(conn), nil
+	return l, l.opened(drpcconn.New(conn), nil)
 }
 
 // DialError says that no link to a peer could be made, so that nothing was delivered.
