Look a live server up under one lock in the fault tests

Cause: a run with -race panicked on a nil executor: the test listed the live servers, and a kill took one before the look-up. Ruled out: a fault of the executor, which was never called.

--- a/internal/request/faults_test.go
+++ b/internal/request/faults_test.go
@@ -298,12 +298,16 @@
 	}
 }
 
+// any returns a random live server, or nil. It lists and looks up under one lock, since a server may be
+// taken in between.
 func (f *faultyFleet) any() *request.Executor {
-	live := f.live()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	live := slices.Sorted(maps.Keys(f.servers))
 	if len(live) == 0 {
 		return nil
 	}
-	return f.server(live[f.rnd.intn(len(live))])
+	return f.servers[live[f.rnd.intn(len(live))]]
 }
 
 func (f *faultyFleet) copy(client int, id string, ticket []byte) {
@@ -325,7 +329,9 @@
 			break
 		}
 		time.Sleep(repeatDelay)
-		answer, refusal = f.any().Call(ctx, order(id, ticket))
+		if e := f.any(); e != nil {
+			answer, refusal = e.Call(ctx, order(id, ticket))
+		}
 	}
 	f.history.add(client, id, called, answer, refusal)
 }
