Read a refusal, reach a peer and judge its readiness in one place each

Found on reading the whole change: client and executor each walked the details of a Connect error, Execute and Offer each looked a peer up, and the test for an agent that may get new work stood three times. Behaviour is as before, but for the error of an Offer whose link can't be made, which says 'not delivered' like that of Execute and which the executor ignores as it did.

--- a/client/errors.go
+++ b/client/errors.go
@@ -5,9 +5,8 @@
 	"fmt"
 	"time"
 
-	"connectrpc.com/connect"
-
 	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
+	"github.com/bramleyrack/bramleyrack/internal/refusal"
 )
 
 var (
@@ -52,18 +51,5 @@
 
 // RefusalOf returns the refusal that the service sent with err, or nil.
 func RefusalOf(err error) *bramleyv1.Refusal {
-	var connectErr *connect.Error
-	if !errors.As(err, &connectErr) {
-		return nil
-	}
-	for _, detail := range connectErr.Details() {
-		value, valueErr := detail.Value()
-		if valueErr != nil {
-			continue
-		}
-		if refusal, ok := value.(*bramleyv1.Refusal); ok {
-			return refusal
-		}
-	}
-	return nil
+	return refusal.Of(err)
 }
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -49,13 +49,9 @@
 
 // Execute sends a request to the agent of a server.
 func (p *peers) Execute(ctx context.Context, server uint32, req *bramleyv1.ExecuteRequest) (*bramleyv1.ExecuteResponse, error) {
-	upstream := p.upstream(server)
-	if upstream == nil {
-		return nil, errors.Annotatef(request.ErrNotDelivered, "server %d is not in the settings", server)
-	}
-	client, err := p.pool.Client(ctx, upstream.Peer.String())
+	client, err := p.client(ctx, server)
 	if err != nil {
-		return nil, request.NotDelivered(err)
+		return nil, err
 	}
 	answer, err := client.Execute(telemetry.InjectPeer(ctx), req)
 	var dial *peer.DialError
@@ -67,16 +63,30 @@
 
 // Offer tells the agent of a server that a slot is free here.
 func (p *peers) Offer(ctx context.Context, server uint32, req *bramleyv1.OfferRequest) error {
+	client, err := p.client(ctx, server)
+	if err != nil {
+		return err
+	}
+	_, err = client.Offer(ctx, req)
+	return err
+}
+
+// client returns a client of the agent of a server. Its error says that nothing was delivered.
+func (p *peers) client(ctx context.Context, server uint32) (bramleyv1.DRPCPeerServiceClient, error) {
 	upstream := p.upstream(server)
 	if upstream == nil {
-		return errors.Annotatef(request.ErrNotDelivered, "server %d is not in the settings", server)
+		return nil, errors.Annotatef(request.ErrNotDelivered, "server %d is not in the settings", server)
 	}
 	client, err := p.pool.Client(ctx, upstream.Peer.String())
 	if err != nil {
-		return err
+		return nil, request.NotDelivered(err)
 	}
-	_, err = client.Offer(ctx, req)
-	return err
+	return client, nil
+}
+
+// accepts reports whether an agent may get new work.
+func accepts(m membership.Member, upstream *settings.Upstream) bool {
+	return m.State == membership.StateAlive && !upstream.Leaving
 }
 
 func (p *peers) upstream(server uint32) *settings.Upstream {
@@ -125,7 +135,7 @@
 			Busy:      int(m.Load.BusySlots),
 			Slots:     int(m.Load.Slots),
 			Queued:    int(m.Load.Queued),
-			Accepting: m.State == membership.StateAlive && !upstream.Leaving,
+			Accepting: accepts(m, upstream),
 			Silent:    m.State == membership.StateSuspect || m.State == membership.StateDead,
 		})
 	})
@@ -146,7 +156,7 @@
 				BusySlots: m.Load.BusySlots,
 				Slots:     m.Load.Slots,
 				Weight:    upstream.Policy.Weight,
-				Accepting: m.State == membership.StateAlive && !upstream.Leaving,
+				Accepting: accepts(m, upstream),
 			},
 		})
 	})
@@ -165,7 +175,7 @@
 func (p *peers) successors() []string {
 	var addresses []string
 	p.members(func(m membership.Member, upstream *settings.Upstream) {
-		if m.State == membership.StateAlive && !upstream.Leaving {
+		if accepts(m, upstream) {
 			addresses = append(addresses, upstream.Peer.String())
 		}
 	})
--- a/internal/request/refusal.go
+++ b/internal/request/refusal.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 
 	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
+	"github.com/bramleyrack/bramleyrack/internal/refusal"
 )
 
 // RefusalError returns the Connect error that carries r as its detail.
@@ -37,20 +38,10 @@
 
 // refusalDetail returns the refusal that err carries from the wire, or nil.
 func refusalDetail(err error) *bramleyv1.Refusal {
-	var connectErr *connect.Error
-	if !errors.As(err, &connectErr) || !connect.IsWireError(err) {
+	if !connect.IsWireError(err) {
 		return nil
 	}
-	for _, detail := range connectErr.Details() {
-		value, valueErr := detail.Value()
-		if valueErr != nil {
-			continue
-		}
-		if refusal, ok := value.(*bramleyv1.Refusal); ok {
-			return refusal
-		}
-	}
-	return nil
+	return refusal.Of(err)
 }
 
 func milliseconds(d time.Duration) uint32 {
