Start nothing once a drain has returned

Cause: Drain looked for running requests in one command and the records were exported in a later one. A request claimed in between started, was exported as undecided and was cut by the end of the process, so that its three callers were told UNKNOWN. Trace of a failing run with -race (1 of 120): 'stop closes with 1 job of server 4, incarnation 109, 0 s after the drain returned', then 'server has stopped' for one caller and 'an earlier copy was started' for the other two, all of one request.

Ruled out: the hand-over itself (the successor had the record), the loss of a delegated run (the peer was not asked), the clock (drain and export at one instant of the fake clock).

Before: TestNothingStartsOnceDrainHasReturned fails each time (the request runs at a peer). After: it passes. The last look of the drain now seals the executor, and an idempotent request is refused as not run as well.

--- a/internal/request/call.go
+++ b/internal/request/call.go
@@ -81,10 +81,13 @@
 func (e *Executor) runIdempotent(ctx context.Context, req *bramleyv1.CallRequest) result {
 	var j *job
 	err := e.do(ctx, func(c *core) {
+		if c.sealed {
+			return
+		}
 		j = c.newJob(req)
 		e.launch(ctx, j)
 	})
-	if err != nil {
+	if err != nil || j == nil {
 		return notRun("server is overloaded or stopping")
 	}
 	return e.wait(ctx, j)
--- a/internal/request/core.go
+++ b/internal/request/core.go
@@ -49,8 +49,8 @@
 	bySeq    map[uint64]*job
 	nextID   uint64
 	draining bool
-	// exported is set when a successor may have the records: no ticket is claimed from then on.
-	exported  bool
+	// sealed is set when the drain has ended or a successor may have the records: nothing starts from then on.
+	sealed    bool
 	accepting bool
 	suspect   bool
 	warmSince time.Time
@@ -130,7 +130,7 @@
 	v := c.ledger.Claim(c.age(), t, fingerprint(req))
 	switch v.State {
 	case ticket.StateFresh:
-		if c.exported {
+		if c.sealed {
 			c.ledger.Burn(t.Sequence)
 			return verdict{State: ticket.StateNotRun}, nil
 		}
--- a/internal/request/failures_test.go
+++ b/internal/request/failures_test.go
@@ -35,6 +35,29 @@
 	})
 }
 
+// TestNothingStartsOnceDrainHasReturned asks a drained server whose peers have free slots: a request that
+// started there would be cut when the process ends.
+func TestNothingStartsOnceDrainHasReturned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := &fakeUpstream{took: time.Second}
+		fleet, _ := newFleet(t, upstream, 1, 2)
+		requests := []*bramleyv1.CallRequest{
+			order("a", freshTicket(t, fleet[1])),
+			{RequestId: "b", Idempotent: true},
+		}
+		if err := fleet[1].Drain(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		for _, req := range requests {
+			_, refusal := fleet[1].Call(t.Context(), req)
+			wantOutcome(t, refusal, bramleyv1.Outcome_OUTCOME_NOT_RUN)
+			if upstream.count(req.GetRequestId()) != 0 {
+				t.Errorf("request %s ran after the drain", req.GetRequestId())
+			}
+		}
+	})
+}
+
 func TestExpiredCopyLeavesTheTicketUsable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		upstream := &fakeUpstream{}
--- a/internal/request/handover.go
+++ b/internal/request/handover.go
@@ -29,6 +29,7 @@
 		err := e.do(ctx, func(c *core) {
 			c.draining = true
 			idle = len(c.jobs) == 0 && c.gate.Busy() == 0
+			c.sealed = c.sealed || idle
 		})
 		if err != nil {
 			return drainError(ctx, err)
@@ -68,7 +69,7 @@
 	var estates []estate
 	_ = e.do(context.Background(), func(c *core) {
 		c.draining = true
-		c.exported = true
+		c.sealed = true
 		age := c.age()
 		bounds, records := c.ledger.Export(age)
 		estates = append([]estate{{from: from, bounds: bounds, records: messages(records)}}, c.inherited(age, from)...)
