--- a/cmd/bramley-agent/main.go
+++ b/cmd/bramley-agent/main.go
@@ -13,6 +13,7 @@
 	"github.com/bramleyrack/bramleyrack/internal/options"
 	"github.com/bramleyrack/bramleyrack/internal/secrets"
 	"github.com/bramleyrack/bramleyrack/internal/telemetry"
+	"github.com/bramleyrack/bramleyrack/internal/tracing"
 )
 
 const program = "bramley-agent"
@@ -46,7 +47,7 @@
 }
 
 func run(ctx context.Context, config agent.Config, trace string) error {
-	shutdown, err := telemetry.StartTracing(ctx, program, trace)
+	shutdown, err := tracing.StartTracing(ctx, program, trace)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/cmd/bramley-balancer/main.go
+++ b/cmd/bramley-balancer/main.go
@@ -19,6 +19,7 @@
 	"github.com/bramleyrack/bramleyrack/internal/platform"
 	"github.com/bramleyrack/bramleyrack/internal/secrets"
 	"github.com/bramleyrack/bramleyrack/internal/telemetry"
+	"github.com/bramleyrack/bramleyrack/internal/tracing"
 	"github.com/bramleyrack/bramleyrack/internal/traffic"
 	"github.com/bramleyrack/bramleyrack/internal/view"
 	"github.com/bramleyrack/bramleyrack/placement"
@@ -62,7 +63,7 @@
 }
 
 func run(ctx context.Context, c config) error {
-	shutdown, err := telemetry.StartTracing(ctx, program, c.Trace)
+	shutdown, err := tracing.StartTracing(ctx, program, c.Trace)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -86,7 +87,7 @@
 	}
 	var placed func(start, end time.Time, flow uint64, service, server uint32)
 	if c.Trace != "none" {
-		placed = telemetry.RecordPlacement
+		placed = tracing.RecordPlacement
 	}
 	b, err := balancer.New(balancer.Config{
 		View:      v,
--- a/cmd/standin-caller/main.go
+++ b/cmd/standin-caller/main.go
@@ -13,7 +13,7 @@
 	"github.com/bramleyrack/bramleyrack/internal/secrets"
 	"github.com/bramleyrack/bramleyrack/internal/standin/caller"
 	"github.com/bramleyrack/bramleyrack/internal/standin/process"
-	"github.com/bramleyrack/bramleyrack/internal/telemetry"
+	"github.com/bramleyrack/bramleyrack/internal/tracing"
 )
 
 // Defaults of the options.
@@ -56,7 +56,7 @@
 	set.Int(&l.ObjectBytes, "object-bytes", defaultObjectBytes, "size of an object in `bytes`")
 	set.Int(&c.seed, "seed", 1, "`seed` of pauses and names")
 	set.String(&c.result, "result", "", "file for the result")
-	set.String(&c.trace, "trace", telemetry.ExporterNone, "exporter of traces: none, stderr or otlp")
+	set.String(&c.trace, "trace", tracing.ExporterNone, "exporter of traces: none, stderr or otlp")
 	set.Require("desk-service", "desk", "store-service", "store", "result")
 	process.Parse(set)
 	process.Main(func(ctx context.Context) error { return run(ctx, c) })
@@ -85,11 +85,11 @@
 
 // startTracing makes the callers open the span that the rest of the path joins.
 func startTracing(ctx context.Context, c *config) (func(context.Context) error, error) {
-	shutdown, err := telemetry.StartTracing(ctx, "standin-caller", c.trace)
-	if err != nil || c.trace == telemetry.ExporterNone {
+	shutdown, err := tracing.StartTracing(ctx, "standin-caller", c.trace)
+	if err != nil || c.trace == tracing.ExporterNone {
 		return shutdown, err
 	}
-	interceptor, err := telemetry.ConnectInterceptor()
+	interceptor, err := tracing.ConnectInterceptor()
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/flow/agents.go
@@ -0,0 +1,233 @@
+package flow
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramleyrack/bramleyrack/placement"
+	"github.com/bramleyrack/bramleyrack/registry"
+)
+
+// Word is what an agent says of its server and of itself.
+type Word struct {
+	From IP
+	// Process is the start of the agent, which tells its runs apart.
+	Process uint64
+	// Incarnation is that of the server; zero if the agent does not know it.
+	Incarnation uint64
+	// Accepting says that the agent takes new flows.
+	Accepting          bool
+	Busy, Slots, Flows uint32
+}
+
+// agent is what a balancer knows of the agent beside one server.
+type agent struct {
+	ip          IP
+	service     uint64
+	place       string
+	incarnation uint64
+	slots       int
+	draining    bool
+	warmAt      time.Duration
+	// present says that the view names the server.
+	present bool
+	// heard is when the agent last said anything, and waiting when it was first asked since.
+	heard, waiting time.Duration
+	word           Word
+	// away says that the agent has announced its stop.
+	away bool
+	// sent counts the new flows given to the agent since its last word.
+	sent uint32
+	// next is when the next heartbeat is due.
+	next time.Duration
+}
+
+// asked notes that the agent was sent something that it answers.
+func (a *agent) asked(now time.Duration) {
+	if a.waiting == 0 {
+		a.waiting = now
+	}
+}
+
+// doubtful reports whether the agent left something without an answer for longer than a limit.
+func (a *agent) doubtful(now, limit time.Duration) bool {
+	return a.away || a.waiting > 0 && now-a.waiting > limit
+}
+
+// coldFactor is how much slower a server works until it has warmed up.
+const coldFactor = 1.6
+
+// capacity returns the requests that the server runs at once at its usual speed.
+func (a *agent) capacity(now time.Duration) float64 {
+	slots := float64(max(1, a.slots))
+	if now < a.warmAt {
+		slots /= coldFactor
+	}
+	return slots
+}
+
+// busy estimates the requests that the server runs.
+func (a *agent) busy() float64 {
+	return float64(a.word.Busy + a.sent)
+}
+
+// load is the number of flows over the capacity, with one more.
+func (a *agent) load(now time.Duration) float64 {
+	return float64(a.word.Flows+a.sent+1) / a.capacity(now)
+}
+
+// service holds the upstreams of one service.
+type service struct {
+	name       string
+	hash       uint64
+	candidates []placement.Candidate
+}
+
+// ServiceHash returns the number that stands for a service between processes.
+func ServiceHash(name string) uint64 {
+	return xxhash.Sum64String(name)
+}
+
+// route is where the new flows to an address go.
+type route struct {
+	services []*service
+	weights  []uint32
+	total    uint32
+}
+
+// pick returns the service that takes a flow. Every copy of its opening packet gets the same.
+func (r *route) pick(key Key) *service {
+	if len(r.services) == 1 {
+		return r.services[0]
+	}
+	at := uint32(key.Hash()>>32) % r.total
+	for i, weight := range r.weights {
+		if at < weight {
+			return r.services[i]
+		}
+		at -= weight
+	}
+	return r.services[len(r.services)-1]
+}
+
+// Adopt puts a view in force.
+func (d *Director) Adopt(now time.Duration, view *registry.View) {
+	before := d.view
+	d.view = view
+	if view == nil || before != nil && before.Content == view.Content {
+		return
+	}
+	d.adoptUpstreams(now, view.Upstreams)
+	d.adoptRoutes(view.Configuration)
+	d.forgetAgents(now)
+}
+
+// adoptUpstreams puts the upstreams of a view in force. Of several entries at one address the latest counts.
+func (d *Director) adoptUpstreams(now time.Duration, upstreams []registry.Upstream) {
+	latest := make(map[IP]*registry.Upstream, len(upstreams))
+	for i := range upstreams {
+		u := &upstreams[i]
+		ip := IP(u.Address.Addr().As4())
+		if known := latest[ip]; known == nil || known.Incarnation < u.Incarnation {
+			latest[ip] = u
+		}
+	}
+	d.services = map[string]*service{}
+	for ip, a := range d.agents {
+		a.present = latest[ip] != nil
+	}
+	for ip, u := range latest {
+		d.adoptUpstream(now, ip, u)
+	}
+}
+
+func (d *Director) adoptUpstream(now time.Duration, ip IP, u *registry.Upstream) {
+	s := d.service(u.Service)
+	a := d.agents[ip]
+	if a == nil || a.service != s.hash {
+		a = &agent{ip: ip, next: now}
+		d.agents[ip] = a
+	}
+	a.service, a.place, a.incarnation = s.hash, u.Place, u.Incarnation
+	a.slots, a.draining, a.warmAt = u.Slots, u.Draining, u.WarmAt
+	a.present = true
+	s.candidates = append(s.candidates, placement.Candidate{Number: number(ip), Place: u.Place, Weight: 1, Leaving: u.Draining})
+}
+
+func (d *Director) service(name string) *service {
+	s := d.services[name]
+	if s == nil {
+		s = &service{name: name, hash: ServiceHash(name)}
+		d.services[name] = s
+	}
+	return s
+}
+
+func (d *Director) adoptRoutes(c *registry.Configuration) {
+	d.routes = map[Endpoint]*route{}
+	if c == nil {
+		return
+	}
+	for i := range c.Routes {
+		r := &route{}
+		for _, share := range c.Routes[i].Shares {
+			r.services = append(r.services, d.service(share.Service))
+			r.weights = append(r.weights, share.Weight)
+			r.total += share.Weight
+		}
+		if r.total > 0 {
+			d.routes[EndpointOf(c.Routes[i].Address)] = r
+		}
+	}
+}
+
+// forgetAgents drops the agents that the view does not name, once their flows are forgotten as well.
+func (d *Director) forgetAgents(now time.Duration) {
+	d.order = d.order[:0]
+	for ip, a := range d.agents {
+		if !a.present && now-a.heard > d.config.IdleTimeout {
+			delete(d.agents, ip)
+			continue
+		}
+		d.order = append(d.order, a)
+	}
+	slices.SortFunc(d.order, func(a, b *agent) int { return cmp.Compare(number(a.ip), number(b.ip)) })
+}
+
+func number(ip IP) uint32 {
+	return binary.BigEndian.Uint32(ip[:])
+}
+
+func address(number uint32) IP {
+	var ip IP
+	binary.BigEndian.PutUint32(ip[:], number)
+	return ip
+}
+
+// Heard takes in what an agent says.
+func (d *Director) Heard(now time.Duration, w Word) {
+	a := d.agents[w.From]
+	if a == nil || w.Process < a.word.Process {
+		return
+	}
+	a.heard = now
+	a.waiting = 0
+	a.away = a.away && w.Process == a.word.Process
+	a.word = w
+	a.sent = 0
+}
+
+// Leaving notes that an agent stops.
+func (d *Director) Leaving(now time.Duration, from IP, process uint64) {
+	a := d.agents[from]
+	if a == nil || process < a.word.Process {
+		return
+	}
+	a.word.Process = process
+	a.away = true
+	a.next = now + d.config.RetryInterval
+}
--- /dev/null
+++ b/flow/choose.go
@@ -0,0 +1,104 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/bramleyrack/bramleyrack/placement"
+)
+
+// class orders the agents for a new flow; a lower one is better.
+type class uint8
+
+const (
+	// roomHere has a free slot in the place of the balancer.
+	roomHere class = iota
+	// roomElsewhere has a free slot in another place.
+	roomElsewhere
+	// full has no free slot, as far as the balancer knows.
+	full
+	// doubtful did not answer lately.
+	doubtful
+	// unfit takes no new flows.
+	unfit
+)
+
+func (d *Director) classify(now time.Duration, a *agent) class {
+	switch {
+	case !a.present || a.draining:
+		return unfit
+	case a.word.Process > 0 && !a.word.Accepting:
+		return unfit
+	case a.doubtful(now, d.config.DoubtAfter):
+		return doubtful
+	case a.busy() >= a.capacity(now):
+		return full
+	case a.place != d.config.Place:
+		return roomElsewhere
+	}
+	return roomHere
+}
+
+// choose returns the agents for a new flow, the best first. The ranks of the flow decide within a class, so
+// that a later search finds it early; of the first two the one with the lower load is taken. The n-th copy
+// of an opening packet starts at another agent than the one before, since that may be dead or cut off.
+func (d *Director) choose(now time.Duration, s *service, p *Packet) []IP {
+	d.ranks = placement.Rank(d.ranks[:0], p.Key.Hash(), d.config.Place, s.candidates)
+	d.list = d.list[:0]
+	for want := roomHere; want < unfit; want++ {
+		start := len(d.list)
+		for _, rank := range d.ranks {
+			ip := address(rank)
+			if d.classify(now, d.agents[ip]) == want {
+				d.list = append(d.list, ip)
+			}
+		}
+		d.twoChoices(now, d.list[start:])
+	}
+	if n := len(d.list); n > 0 {
+		rotate(d.list, int(p.Copy)%n)
+	}
+	return d.list[:min(len(d.list), d.config.MaxAlternatives+1)]
+}
+
+// twoChoices puts the one with the lower load of the first two agents first.
+func (d *Director) twoChoices(now time.Duration, list []IP) {
+	if len(list) > 1 && d.agents[list[1]].load(now) < d.agents[list[0]].load(now) {
+		list[0], list[1] = list[1], list[0]
+	}
+}
+
+// rotate moves the first n elements to the end.
+func rotate(list []IP, n int) {
+	for range n {
+		first := list[0]
+		copy(list, list[1:])
+		list[len(list)-1] = first
+	}
+}
+
+// holders returns the agents whose servers may hold a flow, in the order in which to ask them, and whether
+// nobody else may hold it. Those that do not answer come last.
+func (d *Director) holders(now time.Duration, r *route, key Key, except IP) (list []IP, exhaustive bool) {
+	d.list = d.list[:0]
+	exhaustive = d.settled(now)
+	var silent []IP
+	for _, s := range r.services {
+		d.ranks = placement.Rank(d.ranks[:0], key.Hash(), d.config.Place, s.candidates)
+		for _, rank := range d.ranks {
+			ip := address(rank)
+			switch {
+			case ip == except:
+			case d.agents[ip].doubtful(now, d.config.DoubtAfter):
+				silent = append(silent, ip)
+			default:
+				d.list = append(d.list, ip)
+			}
+		}
+	}
+	exhaustive = exhaustive && len(silent) == 0
+	d.list = append(d.list, silent...)
+	return d.list[:min(len(d.list), maxSearch)], exhaustive && len(d.list) <= maxSearch
+}
+
+// maxSearch bounds the agents that one search asks, so that the header of its packet stays small.
+const maxSearch = 64
--- /dev/null
+++ b/flow/director.go
@@ -0,0 +1,283 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/bramleyrack/bramleyrack/registry"
+)
+
+// DirectorConfig holds the limits of a Director.
+type DirectorConfig struct {
+	// Place is the availability zone of the balancer. Its upstreams come first as long as they have room.
+	Place string
+	// MaxFlows bounds the hints of owners. One takes about 150 bytes; a lost one costs a search.
+	MaxFlows int
+	// IdleTimeout is how long the hint of a silent flow is kept.
+	IdleTimeout time.Duration
+	// HedgeAfter is how long an agent may leave an opening packet without an answer before the next agent
+	// gets it as well. It must exceed a round trip; a long one shows in the latency of clients.
+	HedgeAfter time.Duration
+	// MaxHedges bounds how often one opening packet is sent again.
+	MaxHedges int
+	// MaxAlternatives bounds the agents that a new flow may be passed on to.
+	MaxAlternatives int
+	// HeartbeatInterval is the time between two heartbeats to an agent, and RetryInterval that to one that
+	// does not answer. Short ones find dead agents sooner.
+	HeartbeatInterval, RetryInterval time.Duration
+	// MaxHeartbeats bounds the heartbeats in one second to all agents together.
+	MaxHeartbeats int
+	// DoubtAfter is how long an agent may leave a heartbeat without an answer until new flows avoid it.
+	DoubtAfter time.Duration
+	// TrustFor is how long the word of an agent counts for more than the entries of the store.
+	TrustFor time.Duration
+	// Settled is the time without an interruption of the store after which a missing entry proves that its
+	// server is gone.
+	Settled time.Duration
+	// Fresh is the age up to which the view may refuse a client.
+	Fresh time.Duration
+}
+
+// DefaultDirectorConfig returns the limits of a balancer in a place.
+func DefaultDirectorConfig(place string) DirectorConfig {
+	return DirectorConfig{
+		Place:             place,
+		MaxFlows:          1 << 16,
+		IdleTimeout:       15 * time.Second,
+		HedgeAfter:        40 * time.Millisecond,
+		MaxHedges:         3,
+		MaxAlternatives:   6,
+		HeartbeatInterval: 300 * time.Millisecond,
+		RetryInterval:     100 * time.Millisecond,
+		MaxHeartbeats:     100,
+		DoubtAfter:        100 * time.Millisecond,
+		TrustFor:          time.Second,
+		Settled:           2200 * time.Millisecond,
+		Fresh:             3 * time.Second,
+	}
+}
+
+// Purpose is what an agent is asked to do with a packet.
+type Purpose uint8
+
+// The purposes of a forwarded packet.
+const (
+	// Open asks to take a new flow or to pass it on.
+	Open Purpose = iota + 1
+	// Deliver asks to hand over a packet of a flow that the server is known to hold.
+	Deliver
+	// Search asks to hand over a packet if the server holds the flow, or to pass it on.
+	Search
+)
+
+// Action is what a process does with a packet.
+type Action uint8
+
+// The actions of balancers and agents.
+const (
+	// Drop does nothing.
+	Drop Action = iota
+	// Forward sends the packet to an agent.
+	Forward
+	// ToServer hands the packet to the server.
+	ToServer
+	// ToClient sends the packet to the client.
+	ToClient
+	// Return hands the packet back to the balancer.
+	Return
+	// Reset tells the client that the flow does not exist.
+	Reset
+	// Park keeps the packet until the newer configuration of its sender is known.
+	Park
+)
+
+var actionNames = [...]string{"drop", "forward", "to_server", "to_client", "return", "reset", "park"}
+
+// String returns the name of the action in logs and counters.
+func (a Action) String() string {
+	return actionNames[a]
+}
+
+// Decision is an action with what it needs, and the reason for the log.
+type Decision struct {
+	Action Action
+	// To is the agent of a forwarded packet, or the balancer of a returned one.
+	To IP
+	// Request is what the agent is told, for a forwarded packet.
+	Request Request
+	// Seq is the number that a reset carries.
+	Seq    uint32
+	Reason string
+}
+
+// Request is what an agent is told of a packet. Its lists are valid until the next call.
+type Request struct {
+	Purpose Purpose
+	// Service is the hash of the name of the service.
+	Service uint64
+	// Version is that of the configuration that the sender went by.
+	Version uint64
+	// Remaining are the agents to try next, in order.
+	Remaining []IP
+	// Exhaustive says that no server outside of the list may hold the flow.
+	Exhaustive bool
+	// Balancer took the packet from the client.
+	Balancer IP
+}
+
+// Director decides for one balancer. It is not safe for concurrent use.
+type Director struct {
+	config   DirectorConfig
+	view     *registry.View
+	services map[string]*service
+	routes   map[Endpoint]*route
+	agents   map[IP]*agent
+	order    []*agent
+	hints    hints
+	openings openings
+	ranks    []uint32
+	list     []IP
+	// heartbeat is the position in order of the next agent to look at.
+	heartbeat int
+	budget    float64
+	ticked    time.Duration
+	started   time.Duration
+}
+
+// NewDirector returns a Director without a view, which drops every packet.
+func NewDirector(config DirectorConfig, now time.Duration) *Director {
+	return &Director{
+		config:   config,
+		services: map[string]*service{},
+		routes:   map[Endpoint]*route{},
+		agents:   map[IP]*agent{},
+		hints:    newHints(config.MaxFlows, config.IdleTimeout),
+		openings: newOpenings(config),
+		started:  now,
+		ticked:   now,
+	}
+}
+
+// FromClient decides on the packet of a client. The raw packet is kept, for a while, if it opens a flow.
+func (d *Director) FromClient(now time.Duration, p *Packet, raw []byte) Decision {
+	switch {
+	case d.view == nil:
+		return Decision{Reason: "no view yet"}
+	case p.Kind == Opening:
+		return d.open(now, p, raw)
+	}
+	if h := d.hints.get(now, p.Key); h != nil {
+		return d.known(now, p, h)
+	}
+	return d.search(now, p, IP{})
+}
+
+// open places a new flow.
+func (d *Director) open(now time.Duration, p *Packet, raw []byte) Decision {
+	r := d.routes[p.Key.Service]
+	if r == nil {
+		return d.refuse(now, p, "no route")
+	}
+	s := r.pick(p.Key)
+	list := d.choose(now, s, p)
+	if len(list) == 0 {
+		return d.refuse(now, p, "no upstream takes new flows")
+	}
+	d.openings.add(now, p, raw, s, list)
+	return d.forwardOpening(now, s, list)
+}
+
+// forwardOpening sends an opening packet to the first agent of a list.
+func (d *Director) forwardOpening(now time.Duration, s *service, list []IP) Decision {
+	d.agents[list[0]].asked(now)
+	d.agents[list[0]].sent++
+	return Decision{Action: Forward, To: list[0], Request: Request{
+		Purpose:   Open,
+		Service:   s.hash,
+		Version:   d.view.Version(),
+		Remaining: list[1:],
+	}}
+}
+
+// refuse resets a flow that is not open. Its sequence number is zero, which a client ignores if the flow
+// opened meanwhile. An old view refuses nobody.
+func (d *Director) refuse(now time.Duration, p *Packet, reason string) Decision {
+	if now-d.view.Confirmed > d.config.Fresh {
+		return Decision{Reason: reason + ", and the view is old"}
+	}
+	return Decision{Action: Reset, Reason: reason}
+}
+
+// known forwards a packet of a flow whose owner is remembered.
+func (d *Director) known(now time.Duration, p *Packet, h *hint) Decision {
+	a := d.agents[h.owner]
+	if a == nil || d.lost(now, a, h) {
+		d.hints.remove(p.Key)
+		return resetFlow(p, "server of the flow is gone")
+	}
+	return Decision{Action: Forward, To: h.owner, Request: Request{
+		Purpose: Deliver,
+		Service: h.service,
+		Version: d.view.Version(),
+	}}
+}
+
+// lost reports whether the server of a flow is known to be gone: its address belongs to another service, or
+// its agent is silent and the store names it no more or names a later run of it.
+func (d *Director) lost(now time.Duration, a *agent, h *hint) bool {
+	switch {
+	case a.service != h.service:
+		return true
+	case now-a.heard <= d.config.TrustFor:
+		return false
+	case !a.present:
+		return d.settled(now)
+	}
+	return h.incarnation > 0 && a.incarnation > h.incarnation
+}
+
+// settled reports whether a missing entry proves that its server is gone.
+func (d *Director) settled(now time.Duration) bool {
+	return now-d.view.Confirmed <= d.config.Fresh && d.view.Confirmed-d.view.Continuous >= d.config.Settled
+}
+
+// resetFlow ends a flow that may be open at its client. A reset is never answered by another one.
+func resetFlow(p *Packet, reason string) Decision {
+	if p.Kind == Resetting {
+		return Decision{Reason: reason}
+	}
+	return Decision{Action: Reset, Seq: p.Ack, Reason: reason}
+}
+
+// search has the agents find the owner of a flow. except has already denied it.
+func (d *Director) search(now time.Duration, p *Packet, except IP) Decision {
+	if p.Kind == Resetting {
+		return Decision{Reason: "reset of an unknown flow"}
+	}
+	r := d.routes[p.Key.Service]
+	if r == nil {
+		return d.refuse(now, p, "no route")
+	}
+	list, exhaustive := d.holders(now, r, p.Key, except)
+	if len(list) == 0 {
+		if exhaustive {
+			return resetFlow(p, "no server holds the flow")
+		}
+		return Decision{Reason: "no agent to ask for the flow"}
+	}
+	return Decision{Action: Forward, To: list[0], Request: Request{
+		Purpose:    Search,
+		Service:    d.agents[list[0]].service,
+		Version:    d.view.Version(),
+		Remaining:  list[1:],
+		Exhaustive: exhaustive,
+	}}
+}
+
+// Returned decides on a packet that an agent handed back, since its server does not hold the flow.
+func (d *Director) Returned(now time.Duration, p *Packet, from IP) Decision {
+	if h := d.hints.get(now, p.Key); h != nil && h.owner != from {
+		return d.known(now, p, h)
+	}
+	d.hints.remove(p.Key)
+	return d.search(now, p, from)
+}
--- /dev/null
+++ b/flow/heartbeats.go
@@ -0,0 +1,45 @@
+package flow
+
+import "time"
+
+// Heartbeat returns the next agent that is due for a heartbeat, and false when there is none.
+func (d *Director) Heartbeat(now time.Duration) (IP, bool) {
+	d.refill(now)
+	for range d.order {
+		if d.budget < 1 {
+			return IP{}, false
+		}
+		d.heartbeat = (d.heartbeat + 1) % len(d.order)
+		a := d.order[d.heartbeat]
+		if now < a.next {
+			continue
+		}
+		interval := d.config.HeartbeatInterval
+		if a.doubtful(now, d.config.DoubtAfter) {
+			interval = d.config.RetryInterval
+		}
+		a.next = now + interval
+		a.asked(now)
+		d.budget--
+		return a.ip, true
+	}
+	return IP{}, false
+}
+
+// refill adds the heartbeats that the time since the last call allows.
+func (d *Director) refill(now time.Duration) {
+	most := float64(d.config.MaxHeartbeats)
+	d.budget = min(d.budget+(now-d.ticked).Seconds()*most, most/10)
+	d.ticked = now
+}
+
+// Sweep forgets the hints of silent flows. It is to be called about once a second.
+func (d *Director) Sweep(now time.Duration) {
+	d.hints.sweep(now)
+	d.forgetAgents(now)
+}
+
+// Flows returns the number of flows whose owner is remembered.
+func (d *Director) Flows() int {
+	return d.hints.lru.Len()
+}
--- /dev/null
+++ b/flow/keeper.go
@@ -0,0 +1,449 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/bramleyrack/bramleyrack/registry"
+)
+
+// KeeperConfig holds the limits of a Keeper.
+type KeeperConfig struct {
+	// Service is the name of the server's service, and Address where it receives packets.
+	Service string
+	Address Endpoint
+	// MaxFlows bounds the flows remembered. One takes about 250 bytes; a forgotten one is asked for anew.
+	MaxFlows int
+	// IdleTimeout is how long a silent flow is remembered. An agent that has run for longer knows every flow
+	// of its server.
+	IdleTimeout time.Duration
+	// AnswerWithin is the time in which a server answers an opening packet.
+	AnswerWithin time.Duration
+	// MaxUnanswered is how many opening packets in a row may stay without an answer before new flows are
+	// passed on.
+	MaxUnanswered int
+	// TryInterval is the time between two new flows that a silent server is tried with.
+	TryInterval time.Duration
+	// BusyFor is how long a request without an answer counts as running.
+	BusyFor time.Duration
+	// ParkFor is how long a packet waits for the newer configuration that its sender went by.
+	ParkFor time.Duration
+	// MaxParked bounds the packets that wait.
+	MaxParked int
+}
+
+// DefaultKeeperConfig returns the limits of the agent beside a server.
+func DefaultKeeperConfig(service string, address Endpoint) KeeperConfig {
+	return KeeperConfig{
+		Service:       service,
+		Address:       address,
+		MaxFlows:      1 << 14,
+		IdleTimeout:   15 * time.Second,
+		AnswerWithin:  60 * time.Millisecond,
+		MaxUnanswered: 2,
+		TryInterval:   200 * time.Millisecond,
+		BusyFor:       5 * time.Second,
+		ParkFor:       200 * time.Millisecond,
+		MaxParked:     256,
+	}
+}
+
+// state is how far a flow has come at the server.
+type state uint8
+
+const (
+	// asked means that the server has been given an opening packet.
+	asked state = iota
+	// searched means that the server has been given a packet of a flow that it may not hold.
+	searched
+	// open means that the server has answered for the flow.
+	open
+	// ended means that the server or the client has ended it.
+	ended
+)
+
+// held is what an agent remembers of a flow.
+type held struct {
+	state state
+	// request is that of the packet which the server has not answered, for the agents to try next.
+	request Request
+	// clientAck is the last number that the client acknowledged; a reset must be near it.
+	clientAck uint32
+	// busy says that a request of the flow runs, since when.
+	busy  bool
+	since time.Duration
+	seen  time.Duration
+	// repeatable says that the requests of the flow may be run twice.
+	repeatable bool
+}
+
+// Note is what an agent tells a balancer beside what it does with a packet.
+type Note uint8
+
+// The notes of an agent.
+const (
+	// NoNote tells nothing.
+	NoNote Note = iota
+	// NoteWord tells the load of the server.
+	NoteWord
+	// NoteHeld tells that the server holds the flow.
+	NoteHeld
+	// NoteRefused tells that nobody took the new flow.
+	NoteRefused
+)
+
+// Verdict is the decision of an agent with the note that goes to a balancer.
+type Verdict struct {
+	Decision
+	Note     Note
+	Balancer IP
+}
+
+// Keeper decides for one agent. It is not safe for concurrent use.
+type Keeper struct {
+	config  KeeperConfig
+	service uint64
+	started time.Duration
+	version uint64
+	// routes holds the addresses whose new flows may go to the server, and whether they are repeatable.
+	routes map[Endpoint]bool
+	// entry is what the view says of the server; nil before it has named it.
+	entry *registry.Upstream
+	// gone says that the view has named the server and does not any more.
+	gone   bool
+	flows  *simplelru.LRU[Key, *held]
+	busy   int
+	live   int
+	server serverHealth
+	parked []parkedPacket
+}
+
+// parkedPacket waits for a configuration.
+type parkedPacket struct {
+	packet  Packet
+	raw     []byte
+	request Request
+	until   time.Duration
+}
+
+// NewKeeper returns the Keeper of an agent that starts now. Its limits must be positive.
+func NewKeeper(config KeeperConfig, now time.Duration) *Keeper {
+	k := &Keeper{config: config, service: ServiceHash(config.Service), started: now, server: newServerHealth(config)}
+	flows, err := simplelru.NewLRU(config.MaxFlows, func(_ Key, h *held) { k.dropped(h) })
+	if err != nil {
+		panic(err)
+	}
+	k.flows = flows
+	return k
+}
+
+// Adopt puts a view in force.
+func (k *Keeper) Adopt(view *registry.View) {
+	before := k.entry
+	k.entry = nil
+	for i := range view.Upstreams {
+		u := &view.Upstreams[i]
+		if u.Service != k.config.Service || EndpointOf(u.Address) != k.config.Address {
+			continue
+		}
+		if k.entry == nil || k.entry.Incarnation < u.Incarnation {
+			k.entry = u
+		}
+	}
+	k.gone = k.entry == nil && (k.gone || before != nil)
+	k.adoptRoutes(view.Configuration)
+}
+
+func (k *Keeper) adoptRoutes(c *registry.Configuration) {
+	if c == nil || k.routes != nil && c.Version == k.version {
+		return
+	}
+	k.version = c.Version
+	k.routes = make(map[Endpoint]bool, len(c.Routes))
+	for i := range c.Routes {
+		for _, share := range c.Routes[i].Shares {
+			if share.Service == k.config.Service && share.Weight > 0 {
+				k.routes[EndpointOf(c.Routes[i].Address)] = c.Routes[i].Repeatable
+			}
+		}
+	}
+}
+
+// Version returns the version of the configuration in force.
+func (k *Keeper) Version() uint64 {
+	return k.version
+}
+
+// Accepting reports whether the server takes new flows.
+func (k *Keeper) Accepting(now time.Duration) bool {
+	switch {
+	case k.gone || k.entry != nil && k.entry.Draining:
+		return false
+	}
+	return k.server.answers()
+}
+
+// Word returns what the agent says of its server.
+func (k *Keeper) Word(now time.Duration) Word {
+	w := Word{Accepting: k.Accepting(now), Busy: uint32(k.busy), Flows: uint32(k.live)}
+	if k.entry != nil {
+		w.Slots = uint32(k.entry.Slots)
+		w.Incarnation = k.entry.Incarnation
+	}
+	return w
+}
+
+// FromNode decides on a packet that a balancer or another agent has sent.
+func (k *Keeper) FromNode(now time.Duration, p *Packet, raw []byte, request Request) Verdict {
+	switch {
+	case request.Service != k.service:
+		return k.pass(p, request, "server of another service")
+	case request.Purpose == Open:
+		return k.open(now, p, raw, request)
+	}
+	return k.later(now, p, request)
+}
+
+// open decides on the opening packet of a flow.
+func (k *Keeper) open(now time.Duration, p *Packet, raw []byte, request Request) Verdict {
+	if request.Version > k.version {
+		return k.park(now, p, raw, request)
+	}
+	repeatable, ok := k.routes[p.Key.Service]
+	switch {
+	case !ok:
+		return refuse(request, "route is not in the configuration in force")
+	case !k.Accepting(now) && !k.server.tryAgain(now):
+		return k.pass(p, request, "server takes no new flows")
+	case k.full() && len(request.Remaining) > 0:
+		return k.pass(p, request, "no free slot")
+	}
+	h := k.flow(now, p, asked)
+	h.repeatable = repeatable
+	h.request = keep(request)
+	k.setBusy(now, h, true)
+	k.server.opened(now)
+	return Verdict{Decision: Decision{Action: ToServer}}
+}
+
+// keep returns a request whose lists outlive the packet.
+func keep(request Request) Request {
+	request.Remaining = append([]IP(nil), request.Remaining...)
+	return request
+}
+
+func (k *Keeper) full() bool {
+	return k.entry != nil && k.busy >= k.entry.Slots
+}
+
+// pass sends an opening packet to the next agent, or refuses the flow if there is none.
+func (k *Keeper) pass(p *Packet, request Request, reason string) Verdict {
+	if request.Purpose != Open {
+		return k.deny(p, request, reason)
+	}
+	if len(request.Remaining) == 0 {
+		return refuse(request, reason+", and nobody else does")
+	}
+	return Verdict{Decision: forward(request, reason), Note: NoteWord, Balancer: request.Balancer}
+}
+
+// forward sends a packet to the first of the remaining agents.
+func forward(request Request, reason string) Decision {
+	to := request.Remaining[0]
+	request.Remaining = request.Remaining[1:]
+	return Decision{Action: Forward, To: to, Request: request, Reason: reason}
+}
+
+// refuse tells the client that its flow was not opened. The sequence number is zero, which a client ignores
+// if the flow opened elsewhere.
+func refuse(request Request, reason string) Verdict {
+	return Verdict{Decision: Decision{Action: Reset, Reason: reason}, Note: NoteRefused, Balancer: request.Balancer}
+}
+
+// deny handles a packet of a flow that the server does not hold.
+func (k *Keeper) deny(p *Packet, request Request, reason string) Verdict {
+	switch {
+	case len(request.Remaining) > 0:
+		return Verdict{Decision: forward(request, reason)}
+	case request.Purpose == Deliver:
+		return Verdict{Decision: Decision{Action: Return, To: request.Balancer, Reason: reason}}
+	case request.Exhaustive:
+		return Verdict{Decision: resetFlow(p, reason+", nor does any other")}
+	}
+	return Verdict{Decision: Decision{Reason: reason + ", and not everyone was asked"}}
+}
+
+// later decides on a packet of a flow that its client takes for open.
+func (k *Keeper) later(now time.Duration, p *Packet, request Request) Verdict {
+	h, known := k.flows.Peek(p.Key)
+	if !known {
+		if now-k.started > k.config.IdleTimeout {
+			return k.deny(p, request, "server does not hold the flow")
+		}
+		h = k.flow(now, p, searched)
+	}
+	h = k.flow(now, p, h.state)
+	h.clientAck = p.Ack
+	if h.state == searched || h.state == asked {
+		h.request = keep(request)
+	}
+	if p.Length > 0 && h.state != ended {
+		k.setBusy(now, h, true)
+	}
+	if p.Kind == Resetting {
+		k.end(h)
+	}
+	v := Verdict{Decision: Decision{Action: ToServer}}
+	if request.Purpose == Search && h.state == open {
+		v.Note, v.Balancer = NoteHeld, request.Balancer
+	}
+	return v
+}
+
+// flow returns the memory of a flow and notes that it was seen.
+func (k *Keeper) flow(now time.Duration, p *Packet, initial state) *held {
+	h, ok := k.flows.Get(p.Key)
+	if !ok {
+		h = &held{state: initial}
+		k.flows.Add(p.Key, h)
+		k.live++
+	}
+	h.seen = now
+	return h
+}
+
+func (k *Keeper) setBusy(now time.Duration, h *held, busy bool) {
+	if h.busy == busy {
+		return
+	}
+	h.busy, h.since = busy, now
+	if busy {
+		k.busy++
+		return
+	}
+	k.busy--
+}
+
+// end notes that a flow is over. It is remembered for a while, since packets of it may still come.
+func (k *Keeper) end(h *held) {
+	if h.state == ended {
+		return
+	}
+	h.state = ended
+	k.live--
+	k.setBusy(0, h, false)
+}
+
+// dropped keeps the counts right when a flow is forgotten.
+func (k *Keeper) dropped(h *held) {
+	k.end(h)
+}
+
+// FromServer decides on a packet of the server.
+func (k *Keeper) FromServer(now time.Duration, p *Packet) Verdict {
+	if p.Returned {
+		return k.returned(now, p)
+	}
+	k.server.answered()
+	h := k.flow(now, p, open)
+	v := Verdict{Decision: Decision{Action: ToClient}}
+	if (h.state == asked || h.state == searched) && p.Kind != Resetting {
+		h.state = open
+		v.Note, v.Balancer = NoteHeld, h.request.Balancer
+		h.request = Request{}
+	}
+	if p.Length > 0 {
+		k.setBusy(now, h, false)
+	}
+	if p.Kind == Resetting || p.Kind == Closing {
+		k.end(h)
+	}
+	return v
+}
+
+// returned decides on a packet that the server handed back. Its ends are those of the client's packet.
+func (k *Keeper) returned(now time.Duration, p *Packet) Verdict {
+	k.server.answered()
+	h, ok := k.flows.Peek(p.Key)
+	if !ok {
+		return Verdict{Decision: Decision{Reason: "returned packet of an unknown flow"}}
+	}
+	request := h.request
+	if h.state == ended || h.state == open && p.Kind == Opening {
+		return Verdict{Decision: Decision{Reason: "returned packet of a flow that the server has answered"}}
+	}
+	k.flows.Remove(p.Key)
+	if p.Kind == Opening {
+		return k.pass(p, request, "server refused the flow")
+	}
+	if request.Purpose == Open {
+		request.Purpose, request.Remaining, request.Exhaustive = Deliver, nil, false
+	}
+	if request.Balancer == (IP{}) {
+		return Verdict{Decision: Decision{Reason: "server does not hold the flow, and no balancer is known"}}
+	}
+	return k.deny(p, request, "server does not hold the flow")
+}
+
+// park keeps an opening packet until the newer configuration of its sender is known.
+func (k *Keeper) park(now time.Duration, p *Packet, raw []byte, request Request) Verdict {
+	if len(k.parked) >= k.config.MaxParked {
+		return Verdict{Decision: Decision{Reason: "too many packets wait for a configuration"}}
+	}
+	k.parked = append(k.parked, parkedPacket{
+		packet:  *p,
+		raw:     append([]byte(nil), raw...),
+		request: keep(request),
+		until:   now + k.config.ParkFor,
+	})
+	return Verdict{Decision: Decision{Action: Park, Reason: "sender has a newer configuration"}}
+}
+
+// Unpark returns the next packet whose configuration is known now, with the decision on it. The packet is nil
+// when there is none.
+func (k *Keeper) Unpark(now time.Duration) (Verdict, *Packet, []byte) {
+	for i := 0; i < len(k.parked); i++ {
+		waiting := k.parked[i]
+		if waiting.request.Version > k.version && now < waiting.until {
+			continue
+		}
+		k.parked = append(k.parked[:i], k.parked[i+1:]...)
+		if waiting.request.Version > k.version {
+			i--
+			continue
+		}
+		return k.open(now, &waiting.packet, waiting.raw, waiting.request), &waiting.packet, waiting.raw
+	}
+	return Verdict{}, nil, nil
+}
+
+// Sweep forgets silent flows and requests that have run for too long. It is to be called about once a second.
+func (k *Keeper) Sweep(now time.Duration) {
+	for {
+		key, oldest, ok := k.flows.GetOldest()
+		if !ok || now-oldest.seen <= k.config.IdleTimeout {
+			break
+		}
+		k.flows.Remove(key)
+	}
+	for _, h := range k.flows.Values() {
+		if h.busy && now-h.since > k.config.BusyFor {
+			k.setBusy(now, h, false)
+		}
+	}
+}
+
+// Lost returns the flows that ended with the server, with the number that the reset of each must carry, and
+// forgets them. It is to be called when the server is known not to run.
+func (k *Keeper) Lost() map[Key]uint32 {
+	lost := map[Key]uint32{}
+	for _, key := range k.flows.Keys() {
+		if h, _ := k.flows.Peek(key); h.state == open {
+			lost[key] = h.clientAck
+		}
+	}
+	k.flows.Purge()
+	k.server.stopped()
+	return lost
+}
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -10,7 +10,7 @@
 	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
 	"github.com/bramleyrack/bramleyrack/internal/peer"
 	"github.com/bramleyrack/bramleyrack/internal/request"
-	"github.com/bramleyrack/bramleyrack/internal/telemetry"
+	"github.com/bramleyrack/bramleyrack/internal/tracing"
 	"github.com/bramleyrack/bramleyrack/internal/view"
 	"github.com/bramleyrack/bramleyrack/membership"
 	"github.com/bramleyrack/bramleyrack/placement"
@@ -53,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	answer, err := client.Execute(telemetry.InjectPeer(ctx), req)
+	answer, err := client.Execute(tracing.InjectPeer(ctx), req)
 	var dial *peer.DialError
 	if errors.As(err, &dial) {
 		return nil, request.NotDelivered(err)
--- a/internal/agent/peerservice.go
+++ b/internal/agent/peerservice.go
@@ -6,6 +6,7 @@
 	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
 	"github.com/bramleyrack/bramleyrack/internal/request"
 	"github.com/bramleyrack/bramleyrack/internal/telemetry"
+	"github.com/bramleyrack/bramleyrack/internal/tracing"
 	"github.com/bramleyrack/bramleyrack/internal/view"
 )
 
@@ -18,8 +19,8 @@
 
 // Execute runs a request for a peer.
 func (s *peerService) Execute(ctx context.Context, req *bramleyv1.ExecuteRequest) (*bramleyv1.ExecuteResponse, error) {
-	ctx, span := telemetry.StartSpan(telemetry.ExtractPeer(ctx), telemetry.HopPeerAgent)
-	defer telemetry.EndSpan(span, nil)
+	ctx, span := tracing.StartSpan(tracing.ExtractPeer(ctx), tracing.HopPeerAgent)
+	defer tracing.EndSpan(span, nil)
 	return s.executor.Execute(ctx, req), nil
 }
 
--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -11,6 +11,7 @@
 
 	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
 	"github.com/bramleyrack/bramleyrack/internal/telemetry"
+	"github.com/bramleyrack/bramleyrack/internal/tracing"
 )
 
 const (
@@ -99,7 +100,7 @@
 
 // traced returns the options that carry spans to the upstream.
 func traced() []connect.ClientOption {
-	interceptor, err := telemetry.ConnectInterceptor()
+	interceptor, err := tracing.ConnectInterceptor()
 	if err != nil {
 		return nil
 	}
@@ -108,7 +109,7 @@
 
 // tracedHandler returns the options that take spans from callers.
 func tracedHandler() []connect.HandlerOption {
-	interceptor, err := telemetry.ConnectInterceptor()
+	interceptor, err := tracing.ConnectInterceptor()
 	if err != nil {
 		return nil
 	}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -10,16 +10,17 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bramleyrack/bramleyrack/internal/routing"
+	"github.com/bramleyrack/bramleyrack/internal/udp"
 )
 
 // Balancer forwards datagrams between callers and agents.
 type Balancer struct {
 	config Config
 	start  time.Time
-	agents *socket
+	agents *udp.Socket
 	table  atomic.Pointer[routing.Table]
 	// listeners holds the sockets towards callers by the number of the service.
-	listeners atomic.Pointer[map[uint32]*socket]
+	listeners atomic.Pointer[map[uint32]*udp.Socket]
 	counts    *counters
 }
 
@@ -32,19 +33,19 @@
 		return nil, errors.NotValidf("address %q towards agents", config.Agents)
 	}
 	config = withDefaults(config)
-	agents, err := listen(config.Agents, config.ReadBuffer)
+	agents, err := udp.Listen(config.Agents, config.ReadBuffer)
 	if err != nil {
 		return nil, errors.Annotate(err, "socket towards agents")
 	}
 	b := &Balancer{config: config, start: time.Now(), agents: agents, counts: &counters{}}
 	b.table.Store(routing.Empty())
-	b.listeners.Store(&map[uint32]*socket{})
+	b.listeners.Store(&map[uint32]*udp.Socket{})
 	return b, nil
 }
 
 // AgentAddress returns the address of the socket towards agents.
 func (b *Balancer) AgentAddress() netip.AddrPort {
-	return b.agents.localAddr()
+	return b.agents.LocalAddr()
 }
 
 // ServiceAddress returns the address that a service is received on, and false if it is not.
@@ -53,7 +54,7 @@
 	if s == nil {
 		return netip.AddrPort{}, false
 	}
-	return s.localAddr(), true
+	return s.LocalAddr(), true
 }
 
 // Ready returns nil when every service in force is received.
--- a/internal/balancer/counters.go
+++ b/internal/balancer/counters.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 
 	"github.com/bramleyrack/bramleyrack/internal/routing"
+	"github.com/bramleyrack/bramleyrack/internal/udp"
 )
 
 // counters counts the packets of a balancer.
@@ -18,10 +19,9 @@
 }
 
 // takeFailed moves the failures of a writer into the counters.
-func (c *counters) takeFailed(w *writer) {
-	if w.failed > 0 {
-		c.writeFailures.Add(w.failed)
-		w.failed = 0
+func (c *counters) takeFailed(w *udp.Writer) {
+	if failed := w.TakeFailed(); failed > 0 {
+		c.writeFailures.Add(failed)
 	}
 }
 
--- a/internal/balancer/forward.go
+++ b/internal/balancer/forward.go
@@ -11,24 +11,26 @@
 	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
 	"github.com/bramleyrack/bramleyrack/internal/datagram"
 	"github.com/bramleyrack/bramleyrack/internal/routing"
+	"github.com/bramleyrack/bramleyrack/internal/udp"
 	"github.com/bramleyrack/bramleyrack/placement"
 )
 
 // forwarder carries the packets of callers of one service to agents.
 type forwarder struct {
 	service uint32
-	socket  *socket
-	agents  *socket
+	socket  *udp.Socket
+	agents  *udp.Socket
 	table   *atomic.Pointer[routing.Table]
 	router  *routing.Router
 	header  bramleyv1.DatagramHeader
 	caller  []byte
-	writer  *writer
+	writer  *udp.Writer
+	batch   int
 	counts  *counters
 	placed  func(start, end time.Time, flow uint64, service, server uint32)
 }
 
-func newForwarder(b *Balancer, service uint32, s *socket) *forwarder {
+func newForwarder(b *Balancer, service uint32, s *udp.Socket) *forwarder {
 	return &forwarder{
 		service: service,
 		socket:  s,
@@ -38,9 +40,10 @@
 		header: bramleyv1.DatagramHeader{
 			Kind:     bramleyv1.DatagramKind_DATAGRAM_KIND_FORWARD,
 			Service:  service,
-			Balancer: datagram.PutAddr(b.agents.localAddr()),
+			Balancer: datagram.PutAddr(b.agents.LocalAddr()),
 		},
-		writer: newWriter(b.config.Batch),
+		writer: udp.NewWriter(b.config.Batch, datagram.MaxDatagram),
+		batch:  b.config.Batch,
 		counts: b.counts,
 		placed: b.config.Placed,
 	}
@@ -48,9 +51,9 @@
 
 // run forwards until the socket is closed.
 func (f *forwarder) run() error {
-	messages := newMessages(len(f.writer.messages))
+	messages := udp.NewMessages(f.batch, datagram.MaxDatagram)
 	for {
-		n, err := f.socket.batch.ReadBatch(messages, 0)
+		n, err := f.socket.ReadBatch(messages)
 		if err != nil {
 			return err
 		}
@@ -69,7 +72,7 @@
 	for i := range messages {
 		f.forwardOne(s, &messages[i])
 	}
-	f.writer.flush(f.agents)
+	f.writer.Flush(f.agents)
 	f.counts.takeFailed(f.writer)
 }
 
@@ -92,7 +95,7 @@
 	f.header.Candidates = r.Candidates
 	f.header.OwnerRefused = r.Evidence == placement.EvidenceRefused
 	f.header.OwnerGone = r.Evidence == placement.EvidenceGone
-	f.writer.add(datagram.Append(f.writer.next(), &f.header, packet), r.Agent.UDP)
+	f.writer.Add(datagram.Append(f.writer.Next(), &f.header, packet), r.Agent.UDP)
 	r.Agent.Progress.Forwarded.Add(1)
 }
 
--- a/internal/balancer/keeper.go
+++ b/internal/balancer/keeper.go
@@ -13,6 +13,7 @@
 	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
 	"github.com/bramleyrack/bramleyrack/internal/datagram"
 	"github.com/bramleyrack/bramleyrack/internal/routing"
+	"github.com/bramleyrack/bramleyrack/internal/udp"
 	"github.com/bramleyrack/bramleyrack/placement"
 	"github.com/bramleyrack/bramleyrack/settings"
 )
@@ -32,7 +33,7 @@
 	tree     *settings.Tree
 	progress []placement.Progress
 	healths  []placement.Health
-	writer   *writer
+	writer   *udp.Writer
 	probe    uint64
 	cutOff   bool
 	// listened is the last time at which the sockets were matched with the services.
@@ -53,7 +54,7 @@
 		start:    start,
 		liveness: liveness,
 		builder:  routing.Builder{Health: liveness.Health, Refused: liveness.Refused, Retention: b.config.Retention},
-		writer:   newWriter(b.config.Batch),
+		writer:   udp.NewWriter(b.config.Batch, datagram.MaxDatagram),
 		refusals: make(chan uint32, refusalCapacity),
 		bound:    map[uint32]netip.AddrPort{},
 	}
@@ -165,21 +166,21 @@
 			Balancer: datagram.PutAddr(k.balancer.AgentAddress()),
 			Probe:    k.probe,
 		}
-		if k.writer.full() {
-			k.writer.flush(k.balancer.agents)
+		if k.writer.Full() {
+			k.writer.Flush(k.balancer.agents)
 		}
-		k.writer.add(datagram.Append(k.writer.next(), &header, nil), a.UDP)
+		k.writer.Add(datagram.Append(k.writer.Next(), &header, nil), a.UDP)
 		a.Progress.Forwarded.Add(1)
 		k.balancer.counts.probes.Add(1)
 	}
-	k.writer.flush(k.balancer.agents)
+	k.writer.Flush(k.balancer.agents)
 	k.balancer.counts.takeFailed(k.writer)
 }
 
 // listen opens a socket for each service in force and closes those of other ones.
 func (k *keeper) listen(tree *settings.Tree) {
 	before := *k.balancer.listeners.Load()
-	after := map[uint32]*socket{}
+	after := map[uint32]*udp.Socket{}
 	for i := range tree.Services {
 		service := &tree.Services[i]
 		address := k.address(service)
@@ -194,7 +195,7 @@
 	k.balancer.listeners.Store(&after)
 	for number, s := range before {
 		if after[number] != s {
-			s.conn.Close()
+			s.Close()
 		}
 	}
 }
@@ -206,23 +207,23 @@
 	return service.Address
 }
 
-func (k *keeper) open(service *settings.Service, address netip.AddrPort) *socket {
-	s, err := listen(address, k.balancer.config.ReadBuffer)
+func (k *keeper) open(service *settings.Service, address netip.AddrPort) *udp.Socket {
+	s, err := udp.Listen(address, k.balancer.config.ReadBuffer)
 	if err != nil {
 		k.balancer.config.Event("listen_failed", "service", service.Name, "address", address, "error", err)
 		return nil
 	}
 	k.bound[service.Number] = address
 	k.start(newForwarder(k.balancer, service.Number, s))
-	k.balancer.config.Event("service_received", "service", service.Name, "address", s.localAddr())
+	k.balancer.config.Event("service_received", "service", service.Name, "address", s.LocalAddr())
 	return s
 }
 
 func (k *keeper) close() {
 	k.dials.Wait()
-	k.balancer.agents.conn.Close()
+	k.balancer.agents.Close()
 	for _, s := range *k.balancer.listeners.Load() {
-		s.conn.Close()
+		s.Close()
 	}
 }
 
--- a/internal/balancer/relay_test.go
+++ b/internal/balancer/relay_test.go
@@ -9,11 +9,11 @@
 	"testing"
 	"time"
 
-	"golang.org/x/net/ipv4"
 	"golang.org/x/sys/unix"
 
 	"github.com/bramleyrack/bramleyrack/internal/datagram"
 	"github.com/bramleyrack/bramleyrack/internal/routing"
+	"github.com/bramleyrack/bramleyrack/internal/udp"
 	"github.com/bramleyrack/bramleyrack/placement"
 	"github.com/bramleyrack/bramleyrack/settings"
 )
@@ -26,16 +26,16 @@
 
 // relayBench floods a socket and counts what a relay reads from it and forwards to a sink.
 type relayBench struct {
-	in, out, sink *socket
+	in, out, sink *udp.Socket
 }
 
 func newRelayBench(b *testing.B) *relayBench {
-	open := func() *socket {
-		s, err := listen(netip.MustParseAddrPort("127.0.0.1:0"), defaultReadBuffer)
+	open := func() *udp.Socket {
+		s, err := udp.Listen(netip.MustParseAddrPort("127.0.0.1:0"), defaultReadBuffer)
 		if err != nil {
 			b.Fatal(err)
 		}
-		b.Cleanup(func() { s.conn.Close() })
+		b.Cleanup(func() { s.Close() })
 		return s
 	}
 	return &relayBench{in: open(), out: open(), sink: open()}
@@ -44,21 +44,20 @@
 // flood sends packets to the relay until the benchmark has forwarded enough.
 func (r *relayBench) flood(packet []byte, done *atomic.Bool) *sync.WaitGroup {
 	var senders sync.WaitGroup
-	to := net.UDPAddrFromAddrPort(r.in.localAddr())
+	to := net.UDPAddrFromAddrPort(r.in.LocalAddr())
 	for range relaySenders {
 		senders.Go(func() {
-			conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+			s, err := udp.Listen(netip.MustParseAddrPort("127.0.0.1:0"), 0)
 			if err != nil {
 				return
 			}
-			defer conn.Close()
-			s := &socket{conn: conn, batch: ipv4.NewPacketConn(conn)}
-			w := newWriter(relayBatch)
+			defer s.Close()
+			w := udp.NewWriter(relayBatch, datagram.MaxDatagram)
 			for !done.Load() {
-				for !w.full() {
-					w.add(packet, to)
+				for !w.Full() {
+					w.Add(packet, to)
 				}
-				w.flush(s)
+				w.Flush(s)
 			}
 		})
 	}
@@ -97,18 +96,18 @@
 // BenchmarkBareRelay forwards packets as they come, by the same system calls as a balancer.
 func BenchmarkBareRelay(b *testing.B) {
 	r := newRelayBench(b)
-	messages := newMessages(relayBatch)
-	w := newWriter(relayBatch)
-	to := net.UDPAddrFromAddrPort(r.sink.localAddr())
+	messages := udp.NewMessages(relayBatch, datagram.MaxDatagram)
+	w := udp.NewWriter(relayBatch, datagram.MaxDatagram)
+	to := net.UDPAddrFromAddrPort(r.sink.LocalAddr())
 	r.run(b, make([]byte, relayPacketBytes), func() int {
-		n, err := r.in.batch.ReadBatch(messages, 0)
+		n, err := r.in.ReadBatch(messages)
 		if err != nil {
 			b.Fatal(err)
 		}
 		for i := range messages[:n] {
-			w.add(messages[i].Buffers[0][:messages[i].N], to)
+			w.Add(messages[i].Buffers[0][:messages[i].N], to)
 		}
-		w.flush(r.out)
+		w.Flush(r.out)
 		return n
 	})
 }
@@ -127,9 +126,9 @@
 		b.Run(name, func(b *testing.B) {
 			r := newRelayBench(b)
 			f := newBenchForwarder(r, codec)
-			messages := newMessages(relayBatch)
+			messages := udp.NewMessages(relayBatch, datagram.MaxDatagram)
 			r.run(b, packet, func() int {
-				n, err := r.in.batch.ReadBatch(messages, 0)
+				n, err := r.in.ReadBatch(messages)
 				if err != nil {
 					b.Fatal(err)
 				}
@@ -144,7 +143,7 @@
 func newBenchForwarder(r *relayBench, codec *placement.Codec) *forwarder {
 	service := settings.Service{Number: 1}
 	for number := uint32(1); number <= 10; number++ {
-		upstream := settings.Upstream{Number: number, Agent: r.sink.localAddr(), Policy: settings.DefaultPolicy()}
+		upstream := settings.Upstream{Number: number, Agent: r.sink.LocalAddr(), Policy: settings.DefaultPolicy()}
 		service.Upstreams = append(service.Upstreams, upstream)
 	}
 	builder := routing.Builder{Health: func(uint32) placement.Health { return placement.HealthLive }, Refused: func(uint32) bool { return false }}
@@ -156,6 +155,6 @@
 	}
 	balancer.table.Store(builder.Build(0, tree, routing.Empty()))
 	f := newForwarder(balancer, 1, r.in)
-	f.header.Balancer = datagram.PutAddr(r.out.localAddr())
+	f.header.Balancer = datagram.PutAddr(r.out.LocalAddr())
 	return f
 }
--- a/internal/balancer/returns.go
+++ b/internal/balancer/returns.go
@@ -10,18 +10,19 @@
 	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
 	"github.com/bramleyrack/bramleyrack/internal/datagram"
 	"github.com/bramleyrack/bramleyrack/internal/routing"
+	"github.com/bramleyrack/bramleyrack/internal/udp"
 )
 
 // returner carries the packets of agents to callers and answers pings.
 type returner struct {
-	agents    *socket
+	agents    *udp.Socket
 	view      View
 	table     *atomic.Pointer[routing.Table]
-	listeners *atomic.Pointer[map[uint32]*socket]
+	listeners *atomic.Pointer[map[uint32]*udp.Socket]
 	header    bramleyv1.DatagramHeader
 	pong      bramleyv1.DatagramHeader
-	callers   map[uint32]*writer
-	answers   *writer
+	callers   map[uint32]*udp.Writer
+	answers   *udp.Writer
 	batch     int
 	counts    *counters
 	now       func() time.Duration
@@ -37,10 +38,10 @@
 		listeners: &b.listeners,
 		pong: bramleyv1.DatagramHeader{
 			Kind:     bramleyv1.DatagramKind_DATAGRAM_KIND_PONG,
-			Balancer: datagram.PutAddr(b.agents.localAddr()),
+			Balancer: datagram.PutAddr(b.agents.LocalAddr()),
 		},
-		callers: map[uint32]*writer{},
-		answers: newWriter(b.config.Batch),
+		callers: map[uint32]*udp.Writer{},
+		answers: udp.NewWriter(b.config.Batch, datagram.MaxDatagram),
 		batch:   b.config.Batch,
 		counts:  b.counts,
 		now:     b.now,
@@ -49,9 +50,9 @@
 
 // run returns packets until the socket is closed.
 func (r *returner) run() error {
-	messages := newMessages(r.batch)
+	messages := udp.NewMessages(r.batch, datagram.MaxDatagram)
 	for {
-		n, err := r.agents.batch.ReadBatch(messages, 0)
+		n, err := r.agents.ReadBatch(messages)
 		if err != nil {
 			return err
 		}
@@ -66,16 +67,16 @@
 	}
 	listeners := *r.listeners.Load()
 	for service, w := range r.callers {
-		if w.used == 0 {
+		if w.Used() == 0 {
 			continue
 		}
 		if s := listeners[service]; s != nil {
-			w.flush(s)
+			w.Flush(s)
 		}
-		w.used = 0
+		w.Discard()
 		r.counts.takeFailed(w)
 	}
-	r.answers.flush(r.agents)
+	r.answers.Flush(r.agents)
 	r.counts.takeFailed(r.answers)
 }
 
@@ -126,7 +127,7 @@
 	r.pong.Server = r.header.Server
 	r.pong.Probe = r.header.Probe
 	r.pong.Revision = t.Revision
-	r.answers.add(datagram.Append(r.answers.next(), &r.pong, nil), to)
+	r.answers.Add(datagram.Append(r.answers.Next(), &r.pong, nil), to)
 }
 
 // toCaller queues a packet if it comes from a known agent of the service that it names.
@@ -142,10 +143,10 @@
 	}
 	w := r.callers[source.Service]
 	if w == nil {
-		w = newWriter(r.batch)
+		w = udp.NewWriter(r.batch, datagram.MaxDatagram)
 		r.callers[source.Service] = w
 	}
 	// The payload stays valid until the whole batch is written.
-	w.add(payload, net.UDPAddrFromAddrPort(caller))
+	w.Add(payload, net.UDPAddrFromAddrPort(caller))
 	r.counts.returned.Add(1)
 }
--- a/internal/datagram/datagram.go
+++ b/internal/datagram/datagram.go
@@ -7,53 +7,30 @@
 	"net/netip"
 
 	"github.com/juju/errors"
-	"google.golang.org/protobuf/encoding/protowire"
 
 	bramleyv1 "github.com/bramleyrack/bramleyrack/gen/bramley/v1"
+	"github.com/bramleyrack/bramleyrack/internal/frame"
 )
 
-// MaxHeader is the largest encoded header that Split accepts, in bytes.
-const MaxHeader = 512
-
 // MaxPacket is the largest packet of a caller that is forwarded, in bytes.
 const MaxPacket = 2048
 
 // MaxDatagram bounds a whole datagram between a balancer and an agent, in bytes.
-const MaxDatagram = MaxPacket + MaxHeader + binary.MaxVarintLen16
+const MaxDatagram = MaxPacket + frame.MaxPrefix
 
-// Errors that Split and Addr return.
-const (
-	ErrLength  = errors.ConstError("header length is not valid")
-	ErrHeader  = errors.ConstError("header is not valid")
-	ErrAddress = errors.ConstError("address is not valid")
-)
+// ErrAddress says that an encoded address has no valid length.
+const ErrAddress = errors.ConstError("address is not valid")
 
 // Append appends the header and the payload to dst.
 func Append(dst []byte, h *bramleyv1.DatagramHeader, payload []byte) []byte {
-	size := h.SizeVT()
-	dst = protowire.AppendVarint(dst, uint64(size))
-	start := len(dst)
-	dst = append(dst, make([]byte, size)...)
-	// MarshalToSizedBufferVT fails only on unknown message types; the header has none.
-	if _, err := h.MarshalToSizedBufferVT(dst[start:]); err != nil {
-		panic(err)
-	}
-	return append(dst, payload...)
+	return frame.Append(dst, h, payload)
 }
 
 // Split decodes the header of b into h and returns the payload, which aliases b. It reuses the
 // memory of the fields of h.
 func Split(b []byte, h *bramleyv1.DatagramHeader) (payload []byte, err error) {
-	size, n := protowire.ConsumeVarint(b)
-	if n < 0 || size > MaxHeader || uint64(len(b)-n) < size {
-		return nil, ErrLength
-	}
-	b = b[n:]
 	reset(h)
-	if err := h.UnmarshalVT(b[:size]); err != nil {
-		return nil, ErrHeader
-	}
-	return b[size:], nil
+	return frame.Split(b, h)
 }
 
 // reset clears h and keeps the memory of its fields.
--- a/internal/telemetry/tracing.go
+++ b/internal/tracing/tracing.go
@@ -1,4 +1,5 @@
-package telemetry
+// Package tracing carries OpenTelemetry spans over the hops of a request.
+package tracing
 
 import (
 	"context"
