--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 	$(TOOL) buf generate --template buf.gen.yaml
 	$(TOOL) buf generate --template buf.gen.peer.yaml
 	$(TOOL) buf generate --template buf.gen.datagram.yaml
+	$(TOOL) buf generate --template buf.gen.node.yaml
 
 demo: build
 	scripts/demo.sh $(DEPLOYMENT)
--- /dev/null
+++ b/cmd/bramley-flow-agent/main.go
@@ -0,0 +1,64 @@
+// Command bramley-flow-agent runs beside a server of opaque flows on the users' platform.
+package main
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/juju/errors"
+
+	"github.com/bramleyrack/bramleyrack/flow"
+	"github.com/bramleyrack/bramleyrack/internal/flowagent"
+	"github.com/bramleyrack/bramleyrack/internal/options"
+	"github.com/bramleyrack/bramleyrack/internal/telemetry"
+	"github.com/bramleyrack/bramleyrack/platform"
+)
+
+const program = "bramley-flow-agent"
+
+func main() {
+	operator := parse(os.Args[1:])
+	stop, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	if err := run(stop, operator); err != nil {
+		telemetry.Failure("stop", err)
+		os.Exit(1)
+	}
+}
+
+func parse(args []string) netip.AddrPort {
+	var operator netip.AddrPort
+	set := options.New(program)
+	set.AddrPort(&operator, "operator", "", "address of metrics and health for operators")
+	set.MustParse(args)
+	return operator
+}
+
+func run(stop context.Context, operator netip.AddrPort) error {
+	p, err := platform.NewProcess()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	a, err := flowagent.New(flowagent.Config{
+		View:        p.View,
+		Clock:       p.Clock,
+		Codec:       platform.PacketCodec{},
+		ServerCodec: platform.PacketCodec{FromServer: true},
+		Nodes:       p.Settings.Nodes,
+		FromServer:  p.Settings.FromServer,
+		Server:      p.Settings.Server,
+		ClientPort:  p.Settings.ClientPort,
+		Self:        p.Self,
+		Keeper:      flow.DefaultKeeperConfig(p.Settings.Service, flow.EndpointOf(p.Settings.Server)),
+		Event:       telemetry.Event,
+		Accepted:    telemetry.NewHistogram("flow_accepted_us").Record,
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	telemetry.Gauge("agent", func() any { return a.Counters() })
+	return p.Run(stop, operator, a.Ready, a.Run)
+}
--- a/flow/heartbeats.go
+++ b/flow/heartbeats.go
@@ -43,3 +43,10 @@
 func (d *Director) Flows() int {
 	return d.hints.lru.Len()
 }
+
+// Urge makes a heartbeat to every agent due, so that news of the view spreads at once.
+func (d *Director) Urge() {
+	for _, a := range d.order {
+		a.next = 0
+	}
+}
--- /dev/null
+++ b/gen/bramley/node/v1/doc.go
@@ -0,0 +1,2 @@
+// Package nodev1 is generated from the schemas under proto.
+package nodev1
--- /dev/null
+++ b/internal/flowagent/counters.go
@@ -0,0 +1,41 @@
+package flowagent
+
+import (
+	"sync/atomic"
+
+	"github.com/bramleyrack/bramleyrack/flow"
+)
+
+// counters counts what an agent did with packets.
+type counters struct {
+	nodePackets   atomic.Uint64
+	serverPackets atomic.Uint64
+	malformed     atomic.Uint64
+	actions       [flow.Park + 1]atomic.Uint64
+	held          atomic.Uint64
+	refused       atomic.Uint64
+	lost          atomic.Uint64
+	writeFailures atomic.Uint64
+	flows         atomic.Int64
+	busy          atomic.Int64
+}
+
+// Counters returns the counts since the start by name.
+func (a *Agent) Counters() map[string]uint64 {
+	c := &a.counts
+	counts := map[string]uint64{
+		"node_packets":   c.nodePackets.Load(),
+		"server_packets": c.serverPackets.Load(),
+		"malformed":      c.malformed.Load(),
+		"held":           c.held.Load(),
+		"refused":        c.refused.Load(),
+		"lost":           c.lost.Load(),
+		"write_failures": c.writeFailures.Load(),
+		"flows":          uint64(c.flows.Load()),
+		"busy":           uint64(c.busy.Load()),
+	}
+	for action := range c.actions {
+		counts["action_"+flow.Action(action).String()] = c.actions[action].Load()
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/flowagent/tick.go
@@ -0,0 +1,100 @@
+package flowagent
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// tick does what is due.
+func (l *loop) tick(ctx context.Context) {
+	if suspended := l.config.Clock.Check(); suspended > 0 {
+		l.config.Event("resumed", "suspended", suspended)
+	}
+	now := l.config.Clock.Now()
+	l.adopt(now)
+	l.noteAccepting(now)
+	l.unpark(now)
+	if l.keeper.Suspicious(now) {
+		l.checker.ask(ctx, now)
+	}
+	if now-l.swept >= sweepInterval {
+		l.sweep(now)
+	}
+}
+
+// unpark decides on the packets that waited for a configuration.
+func (l *loop) unpark(now time.Duration) {
+	for {
+		v, p, raw := l.keeper.Unpark(now)
+		if p == nil {
+			return
+		}
+		l.apply(now, p, raw, v)
+	}
+}
+
+func (l *loop) sweep(now time.Duration) {
+	l.swept = now
+	l.keeper.Sweep(now)
+	word := l.keeper.Word(now)
+	l.agent.counts.flows.Store(int64(word.Flows))
+	l.agent.counts.busy.Store(int64(word.Busy))
+	for key, asked := range l.askedAt {
+		if now-asked > sweepInterval {
+			delete(l.askedAt, key)
+		}
+	}
+}
+
+// checked takes in whether the server runs. The flows of one that does not are reset, so that its clients
+// can try again at once.
+func (l *loop) checked(running bool) {
+	if running {
+		return
+	}
+	lost := l.keeper.Lost()
+	l.agent.counts.lost.Add(uint64(len(lost)))
+	l.config.Event("server_down", "flows_reset", len(lost))
+	for key, seq := range lost {
+		l.reset(key, seq)
+	}
+	l.noteAccepting(l.config.Clock.Now())
+}
+
+// checker asks the system whether the server runs, in a goroutine of its own.
+type checker struct {
+	address string
+	results chan bool
+	last    time.Duration
+}
+
+func newChecker(server netip.AddrPort) checker {
+	return checker{address: server.String(), results: make(chan bool, 1)}
+}
+
+// ask opens a connection to the server. Only a refused one proves that the server does not run.
+func (c *checker) ask(ctx context.Context, now time.Duration) {
+	if now-c.last < checkInterval {
+		return
+	}
+	c.last = now
+	address, results := c.address, c.results
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+		defer cancel()
+		var dialer net.Dialer
+		conn, err := dialer.DialContext(ctx, "tcp", address)
+		if err == nil {
+			conn.Close()
+		}
+		select {
+		case results <- !errors.Is(err, syscall.ECONNREFUSED):
+		default:
+		}
+	}()
+}
--- /dev/null
+++ b/internal/flowbalancer/nodes.go
@@ -0,0 +1,144 @@
+package flowbalancer
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/bramleyrack/bramleyrack/flow"
+	nodev1 "github.com/bramleyrack/bramleyrack/gen/bramley/node/v1"
+	"github.com/bramleyrack/bramleyrack/internal/nodelink"
+)
+
+// fromNode handles a datagram of an agent or of another balancer.
+func (l *loop) fromNode(now time.Duration, from flow.IP, raw []byte) {
+	packet, err := nodelink.Decode(raw, &l.header)
+	if err != nil {
+		l.balancer.counts.malformed.Add(1)
+		l.config.Event("datagram_malformed", "from", from, "error", err)
+		return
+	}
+	h := &l.header
+	l.observe(now, from)
+	switch h.Kind {
+	case nodev1.Kind_KIND_REPORT:
+		l.reported(now, from)
+	case nodev1.Kind_KIND_ANSWER:
+		l.director.Heard(now, nodelink.Word(h, from))
+	case nodev1.Kind_KIND_LEAVE:
+		l.director.Leaving(now, from, h.Process)
+		l.config.Event("agent_leaving", "agent", from)
+	case nodev1.Kind_KIND_RETURN:
+		l.returned(now, from, packet)
+	case nodev1.Kind_KIND_HEARTBEAT:
+		l.answer(now, from)
+	}
+}
+
+// observe hands the freshness of a peer to the view.
+func (l *loop) observe(now time.Duration, from flow.IP) {
+	if l.header.Revision == 0 {
+		return
+	}
+	peer := netip.AddrPortFrom(netip.AddrFrom4(from), l.config.Nodes.Port())
+	l.config.View.Observe(nodelink.Freshness(&l.header, now), peer)
+}
+
+func (l *loop) reported(now time.Duration, from flow.IP) {
+	h := &l.header
+	key := nodelink.Key(h)
+	held := h.Verdict == nodev1.Verdict_VERDICT_HELD
+	l.director.Heard(now, nodelink.Word(h, from))
+	l.director.Reported(now, flow.Report{Key: key, Held: held, Incarnation: h.Incarnation, From: from})
+	l.balancer.counts.reported.Add(1)
+	if sent, ok := l.sentAt[key]; ok {
+		delete(l.sentAt, key)
+		l.config.Answered(now - sent)
+	}
+	if !held {
+		l.config.Event("flow_refused", "flow", key, "agent", from, "agent_version", h.ConfigVersion)
+	}
+}
+
+// returned has a packet searched that an agent handed back.
+func (l *loop) returned(now time.Duration, from flow.IP, packet []byte) {
+	p, err := l.config.Codec.Parse(packet)
+	if err != nil {
+		l.balancer.counts.malformed.Add(1)
+		return
+	}
+	l.apply(now, &p, packet, l.director.Returned(now, &p, from))
+}
+
+// answer answers the heartbeat of another process.
+func (l *loop) answer(now time.Duration, from flow.IP) {
+	probe := l.header.Probe
+	nodelink.Clear(&l.out)
+	l.out.Kind = nodev1.Kind_KIND_ANSWER
+	l.out.Probe = probe
+	l.putView(now)
+	l.send(from, nil)
+}
+
+// putView makes out carry the freshness of the view.
+func (l *loop) putView(now time.Duration) {
+	l.out.Process = l.config.Self
+	view := l.config.View.Current()
+	if view == nil {
+		return
+	}
+	l.out.ConfigVersion = view.Version()
+	nodelink.PutFreshness(&l.out, now, view.Freshness)
+}
+
+// tick does what is due.
+func (l *loop) tick() {
+	if suspended := l.config.Clock.Check(); suspended > 0 {
+		l.config.Event("resumed", "suspended", suspended)
+	}
+	now := l.config.Clock.Now()
+	l.adopt(now)
+	l.hedge(now)
+	l.heartbeats(now)
+	if now-l.swept >= sweepInterval {
+		l.sweep(now)
+	}
+}
+
+// hedge sends the opening packets again that no agent has answered in time.
+func (l *loop) hedge(now time.Duration) {
+	for {
+		d, p, raw := l.director.Overdue(now)
+		if p == nil {
+			return
+		}
+		l.balancer.counts.hedged.Add(1)
+		l.apply(now, p, raw, d)
+	}
+}
+
+func (l *loop) heartbeats(now time.Duration) {
+	for {
+		to, ok := l.director.Heartbeat(now)
+		if !ok {
+			return
+		}
+		l.probe++
+		nodelink.Clear(&l.out)
+		l.out.Kind = nodev1.Kind_KIND_HEARTBEAT
+		l.out.Probe = l.probe
+		l.putView(now)
+		l.send(to, nil)
+		l.balancer.counts.heartbeats.Add(1)
+	}
+}
+
+func (l *loop) sweep(now time.Duration) {
+	l.swept = now
+	l.director.Sweep(now)
+	l.balancer.counts.flows.Store(int64(l.director.Flows()))
+	for key, sent := range l.sentAt {
+		if now-sent > sweepInterval {
+			delete(l.sentAt, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/nodelink/nodelink.go
@@ -0,0 +1,136 @@
+// Package nodelink translates between the messages of the decisions and what processes send each other.
+package nodelink
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/bramleyrack/bramleyrack/flow"
+	nodev1 "github.com/bramleyrack/bramleyrack/gen/bramley/node/v1"
+	"github.com/bramleyrack/bramleyrack/internal/frame"
+	"github.com/bramleyrack/bramleyrack/registry"
+)
+
+// MaxPacket is the largest packet of a client or server, in bytes.
+const MaxPacket = 2048
+
+// MaxDatagram bounds a whole datagram between two processes, in bytes.
+const MaxDatagram = MaxPacket + frame.MaxPrefix
+
+// Decode reads the header of a datagram into h and returns the packet that follows, which aliases b. It
+// reuses the memory of h.
+func Decode(b []byte, h *nodev1.Header) (packet []byte, err error) {
+	remaining := h.Remaining
+	h.Reset()
+	h.Remaining = remaining[:0]
+	return frame.Split(b, h)
+}
+
+// Encode appends a datagram to dst.
+func Encode(dst []byte, h *nodev1.Header, packet []byte) []byte {
+	return frame.Append(dst, h, packet)
+}
+
+// Clear empties h and keeps its memory.
+func Clear(h *nodev1.Header) {
+	remaining := h.Remaining
+	h.Reset()
+	h.Remaining = remaining[:0]
+}
+
+func pack(ip flow.IP) uint32 {
+	return binary.BigEndian.Uint32(ip[:])
+}
+
+func unpack(n uint32) flow.IP {
+	var ip flow.IP
+	binary.BigEndian.PutUint32(ip[:], n)
+	return ip
+}
+
+var purposes = map[flow.Purpose]nodev1.Purpose{
+	flow.Open:    nodev1.Purpose_PURPOSE_OPEN,
+	flow.Deliver: nodev1.Purpose_PURPOSE_DELIVER,
+	flow.Search:  nodev1.Purpose_PURPOSE_SEARCH,
+}
+
+// PutRequest makes h carry a request.
+func PutRequest(h *nodev1.Header, r *flow.Request) {
+	h.Kind = nodev1.Kind_KIND_CARRY
+	h.Purpose = purposes[r.Purpose]
+	h.Service = r.Service
+	h.ConfigVersion = r.Version
+	h.Exhaustive = r.Exhaustive
+	h.Balancer = pack(r.Balancer)
+	h.Remaining = h.Remaining[:0]
+	for _, ip := range r.Remaining {
+		h.Remaining = append(h.Remaining, pack(ip))
+	}
+}
+
+// Request returns the request that h carries, with its list in the memory of list.
+func Request(h *nodev1.Header, list []flow.IP) flow.Request {
+	r := flow.Request{
+		Service:    h.Service,
+		Version:    h.ConfigVersion,
+		Exhaustive: h.Exhaustive,
+		Balancer:   unpack(h.Balancer),
+		Remaining:  list[:0],
+	}
+	switch h.Purpose {
+	case nodev1.Purpose_PURPOSE_OPEN:
+		r.Purpose = flow.Open
+	case nodev1.Purpose_PURPOSE_DELIVER:
+		r.Purpose = flow.Deliver
+	case nodev1.Purpose_PURPOSE_SEARCH:
+		r.Purpose = flow.Search
+	}
+	for _, n := range h.Remaining {
+		r.Remaining = append(r.Remaining, unpack(n))
+	}
+	return r
+}
+
+// PutKey makes h name a flow.
+func PutKey(h *nodev1.Header, key flow.Key) {
+	h.ClientIp, h.ClientPort = pack(key.Client.IP), uint32(key.Client.Port)
+	h.ServiceIp, h.ServicePort = pack(key.Service.IP), uint32(key.Service.Port)
+}
+
+// Key returns the flow that h names.
+func Key(h *nodev1.Header) flow.Key {
+	return flow.Key{
+		Client:  flow.Endpoint{IP: unpack(h.ClientIp), Port: uint16(h.ClientPort)},
+		Service: flow.Endpoint{IP: unpack(h.ServiceIp), Port: uint16(h.ServicePort)},
+	}
+}
+
+// PutWord makes h carry the word of an agent.
+func PutWord(h *nodev1.Header, w flow.Word) {
+	h.Process, h.Incarnation, h.Accepting = w.Process, w.Incarnation, w.Accepting
+	h.Busy, h.Slots, h.Flows = w.Busy, w.Slots, w.Flows
+}
+
+// Word returns the word of the agent at an address.
+func Word(h *nodev1.Header, from flow.IP) flow.Word {
+	return flow.Word{
+		From: from, Process: h.Process, Incarnation: h.Incarnation, Accepting: h.Accepting,
+		Busy: h.Busy, Slots: h.Slots, Flows: h.Flows,
+	}
+}
+
+// PutFreshness makes h carry the freshness of a view. Times travel as ages.
+func PutFreshness(h *nodev1.Header, now time.Duration, f registry.Freshness) {
+	h.Revision, h.Changed, h.Reader = f.Revision, f.Changed, f.Reader
+	h.AgeMs = uint32(max(0, now-f.Confirmed).Milliseconds())
+	h.ContinuousMs = uint64(max(0, now-f.Continuous).Milliseconds())
+}
+
+// Freshness returns the freshness that h carries.
+func Freshness(h *nodev1.Header, now time.Duration) registry.Freshness {
+	return registry.Freshness{
+		Revision: h.Revision, Changed: h.Changed, Reader: h.Reader,
+		Confirmed:  now - time.Duration(h.AgeMs)*time.Millisecond,
+		Continuous: now - time.Duration(h.ContinuousMs)*time.Millisecond,
+	}
+}
--- /dev/null
+++ b/internal/nodelink/view.go
@@ -0,0 +1,93 @@
+package nodelink
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/bramleyrack/bramleyrack/flow"
+	nodev1 "github.com/bramleyrack/bramleyrack/gen/bramley/node/v1"
+	"github.com/bramleyrack/bramleyrack/registry"
+)
+
+// PutDelta returns the message for a delta.
+func PutDelta(now time.Duration, d registry.Delta) *nodev1.View {
+	m := &nodev1.View{
+		From: d.From, Revision: d.Revision, Changed: d.Changed, Reader: d.Reader,
+		AgeMs:        uint64(max(0, now-d.Confirmed).Milliseconds()),
+		ContinuousMs: uint64(max(0, now-d.Continuous).Milliseconds()),
+		Removed:      d.Removed,
+	}
+	if d.Configuration != nil {
+		m.Configuration = putConfiguration(d.Configuration)
+	}
+	for i := range d.Upstreams {
+		m.Upstreams = append(m.Upstreams, putUpstream(now, &d.Upstreams[i], d.Lapsed[i]))
+	}
+	return m
+}
+
+func putConfiguration(c *registry.Configuration) *nodev1.Configuration {
+	m := &nodev1.Configuration{Version: c.Version, IdleTimeoutMs: uint64(c.IdleTimeout.Milliseconds())}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		route := &nodev1.Route{Ip: pack(flow.IP(r.Address.Addr().As4())), Port: uint32(r.Address.Port()), Repeatable: r.Repeatable}
+		for _, share := range r.Shares {
+			route.Shares = append(route.Shares, &nodev1.Share{Service: share.Service, Weight: share.Weight})
+		}
+		m.Routes = append(m.Routes, route)
+	}
+	return m
+}
+
+func putUpstream(now time.Duration, u *registry.Upstream, lapsed bool) *nodev1.Upstream {
+	return &nodev1.Upstream{
+		Id: u.ID, Service: u.Service, Ip: pack(flow.IP(u.Address.Addr().As4())), Port: uint32(u.Address.Port()),
+		Place: u.Place, Slots: uint32(u.Slots), Draining: u.Draining, Incarnation: u.Incarnation, Lapsed: lapsed,
+		ColdMs: uint64(max(0, u.WarmAt-now).Milliseconds()),
+	}
+}
+
+// Delta returns the delta of a message that was received now.
+func Delta(now time.Duration, m *nodev1.View) registry.Delta {
+	d := registry.Delta{
+		From: m.From,
+		Freshness: registry.Freshness{
+			Revision: m.Revision, Changed: m.Changed, Reader: m.Reader,
+			Confirmed:  now - time.Duration(m.AgeMs)*time.Millisecond,
+			Continuous: now - time.Duration(m.ContinuousMs)*time.Millisecond,
+		},
+		Removed: m.Removed,
+	}
+	if m.Configuration != nil {
+		d.Configuration = configuration(m.Configuration)
+	}
+	for _, u := range m.Upstreams {
+		d.Upstreams = append(d.Upstreams, upstream(now, u))
+		d.Lapsed = append(d.Lapsed, u.Lapsed)
+	}
+	return d
+}
+
+func configuration(m *nodev1.Configuration) *registry.Configuration {
+	c := &registry.Configuration{Version: m.Version, IdleTimeout: time.Duration(m.IdleTimeoutMs) * time.Millisecond}
+	for _, r := range m.Routes {
+		route := registry.Route{Address: addrPort(r.Ip, r.Port), Repeatable: r.Repeatable}
+		for _, share := range r.Shares {
+			route.Shares = append(route.Shares, registry.Share{Service: share.Service, Weight: share.Weight})
+		}
+		c.Routes = append(c.Routes, route)
+	}
+	return c
+}
+
+func upstream(now time.Duration, m *nodev1.Upstream) registry.Upstream {
+	return registry.Upstream{
+		ID: m.Id, Service: m.Service, Address: addrPort(m.Ip, m.Port), Place: m.Place, Slots: int(m.Slots),
+		Draining: m.Draining, Incarnation: m.Incarnation,
+		WarmAt: now + time.Duration(m.ColdMs)*time.Millisecond,
+	}
+}
+
+func addrPort(ip, port uint32) netip.AddrPort {
+	return flow.Endpoint{IP: unpack(ip), Port: uint16(port)}.AddrPort()
+}
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -77,6 +77,14 @@
 	return kv, true
 }
 
+// SetRate changes how many events of an operation may be logged a second, for operations whose every event
+// explains a request.
+func SetRate(op string, perSecond int) {
+	l := limiterFor(op)
+	l.limiter.SetLimit(rate.Limit(perSecond))
+	l.limiter.SetBurst(perSecond)
+}
+
 func limiterFor(op string) *opLimiter {
 	if l, ok := limiters.Load(op); ok {
 		return l.(*opLimiter)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -125,10 +125,10 @@
 	return before == nil || r.content == nil
 }
 
-// Apply takes over changes of the store and reports whether they matter. It returns ErrGap if they do not
-// follow the revision of the registry.
+// Apply takes over changes of the store and reports whether they matter. It returns ErrGap if they begin after
+// the revision of the registry, or end before it because a peer was faster.
 func (r *Registry) Apply(c Changes) (bool, error) {
-	if c.After != r.freshness.Revision || c.Revision < c.After {
+	if c.After > r.freshness.Revision || c.Revision < r.freshness.Revision {
 		return false, ErrGap
 	}
 	r.confirm(c.Revision, c.Confirmed)
--- a/settings/finding.go
+++ b/settings/finding.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"slices"
 	"strings"
 
@@ -10,52 +9,28 @@
 	"github.com/goccy/go-yaml/ast"
 	yamlparser "github.com/goccy/go-yaml/parser"
 	"github.com/goccy/go-yaml/token"
+
+	"github.com/bramleyrack/bramleyrack/internal/finding"
 )
 
 // wholeTree is the path of a finding that is not about one place.
 const wholeTree = "$"
 
 // Finding is one fault of a tree.
-type Finding struct {
-	// Path is the place in the tree, with dots between the levels; "$" is the whole tree.
-	Path   string
-	Reason string
-	// Line and Column are the place in the text, from 1. They are zero when it is not known.
-	Line   int
-	Column int
-}
-
-// String describes the finding on one line.
-func (f Finding) String() string {
-	if f.Line == 0 {
-		return f.Path + ": " + f.Reason
-	}
-	return fmt.Sprintf("%d:%d: %s: %s", f.Line, f.Column, f.Path, f.Reason)
-}
+type Finding = finding.Finding
 
 // FindingsError reports every fault of a tree at once.
-type FindingsError struct {
-	Findings []Finding
-}
-
-// Error lists the findings, one a line.
-func (e *FindingsError) Error() string {
-	lines := make([]string, 0, len(e.Findings))
-	for _, f := range e.Findings {
-		lines = append(lines, f.String())
-	}
-	return strings.Join(lines, "\n")
-}
+type FindingsError = finding.Error
 
 // syntaxFinding turns an error of the YAML library into a finding.
 func syntaxFinding(err error) Finding {
-	finding := Finding{Path: wholeTree, Reason: err.Error()}
+	found := Finding{Path: wholeTree, Reason: err.Error()}
 	var located yaml.Error
 	if errors.As(err, &located) {
-		finding.Reason = located.GetMessage()
-		finding.Line, finding.Column = position(located.GetToken())
+		found.Reason = located.GetMessage()
+		found.Line, found.Column = position(located.GetToken())
 	}
-	return finding
+	return found
 }
 
 func position(t *token.Token) (line, column int) {
