Do not take up the watch of the store again after yielding it

Now an answer makes a process the reader only if it was one or if nobody else confirmed the view meanwhile.

--- a/dissemination/pacer.go
+++ b/dissemination/pacer.go
@@ -77,9 +77,10 @@
 	return max(0, due-now)
 }
 
-// Succeeded notes that the store answered this process.
-func (p *Pacer) Succeeded() {
-	p.reading = true
+// Succeeded notes that the store answered this process, and when its view was confirmed before. The process
+// watches for the others from then on, unless another one has confirmed the view meanwhile.
+func (p *Pacer) Succeeded(now, confirmed time.Duration) {
+	p.reading = p.reading || now-confirmed >= p.config.Least
 	p.backoff = 0
 	p.draw()
 }
--- a/internal/nodeview/owner.go
+++ b/internal/nodeview/owner.go
@@ -63,17 +63,21 @@
 	if o.reading {
 		return time.Second
 	}
-	confirmed := o.registry.Freshness().Confirmed
-	if o.registry.Freshness().Revision == 0 {
-		confirmed = now - o.config.Pacer.Least - o.config.Pacer.Spread
-	}
-	if wait := o.pacer.Next(now, confirmed); wait > 0 {
+	if wait := o.pacer.Next(now, o.confirmed(now)); wait > 0 {
 		return min(wait, seedInterval)
 	}
 	o.read(ctx)
 	return seedInterval
 }
 
+// confirmed returns when the view was confirmed. One that was never read is as old as it can be.
+func (o *owner) confirmed(now time.Duration) time.Duration {
+	if o.registry.Freshness().Revision == 0 {
+		return now - o.config.Pacer.Least - o.config.Pacer.Spread
+	}
+	return o.registry.Freshness().Confirmed
+}
+
 // fetch asks the peer that knows of changes, or a seed as long as there is no view.
 func (o *owner) fetch(ctx context.Context, now time.Duration) {
 	peer := o.hint
@@ -201,10 +205,11 @@
 		o.lost = false
 		o.config.Event("store_regained", "took", r.took, "view_age", now-o.registry.Freshness().Confirmed)
 	}
-	if !o.pacer.Reading() {
-		o.config.Event("reader_started", "view_age", now-o.registry.Freshness().Confirmed)
+	was, confirmed := o.pacer.Reading(), o.confirmed(now)
+	o.pacer.Succeeded(now, confirmed)
+	if !was && o.pacer.Reading() {
+		o.config.Event("reader_started", "view_age", now-confirmed)
 	}
-	o.pacer.Succeeded()
 	o.take(r)
 }
 
