Simulate opaque flows, and mend what the simulation found

TestPlannedChangesBreakNoFlow and TestFailuresResetNoLivingFlow run Directors and Keepers over a network with delays. Each of these failed first: - an agent that gave its server a packet of a flow that it had seen accepted lost the packet when the server returned it (no balancer was known); - a hint was taken for proof: the SYN+ACK of a copy made a balancer reset a flow that had opened elsewhere. A gone owner now starts a search; - the run of a server was taken from a view that could lag, so that flows of the newer run were taken for lost; hints carry the time of their creation instead; - a view that lacked a newer server proved that nobody held its flow; agents that know of a later change take that proof away; - the copy of a closed flow's port was taken for the old flow.

--- a/flow/agents.go
+++ b/flow/agents.go
@@ -17,8 +17,6 @@
 	From IP
 	// Process is the start of the agent, which tells its runs apart.
 	Process uint64
-	// Incarnation is that of the server; zero if the agent does not know it.
-	Incarnation uint64
 	// Accepting says that the agent takes new flows.
 	Accepting          bool
 	Busy, Slots, Flows uint32
@@ -30,9 +28,11 @@
 	service     uint64
 	place       string
 	incarnation uint64
-	slots       int
-	draining    bool
-	warmAt      time.Duration
+	// since is when the view first named this run of the server.
+	since    time.Duration
+	slots    int
+	draining bool
+	warmAt   time.Duration
 	// present says that the view names the server.
 	present bool
 	// heard is when the agent last said anything, and waiting when it was first asked since.
@@ -152,7 +152,10 @@
 		a = &agent{ip: ip, next: now}
 		d.agents[ip] = a
 	}
-	a.service, a.place, a.incarnation = s.hash, u.Place, u.Incarnation
+	if a.incarnation != u.Incarnation {
+		a.incarnation, a.since = u.Incarnation, now
+	}
+	a.service, a.place = s.hash, u.Place
 	a.slots, a.draining, a.warmAt = u.Slots, u.Draining, u.WarmAt
 	a.present = true
 	s.candidates = append(s.candidates, placement.Candidate{Number: number(ip), Place: u.Place, Weight: 1, Leaving: u.Draining})
--- a/flow/director.go
+++ b/flow/director.go
@@ -50,7 +50,7 @@
 		RetryInterval:     100 * time.Millisecond,
 		MaxHeartbeats:     100,
 		DoubtAfter:        100 * time.Millisecond,
-		TrustFor:          time.Second,
+		TrustFor:          500 * time.Millisecond,
 		Settled:           2200 * time.Millisecond,
 		Fresh:             3 * time.Second,
 	}
@@ -118,8 +118,10 @@
 	Version uint64
 	// Remaining are the agents to try next, in order.
 	Remaining []IP
-	// Exhaustive says that no server outside of the list may hold the flow.
+	// Exhaustive says that no server outside of the list may hold the flow, as far as the view goes whose last
+	// change was at revision Changed.
 	Exhaustive bool
+	Changed    uint64
 	// Balancer took the packet from the client.
 	Balancer IP
 }
@@ -211,9 +213,14 @@
 func (d *Director) known(now time.Duration, p *Packet, h *hint) Decision {
 	a := d.agents[h.owner]
 	if a == nil || d.lost(now, a, h) {
+		// The hint is no proof: another server may have taken a copy of the opening packet.
 		d.hints.remove(p.Key)
-		return resetFlow(p, "server of the flow is gone")
+		return d.search(now, p, h.owner)
 	}
+	if !h.used && a.doubtful(now, d.config.DoubtAfter) {
+		return d.search(now, p, IP{})
+	}
+	h.used = true
 	return Decision{Action: Forward, To: h.owner, Request: Request{
 		Purpose: Deliver,
 		Service: h.service,
@@ -222,17 +229,18 @@
 }
 
 // lost reports whether the server of a flow is known to be gone: its address belongs to another service, or
-// its agent is silent and the store names it no more or names a later run of it.
+// its agent is silent and the store names it no more or has long named a later run of it.
 func (d *Director) lost(now time.Duration, a *agent, h *hint) bool {
+	replaced := h.created+d.config.Settled < a.since
 	switch {
 	case a.service != h.service:
-		return true
+		return replaced
 	case now-a.heard <= d.config.TrustFor:
 		return false
 	case !a.present:
 		return d.settled(now)
 	}
-	return h.incarnation > 0 && a.incarnation > h.incarnation
+	return replaced
 }
 
 // settled reports whether a missing entry proves that its server is gone.
@@ -270,6 +278,7 @@
 		Version:    d.view.Version(),
 		Remaining:  list[1:],
 		Exhaustive: exhaustive,
+		Changed:    d.view.Changed,
 	}}
 }
 
--- a/flow/hints.go
+++ b/flow/hints.go
@@ -10,9 +10,11 @@
 type hint struct {
 	owner   IP
 	service uint64
-	// incarnation is that of the server which took the flow; zero if its agent did not know it.
-	incarnation uint64
-	seen        time.Duration
+	// created is when the owner reported the flow, and seen when a packet of it last came.
+	created, seen time.Duration
+	// used says that the owner was given a packet of the open flow. Before that, the flow may be open at another
+	// server that took a copy of the opening packet.
+	used bool
 }
 
 // hints remembers the owners of the flows that were seen last.
--- a/flow/keeper.go
+++ b/flow/keeper.go
@@ -66,7 +66,7 @@
 // held is what an agent remembers of a flow.
 type held struct {
 	state state
-	// request is that of the packet which the server has not answered, for the agents to try next.
+	// request is that of the last packet, for the case that the server returns it.
 	request Request
 	// clientAck is the last number that the client acknowledged; a reset must be near it.
 	clientAck uint32
@@ -106,6 +106,8 @@
 	service uint64
 	started time.Duration
 	version uint64
+	// changed is the revision of the last change in the view.
+	changed uint64
 	// routes holds the addresses whose new flows may go to the server, and whether they are repeatable.
 	routes map[Endpoint]bool
 	// entry is what the view says of the server; nil before it has named it.
@@ -142,6 +144,7 @@
 func (k *Keeper) Adopt(view *registry.View) {
 	before := k.entry
 	k.entry = nil
+	k.changed = view.Changed
 	for i := range view.Upstreams {
 		u := &view.Upstreams[i]
 		if u.Service != k.config.Service || EndpointOf(u.Address) != k.config.Address {
@@ -170,6 +173,11 @@
 	}
 }
 
+// Service returns the hash of the name of the server's service.
+func (k *Keeper) Service() uint64 {
+	return k.service
+}
+
 // Version returns the version of the configuration in force.
 func (k *Keeper) Version() uint64 {
 	return k.version
@@ -189,7 +197,6 @@
 	w := Word{Accepting: k.Accepting(now), Busy: uint32(k.busy), Flows: uint32(k.live)}
 	if k.entry != nil {
 		w.Slots = uint32(k.entry.Slots)
-		w.Incarnation = k.entry.Incarnation
 	}
 	return w
 }
@@ -219,6 +226,9 @@
 	case k.full() && len(request.Remaining) > 0:
 		return k.pass(p, request, "no free slot")
 	}
+	if h, ok := k.flows.Peek(p.Key); ok && h.state == ended {
+		k.flows.Remove(p.Key)
+	}
 	h := k.flow(now, p, asked)
 	h.repeatable = repeatable
 	h.request = keep(request)
@@ -261,8 +271,10 @@
 	return Verdict{Decision: Decision{Action: Reset, Reason: reason}, Note: NoteRefused, Balancer: request.Balancer}
 }
 
-// deny handles a packet of a flow that the server does not hold.
+// deny handles a packet of a flow that the server does not hold. An agent that knows of a later change takes
+// away the proof that everyone was asked, since a newer server may hold the flow.
 func (k *Keeper) deny(p *Packet, request Request, reason string) Verdict {
+	request.Exhaustive = request.Exhaustive && request.Changed >= k.changed
 	switch {
 	case len(request.Remaining) > 0:
 		return Verdict{Decision: forward(request, reason)}
@@ -276,18 +288,12 @@
 
 // later decides on a packet of a flow that its client takes for open.
 func (k *Keeper) later(now time.Duration, p *Packet, request Request) Verdict {
-	h, known := k.flows.Peek(p.Key)
-	if !known {
-		if now-k.started > k.config.IdleTimeout {
-			return k.deny(p, request, "server does not hold the flow")
-		}
-		h = k.flow(now, p, searched)
+	if !k.flows.Contains(p.Key) && now-k.started > k.config.IdleTimeout {
+		return k.deny(p, request, "server does not hold the flow")
 	}
-	h = k.flow(now, p, h.state)
+	h := k.flow(now, p, searched)
 	h.clientAck = p.Ack
-	if h.state == searched || h.state == asked {
-		h.request = keep(request)
-	}
+	h.request = keep(request)
 	if p.Length > 0 && h.state != ended {
 		k.setBusy(now, h, true)
 	}
@@ -351,7 +357,6 @@
 	if (h.state == asked || h.state == searched) && p.Kind != Resetting {
 		h.state = open
 		v.Note, v.Balancer = NoteHeld, h.request.Balancer
-		h.request = Request{}
 	}
 	if p.Length > 0 {
 		k.setBusy(now, h, false)
@@ -369,19 +374,16 @@
 	if !ok {
 		return Verdict{Decision: Decision{Reason: "returned packet of an unknown flow"}}
 	}
-	request := h.request
 	if h.state == ended || h.state == open && p.Kind == Opening {
 		return Verdict{Decision: Decision{Reason: "returned packet of a flow that the server has answered"}}
 	}
+	request := h.request
 	k.flows.Remove(p.Key)
-	if p.Kind == Opening {
+	switch {
+	case p.Kind == Opening:
 		return k.pass(p, request, "server refused the flow")
-	}
-	if request.Purpose == Open {
-		request.Purpose, request.Remaining, request.Exhaustive = Deliver, nil, false
-	}
-	if request.Balancer == (IP{}) {
-		return Verdict{Decision: Decision{Reason: "server does not hold the flow, and no balancer is known"}}
+	case request.Purpose == Open:
+		return Verdict{Decision: Decision{Reason: "server does not hold the flow, and nobody sent the packet"}}
 	}
 	return k.deny(p, request, "server does not hold the flow")
 }
--- a/flow/openings.go
+++ b/flow/openings.go
@@ -115,17 +115,17 @@
 type Report struct {
 	Key Key
 	// Held says that the server behind the agent holds the flow; otherwise nobody took it.
-	Held        bool
-	Incarnation uint64
-	From        IP
+	Held bool
+	From IP
+	// Service is the hash of the name of the agent's service.
+	Service uint64
 }
 
 // Reported takes in what an agent says of a flow.
 func (d *Director) Reported(now time.Duration, r Report) {
 	d.openings.answered(r.Key)
-	a := d.agents[r.From]
-	if !r.Held || a == nil {
+	if !r.Held || d.agents[r.From] == nil {
 		return
 	}
-	d.hints.put(r.Key, hint{owner: r.From, service: a.service, incarnation: r.Incarnation, seen: now})
+	d.hints.put(r.Key, hint{owner: r.From, service: r.Service, created: now, seen: now})
 }
--- /dev/null
+++ b/flow/simulation_test.go
@@ -0,0 +1,558 @@
+package flow_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/bramleyrack/bramleyrack/flow"
+	"github.com/bramleyrack/bramleyrack/registry"
+)
+
+// The simulation runs Directors and Keepers over a network with delays, beside servers and clients that behave
+// as the transport says. It checks what clients and servers see.
+
+const (
+	simPlace  = "here"
+	simPort   = 8000
+	lastCheck = 2 * time.Second
+)
+
+// simEvent is something that happens at a time.
+type simEvent struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// simServer is a server with the agent beside it.
+type simServer struct {
+	id          string
+	ip          flow.IP
+	service     string
+	incarnation uint64
+	running     bool
+	registered  bool
+	draining    bool
+	// flows holds the number that opened each flow, and whether it is open.
+	flows map[flow.Key]*simFlow
+
+	keeper *flow.Keeper
+	// process counts the runs of the agent, and away is when it last was down.
+	process uint64
+	away    time.Duration
+}
+
+type simFlow struct {
+	seq  uint32
+	open bool
+}
+
+type simBalancer struct {
+	ip       flow.IP
+	director *flow.Director
+	// cutOff is until when the balancer hears nothing of changes.
+	cutOff time.Duration
+}
+
+// simClient is one flow of a client.
+type simClient struct {
+	key     flow.Key
+	service string
+	// server is the one that the client took, with the incarnation that it had.
+	server      *simServer
+	incarnation uint64
+	seq         uint32
+	opened      bool
+	openedAt    time.Duration
+	answered    bool
+	closed      bool
+	next        uint32
+	// delivered is the last packet of the client that reached its server.
+	delivered uint32
+}
+
+// world is the whole simulation.
+type world struct {
+	t         *testing.T
+	rnd       *rand.Rand
+	now       time.Duration
+	queue     simQueue
+	order     int
+	revision  uint64
+	version   uint64
+	routes    map[flow.Endpoint]string
+	servers   []*simServer
+	byIP      map[flow.IP]*simServer
+	balancers []*simBalancer
+	clients   map[flow.Key]*simClient
+	nextIP    byte
+	nextSeq   uint32
+	// seen holds the revision of the view that a process has.
+	seen map[flow.IP]uint64
+	// lag is the longest time that a view takes to a process.
+	lag    time.Duration
+	faults []string
+	counts map[string]int
+}
+
+func newWorld(t *testing.T, seed int64, servers, balancers int) *world {
+	w := &world{
+		t: t, rnd: rand.New(rand.NewSource(seed)), byIP: map[flow.IP]*simServer{}, clients: map[flow.Key]*simClient{},
+		routes: map[flow.Endpoint]string{}, seen: map[flow.IP]uint64{}, lag: 300 * time.Millisecond, counts: map[string]int{},
+		now: time.Hour,
+	}
+	for i, service := range []string{"orders", "photos"} {
+		w.routes[serviceEnd(i)] = service
+		for range servers {
+			w.addServer(service)
+		}
+	}
+	for i := range balancers {
+		w.balancers = append(w.balancers, &simBalancer{ip: flow.IP{10, 9, 0, byte(i + 1)}})
+		w.startBalancer(w.balancers[i])
+	}
+	w.publish()
+	w.heartbeats()
+	w.run(time.Second)
+	return w
+}
+
+func serviceEnd(i int) flow.Endpoint {
+	return flow.Endpoint{IP: flow.IP{198, 18, 0, byte(i + 1)}, Port: 443}
+}
+
+func (w *world) fault(format string, args ...any) {
+	w.faults = append(w.faults, fmt.Sprintf("%v: ", w.now-time.Hour)+fmt.Sprintf(format, args...))
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.order++
+	heap.Push(&w.queue, simEvent{at: w.now + d, order: w.order, do: do})
+}
+
+// send does something at the other end of the network.
+func (w *world) send(do func()) {
+	w.after(time.Duration(500+w.rnd.Intn(1500))*time.Microsecond, do)
+}
+
+func (w *world) run(d time.Duration) {
+	end := w.now + d
+	for len(w.queue) > 0 && w.queue[0].at <= end {
+		e := heap.Pop(&w.queue).(simEvent)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+// view is what the store holds now.
+func (w *world) view() registry.Snapshot {
+	s := registry.Snapshot{Revision: w.revision, Configuration: &registry.Configuration{Version: w.version}}
+	for end, service := range w.routes {
+		s.Configuration.Routes = append(s.Configuration.Routes, registry.Route{
+			Address: end.AddrPort(), Shares: []registry.Share{{Service: service, Weight: 1}}, Repeatable: true,
+		})
+	}
+	for _, server := range w.servers {
+		if server.registered {
+			s.Upstreams = append(s.Upstreams, server.entry())
+		}
+	}
+	return s
+}
+
+func (s *simServer) entry() registry.Upstream {
+	return registry.Upstream{
+		ID: s.id, Service: s.service, Address: netip.AddrPortFrom(netip.AddrFrom4(s.ip), simPort), Place: simPlace,
+		Slots: 50, Draining: s.draining, Incarnation: s.incarnation,
+	}
+}
+
+// viewOf returns the view that a read of the store at a time gives.
+func viewOf(s registry.Snapshot, at time.Duration) *registry.View {
+	r := registry.New(registry.DefaultConfig(1))
+	s.Confirmed = at - time.Minute
+	r.Replace(s)
+	s.Confirmed = at
+	if _, err := r.Apply(registry.Changes{After: s.Revision, Revision: s.Revision, Confirmed: at}); err != nil {
+		panic(err)
+	}
+	v := r.View()
+	// The store has confirmed the view all the while.
+	v.Continuous = at - time.Minute
+	return v
+}
+
+// publish brings the state of the store to every process, to each after a delay of its own.
+func (w *world) publish() {
+	w.revision++
+	w.version++
+	s := w.view()
+	for _, b := range w.balancers {
+		w.after(time.Duration(w.rnd.Int63n(int64(w.lag))), func() { w.adoptBalancer(b, s) })
+	}
+	for _, server := range w.servers {
+		w.after(time.Duration(w.rnd.Int63n(int64(w.lag))), func() { w.adoptAgent(server, s) })
+	}
+}
+
+func (w *world) adoptBalancer(b *simBalancer, s registry.Snapshot) {
+	if b.director != nil && s.Revision >= w.seen[b.ip] && w.now >= b.cutOff {
+		w.seen[b.ip] = s.Revision
+		b.director.Adopt(w.now, viewOf(s, w.now))
+	}
+}
+
+func (w *world) adoptAgent(server *simServer, s registry.Snapshot) {
+	if server.keeper != nil && s.Revision >= w.seen[server.ip] {
+		w.seen[server.ip] = s.Revision
+		server.keeper.Adopt(viewOf(s, w.now))
+		w.unpark(server)
+	}
+}
+
+func (w *world) addServer(service string) *simServer {
+	w.nextIP++
+	return w.addServerAt(flow.IP{10, 1, 0, w.nextIP}, service)
+}
+
+func (w *world) addServerAt(ip flow.IP, service string) *simServer {
+	server := &simServer{
+		id: fmt.Sprint("s", len(w.servers)), ip: ip, service: service, running: true, registered: true,
+		incarnation: uint64(w.now), flows: map[flow.Key]*simFlow{},
+	}
+	w.servers = append(w.servers, server)
+	w.byIP[server.ip] = server
+	w.startAgent(server)
+	return server
+}
+
+func (w *world) startAgent(server *simServer) {
+	server.process++
+	config := flow.DefaultKeeperConfig(server.service, flow.Endpoint{IP: server.ip, Port: simPort})
+	server.keeper = flow.NewKeeper(config, w.now)
+	w.seen[server.ip] = 0
+	if w.revision > 0 {
+		w.adoptAgent(server, w.view())
+	}
+}
+
+func (w *world) startBalancer(b *simBalancer) {
+	b.director = flow.NewDirector(flow.DefaultDirectorConfig(simPlace), w.now)
+	b.cutOff = 0
+	w.seen[b.ip] = 0
+	if w.revision > 0 {
+		w.adoptBalancer(b, w.view())
+	}
+}
+
+// heartbeats lets every balancer do what is due, again and again.
+func (w *world) heartbeats() {
+	for _, b := range w.balancers {
+		w.tick(b)
+	}
+	w.after(20*time.Millisecond, w.heartbeats)
+}
+
+func (w *world) tick(b *simBalancer) {
+	if b.director == nil {
+		return
+	}
+	for {
+		d, p, _ := b.director.Overdue(w.now)
+		if p == nil {
+			break
+		}
+		w.apply(b, *p, d)
+	}
+	for {
+		ip, ok := b.director.Heartbeat(w.now)
+		if !ok {
+			break
+		}
+		w.send(func() { w.word(w.byIP[ip], b) })
+	}
+}
+
+// word sends the word of an agent to a balancer.
+func (w *world) word(server *simServer, b *simBalancer) {
+	if server.keeper == nil {
+		return
+	}
+	word := server.keeper.Word(w.now)
+	word.From, word.Process = server.ip, server.process
+	seen := w.seen[server.ip]
+	w.send(func() {
+		if b.director == nil {
+			return
+		}
+		w.heard(b, word, seen)
+	})
+}
+
+// heard lets a balancer take in the word of an agent, and ask it for what changed if it knows more.
+func (w *world) heard(b *simBalancer, word flow.Word, seen uint64) {
+	b.director.Heard(w.now, word)
+	if seen > w.seen[b.ip] {
+		b.cutOff = 0
+		w.after(3*time.Millisecond, func() { w.adoptBalancer(b, w.view()) })
+	}
+}
+
+// fromClient sends a packet of a client through a random balancer that runs.
+func (w *world) fromClient(p flow.Packet) {
+	w.send(func() {
+		b := w.balancers[w.rnd.Intn(len(w.balancers))]
+		if b.director == nil {
+			return
+		}
+		w.apply(b, p, b.director.FromClient(w.now, &p, nil))
+	})
+}
+
+// apply carries out the decision of a balancer.
+func (w *world) apply(b *simBalancer, p flow.Packet, d flow.Decision) {
+	w.counts["balancer "+d.Action.String()]++
+	switch d.Action {
+	case flow.Forward:
+		request := copyRequest(d.Request)
+		request.Balancer = b.ip
+		w.toAgent(d.To, p, request, 0)
+	case flow.Reset:
+		w.reset(p.Key, "balancer: "+d.Reason)
+	}
+}
+
+func copyRequest(r flow.Request) flow.Request {
+	r.Remaining = append([]flow.IP(nil), r.Remaining...)
+	return r
+}
+
+func (w *world) toAgent(ip flow.IP, p flow.Packet, request flow.Request, hops int) {
+	if hops > len(w.servers)+1 {
+		w.fault("packet of %v was passed on %d times", p.Key, hops)
+		return
+	}
+	w.send(func() {
+		server := w.byIP[ip]
+		if server.keeper == nil {
+			return
+		}
+		w.applyAgent(server, p, server.keeper.FromNode(w.now, &p, nil, request), hops)
+	})
+}
+
+// applyAgent carries out the verdict of an agent.
+func (w *world) applyAgent(server *simServer, p flow.Packet, v flow.Verdict, hops int) {
+	w.counts["agent "+v.Action.String()]++
+	w.note(server, p, v)
+	p.Returned = false
+	switch v.Action {
+	case flow.ToServer:
+		w.toServer(server, p, hops)
+	case flow.ToClient:
+		w.send(func() { w.toClient(server, p) })
+	case flow.Forward:
+		w.toAgent(v.To, p, copyRequest(v.Request), hops+1)
+	case flow.Return:
+		w.toBalancer(v.To, func(b *simBalancer) { w.apply(b, p, b.director.Returned(w.now, &p, server.ip)) })
+	case flow.Reset:
+		w.reset(p.Key, "agent "+server.id+": "+v.Reason)
+	}
+}
+
+func (w *world) note(server *simServer, p flow.Packet, v flow.Verdict) {
+	switch v.Note {
+	case flow.NoteHeld, flow.NoteRefused:
+		word := server.keeper.Word(w.now)
+		word.From, word.Process = server.ip, server.process
+		report := flow.Report{Key: p.Key, Held: v.Note == flow.NoteHeld, From: server.ip, Service: server.keeper.Service()}
+		seen := w.seen[server.ip]
+		w.toBalancer(v.Balancer, func(b *simBalancer) {
+			w.heard(b, word, seen)
+			b.director.Reported(w.now, report)
+		})
+	case flow.NoteWord:
+		for _, b := range w.balancers {
+			if b.ip == v.Balancer {
+				w.word(server, b)
+			}
+		}
+	}
+}
+
+func (w *world) toBalancer(ip flow.IP, do func(*simBalancer)) {
+	w.send(func() {
+		for _, b := range w.balancers {
+			if b.ip == ip && b.director != nil {
+				do(b)
+			}
+		}
+	})
+}
+
+func (w *world) unpark(server *simServer) {
+	for {
+		v, p, _ := server.keeper.Unpark(w.now)
+		if p == nil {
+			return
+		}
+		w.applyAgent(server, *p, v, 0)
+	}
+}
+
+// toServer lets the server beside an agent answer a packet of a client.
+func (w *world) toServer(server *simServer, p flow.Packet, hops int) {
+	if server.service != w.clients[p.Key].service {
+		w.fault("packet of %v reached server %s of %s", p.Key, server.id, server.service)
+	}
+	if !server.running {
+		return
+	}
+	f := server.flows[p.Key]
+	switch {
+	case p.Kind == flow.Opening:
+		w.serverOpens(server, p)
+	case f == nil || !f.open && p.Ack != f.seq:
+		p.Returned = true
+		w.applyAgent(server, p, server.keeper.FromServer(w.now, &p), hops)
+	default:
+		f.open = true
+		w.reached(server, p)
+		answer := flow.Packet{Key: p.Key, Kind: flow.Other, Length: 100}
+		w.after(time.Duration(1+w.rnd.Intn(60))*time.Millisecond, func() {
+			if server.running && server.keeper != nil && server.flows[p.Key] == f {
+				w.applyAgent(server, answer, server.keeper.FromServer(w.now, &answer), 0)
+			}
+		})
+	}
+}
+
+func (w *world) serverOpens(server *simServer, p flow.Packet) {
+	if server.flows[p.Key] == nil {
+		w.nextSeq++
+		server.flows[p.Key] = &simFlow{seq: w.nextSeq << 8}
+	}
+	answer := flow.Packet{Key: p.Key, Kind: flow.Accepting, Seq: server.flows[p.Key].seq}
+	w.after(300*time.Microsecond, func() {
+		if server.running && server.keeper != nil {
+			w.applyAgent(server, answer, server.keeper.FromServer(w.now, &answer), 0)
+		}
+	})
+}
+
+// reached notes that a packet came to the server that holds its flow.
+func (w *world) reached(server *simServer, p flow.Packet) {
+	c := w.clients[p.Key]
+	if c.server == server {
+		c.opened = true
+		c.delivered = max(c.delivered, p.Seq)
+	}
+}
+
+// toClient lets a client take a packet of a server.
+func (w *world) toClient(server *simServer, p flow.Packet) {
+	c := w.clients[p.Key]
+	if c == nil || c.closed {
+		return
+	}
+	if p.Kind != flow.Accepting {
+		c.answered = true
+		return
+	}
+	if c.server == nil {
+		c.server, c.incarnation, c.seq, c.openedAt = server, server.incarnation, p.Seq, w.now
+		w.counts["flows opened"]++
+		w.speak(c)
+	}
+}
+
+// reset lets a client see a reset of the system.
+func (w *world) reset(key flow.Key, reason string) {
+	w.send(func() {
+		c := w.clients[key]
+		if c == nil || c.closed {
+			return
+		}
+		if c.opened && c.alive() && w.now-c.server.away > lastCheck {
+			w.fault("open flow %v at %s was reset by %s", key, c.server.id, reason)
+		}
+		w.counts["resets"]++
+		c.closed = true
+	})
+}
+
+func (c *simClient) alive() bool {
+	return c.server != nil && c.server.running && c.server.incarnation == c.incarnation
+}
+
+// open starts a flow of a client to a service.
+func (w *world) open(i int) {
+	w.nextSeq++
+	c := &simClient{key: flow.Key{
+		Client:  flow.Endpoint{IP: flow.IP{100, 64, byte(w.nextSeq >> 8), byte(w.nextSeq)}, Port: uint16(40000 + w.rnd.Intn(20000))},
+		Service: serviceEnd(i),
+	}, service: w.routes[serviceEnd(i)]}
+	w.clients[c.key] = c
+	for copies, delay := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
+		w.after(delay, func() {
+			if c.server == nil && !c.closed {
+				w.fromClient(flow.Packet{Key: c.key, Kind: flow.Opening, Copy: uint32(copies)})
+			}
+		})
+	}
+	w.after(1400*time.Millisecond, func() {
+		if c.server == nil && !c.closed {
+			c.closed = true
+			w.counts["not opened"]++
+		}
+	})
+}
+
+// speak lets a client send a packet, until it reaches its server, and then the next one after a pause.
+func (w *world) speak(c *simClient) {
+	c.next++
+	p := flow.Packet{Key: c.key, Kind: flow.Other, Length: 50, Seq: c.next, Ack: c.seq}
+	started := w.now
+	var attempt func(wait time.Duration)
+	attempt = func(wait time.Duration) {
+		if c.closed || c.delivered >= p.Seq {
+			return
+		}
+		if !c.alive() {
+			return
+		}
+		if w.now-started > lastCheck && w.now-c.server.away > lastCheck {
+			w.fault("packet %d of %v did not reach %s in %v", p.Seq, c.key, c.server.id, w.now-started)
+			c.closed = true
+			return
+		}
+		w.fromClient(p)
+		w.after(wait, func() { attempt(min(2*wait, 1600*time.Millisecond)) })
+	}
+	attempt(200 * time.Millisecond)
+	w.after(time.Duration(300+w.rnd.Intn(1500))*time.Millisecond, func() {
+		if !c.closed && c.delivered >= p.Seq {
+			w.speak(c)
+		}
+	})
+}
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -227,6 +227,7 @@
 	}
 	nodelink.Clear(&l.out)
 	l.putSelf(now)
+	l.out.Service = l.keeper.Service()
 	switch v.Note {
 	case flow.NoteWord:
 		l.out.Kind = nodev1.Kind_KIND_ANSWER
--- a/internal/flowbalancer/nodes.go
+++ b/internal/flowbalancer/nodes.go
@@ -48,7 +48,7 @@
 	key := nodelink.Key(h)
 	held := h.Verdict == nodev1.Verdict_VERDICT_HELD
 	l.director.Heard(now, nodelink.Word(h, from))
-	l.director.Reported(now, flow.Report{Key: key, Held: held, Incarnation: h.Incarnation, From: from})
+	l.director.Reported(now, flow.Report{Key: key, Held: held, From: from, Service: h.Service})
 	l.balancer.counts.reported.Add(1)
 	if sent, ok := l.sentAt[key]; ok {
 		delete(l.sentAt, key)
