--- a/dissemination/pacer.go
+++ b/dissemination/pacer.go
@@ -93,10 +93,10 @@
 	p.draw()
 }
 
-// Heard notes that another process has confirmed the view. Of two readers the one with the higher identity
-// leaves the watch to the other.
-func (p *Pacer) Heard(reader uint64) {
-	if p.reading && reader < p.self {
+// Heard notes that another process has confirmed the view at a time. Of two readers the one with the higher
+// identity leaves the watch to the other.
+func (p *Pacer) Heard(now, confirmed time.Duration, reader uint64) {
+	if p.reading && reader < p.self && now-confirmed < p.config.Least {
 		p.reading = false
 		p.draw()
 	}
--- /dev/null
+++ b/dissemination/pacer_test.go
@@ -0,0 +1,186 @@
+package dissemination_test
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/bramleyrack/bramleyrack/dissemination"
+)
+
+// pacedFleet runs pacers whose confirmations spread with a delay, in steps of a millisecond.
+type pacedFleet struct {
+	pacers    []*dissemination.Pacer
+	config    dissemination.PacerConfig
+	confirmed []time.Duration
+	// ends holds when the read of a process under way ends; zero if it has none.
+	ends  []time.Duration
+	reads int
+	// dead processes do nothing, and refused ones get no answer of the store.
+	dead, refused map[int]bool
+	now           time.Duration
+	spread        time.Duration
+	spreading     []confirmation
+}
+
+func newPacedFleet(size int) *pacedFleet {
+	f := &pacedFleet{
+		config:    dissemination.DefaultPacerConfig(),
+		confirmed: make([]time.Duration, size),
+		ends:      make([]time.Duration, size),
+		dead:      map[int]bool{},
+		refused:   map[int]bool{},
+		spread:    50 * time.Millisecond,
+	}
+	for i := range size {
+		f.pacers = append(f.pacers, dissemination.NewPacer(f.config, uint64(i), rand.New(rand.NewSource(int64(i)))))
+	}
+	return f
+}
+
+func (f *pacedFleet) run(d time.Duration) {
+	for end := f.now + d; f.now < end; f.now += time.Millisecond {
+		for i := range f.pacers {
+			if !f.dead[i] {
+				f.step(i)
+			}
+		}
+		f.gossip()
+	}
+}
+
+func (f *pacedFleet) step(i int) {
+	p := f.pacers[i]
+	if f.ends[i] > 0 && f.now >= f.ends[i] {
+		f.ends[i] = 0
+		if f.refused[i] {
+			p.Failed(f.now)
+			return
+		}
+		p.Succeeded(f.now, f.confirmed[i])
+		f.confirmed[i] = f.now
+		f.spreading = append(f.spreading, confirmation{at: f.now, reader: i})
+	}
+	if f.ends[i] > 0 || p.Next(f.now, f.confirmed[i]) > 0 {
+		return
+	}
+	f.reads++
+	f.ends[i] = f.now + 5*time.Millisecond
+	if p.Reading() {
+		f.ends[i] += f.config.Wait
+	}
+}
+
+// confirmation is what a process has heard from the store.
+type confirmation struct {
+	at     time.Duration
+	reader int
+}
+
+// gossip lets everyone hear of each confirmation after the time that it needs to spread.
+func (f *pacedFleet) gossip() {
+	for len(f.spreading) > 0 && f.now >= f.spreading[0].at+f.spread {
+		c := f.spreading[0]
+		f.spreading = f.spreading[1:]
+		for i := range f.confirmed {
+			if !f.dead[i] && i != c.reader {
+				f.confirmed[i] = max(f.confirmed[i], c.at)
+				f.pacers[i].Heard(f.now, c.at, uint64(c.reader))
+			}
+		}
+	}
+}
+
+func (f *pacedFleet) readers() (readers []int) {
+	for i, p := range f.pacers {
+		if p.Reading() && !f.dead[i] {
+			readers = append(readers, i)
+		}
+	}
+	return readers
+}
+
+// oldest returns the age of the oldest view of the processes that live.
+func (f *pacedFleet) oldest() time.Duration {
+	oldest := time.Duration(0)
+	for i, at := range f.confirmed {
+		if !f.dead[i] {
+			oldest = max(oldest, f.now-at)
+		}
+	}
+	return oldest
+}
+
+func TestOneReaderWatchesForAll(t *testing.T) {
+	for _, size := range []int{2, 14, 100, 1000} {
+		f := newPacedFleet(size)
+		f.run(5 * time.Second)
+		f.reads = 0
+		f.run(20 * time.Second)
+		if got := len(f.readers()); got != 1 {
+			t.Errorf("%d processes: %d readers", size, got)
+		}
+		if most := int(20*time.Second/f.config.Wait) + 2; f.reads > most {
+			t.Errorf("%d processes: %d reads in 20 s, want at most %d", size, f.reads, most)
+		}
+	}
+}
+
+func TestAnotherProcessTakesOverFromADeadReader(t *testing.T) {
+	const bound = 2 * time.Second
+	for _, size := range []int{2, 14, 100, 1000} {
+		f := newPacedFleet(size)
+		f.run(5 * time.Second)
+		f.dead[f.readers()[0]] = true
+		f.reads = 0
+		worst := time.Duration(0)
+		for range 300 {
+			f.run(10 * time.Millisecond)
+			worst = max(worst, f.oldest())
+		}
+		if worst > bound {
+			t.Errorf("%d processes: a view was %v old, want at most %v", size, worst, bound)
+		}
+		if f.reads > 40 {
+			t.Errorf("%d processes: %d reads in the 3 s after the death", size, f.reads)
+		}
+	}
+}
+
+func TestProcessesThatTheStoreTurnsAwayLeaveTheWatchToOthers(t *testing.T) {
+	const bound = 2500 * time.Millisecond
+	f := newPacedFleet(14)
+	f.run(5 * time.Second)
+	reader := f.readers()[0]
+	for i := range 7 {
+		f.refused[(reader+i)%14] = true
+	}
+	worst := time.Duration(0)
+	for range 1000 {
+		f.run(10 * time.Millisecond)
+		worst = max(worst, f.oldest())
+	}
+	if worst > bound {
+		t.Errorf("a view was %v old, want at most %v", worst, bound)
+	}
+	for _, i := range f.readers() {
+		if f.refused[i] {
+			t.Errorf("process %d reads, though the store refuses it", i)
+		}
+	}
+}
+
+func TestReadsAreSpreadWhileTheStoreIsAway(t *testing.T) {
+	f := newPacedFleet(100)
+	f.run(5 * time.Second)
+	for i := range f.pacers {
+		f.refused[i] = true
+	}
+	f.run(5 * time.Second)
+	f.reads = 0
+	f.run(10 * time.Second)
+	// Each process tries once in its longest backoff, which varies by half.
+	if most := 100 * 10 * 2; f.reads > most {
+		t.Errorf("%d reads in 10 s of an outage, want at most %d", f.reads, most)
+	}
+}
--- a/internal/nodeview/nodeview.go
+++ b/internal/nodeview/nodeview.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"math/rand"
-	"net"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -14,9 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bramleyrack/bramleyrack/dissemination"
-	nodev1 "github.com/bramleyrack/bramleyrack/gen/bramley/node/v1"
 	"github.com/bramleyrack/bramleyrack/internal/clock"
-	"github.com/bramleyrack/bramleyrack/internal/nodelink"
 	"github.com/bramleyrack/bramleyrack/registry"
 )
 
@@ -37,8 +34,8 @@
 	Clock  *clock.Clock
 	// Self identifies the process among the readers of the store.
 	Self uint64
-	// Listener accepts the peers that ask for what changed.
-	Listener net.Listener
+	// Fetch asks the peer at an address for what changed after a revision.
+	Fetch func(ctx context.Context, peer netip.AddrPort, revision uint64) (registry.Delta, error)
 	// Seeds returns the peers to ask before any other is known.
 	Seeds func() []netip.AddrPort
 	Pacer dissemination.PacerConfig
@@ -55,7 +52,7 @@
 	// readTimeout bounds a read of the store, or the part of a watch that exceeds its wait. The store
 	// answers within some milliseconds; a slow one within some hundred.
 	readTimeout = 700 * time.Millisecond
-	// fetchTimeout bounds a question to a peer.
+	// fetchTimeout bounds a question to a peer, whose answer takes some milliseconds.
 	fetchTimeout = 500 * time.Millisecond
 	// seedInterval is the time between two questions to the seeds while there is no view.
 	seedInterval = 200 * time.Millisecond
@@ -128,23 +125,22 @@
 		start:    func(f func()) { group.Go(func() error { f(); return nil }) },
 	}
 	group.Go(func() error { return o.run(ctx) })
-	group.Go(func() error { return v.serve(ctx) })
 	return group.Wait()
 }
 
-// Fetch answers a peer that asks for what changed after a revision.
-func (v *View) Fetch(ctx context.Context, req *nodev1.FetchRequest) (*nodev1.View, error) {
+// Since returns what changed after a revision.
+func (v *View) Since(ctx context.Context, revision uint64) (registry.Delta, error) {
 	answer := make(chan registry.Delta, 1)
 	select {
-	case v.events <- event{command: func(r *registry.Registry) { answer <- r.Since(req.GetRevision()) }}:
+	case v.events <- event{command: func(r *registry.Registry) { answer <- r.Since(revision) }}:
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return registry.Delta{}, ctx.Err()
 	}
 	select {
 	case delta := <-answer:
-		return nodelink.PutDelta(v.config.Clock.Now(), delta), nil
+		return delta, nil
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return registry.Delta{}, ctx.Err()
 	}
 }
 
--- a/internal/nodeview/owner.go
+++ b/internal/nodeview/owner.go
@@ -95,7 +95,9 @@
 	o.fetching = true
 	revision := o.registry.Freshness().Revision
 	o.start(func() {
-		delta, err := fetch(ctx, peer, revision, o.config.Clock)
+		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		defer cancel()
+		delta, err := o.config.Fetch(ctx, peer, revision)
 		o.view.deliver(ctx, event{fetched: &fetchResult{peer: peer, delta: delta, err: err}})
 	})
 }
@@ -160,6 +162,7 @@
 }
 
 func (o *owner) observe(observed *observation) {
+	o.heard(observed.freshness)
 	before := o.registry.Freshness()
 	if o.registry.Observe(observed.freshness) {
 		o.hint = observed.peer
@@ -167,19 +170,18 @@
 	}
 	if o.registry.Freshness() != before {
 		o.publish("peer", observed.peer.String())
-		o.heard(before)
 	}
 }
 
 // heard tells the pacer of a confirmation by another process.
-func (o *owner) heard(before registry.Freshness) {
-	after := o.registry.Freshness()
-	if after.Confirmed > before.Confirmed && after.Reader != o.config.Self {
-		was := o.pacer.Reading()
-		o.pacer.Heard(after.Reader)
-		if was && !o.pacer.Reading() {
-			o.config.Event("reader_yielded", "to", after.Reader, "revision", after.Revision)
-		}
+func (o *owner) heard(f registry.Freshness) {
+	if f.Reader == o.config.Self {
+		return
+	}
+	was := o.pacer.Reading()
+	o.pacer.Heard(o.config.Clock.Now(), f.Confirmed, f.Reader)
+	if was && !o.pacer.Reading() {
+		o.config.Event("reader_yielded", "to", f.Reader, "revision", f.Revision)
 	}
 }
 
@@ -241,10 +243,9 @@
 		o.config.Failure("peer_fetch_failed", f.err, "peer", f.peer)
 		return
 	}
-	before := o.registry.Freshness()
+	o.heard(f.delta.Freshness)
 	o.registry.Merge(f.delta)
 	o.publish("peer", f.peer.String())
-	o.heard(before)
 }
 
 // publish puts the state of the registry in force.
--- a/registry/delta.go
+++ b/registry/delta.go
@@ -77,7 +77,8 @@
 	if d.Revision == 0 || d.Revision < r.freshness.Revision || d.From > r.freshness.Revision {
 		return false
 	}
-	if r.freshness.Revision == 0 {
+	if d.From == 0 {
+		// Everything does not show what came and went before.
 		r.horizon = d.Revision
 	}
 	before := r.content
@@ -86,26 +87,21 @@
 	for i := range d.Upstreams {
 		present[d.Upstreams[i].ID] = true
 		r.put(&d.Upstreams[i], d.Changed)
-		r.upstreams[d.Upstreams[i].ID].lapsed = d.Lapsed[i]
+		if d.Lapsed[i] {
+			r.lapse(r.upstreams[d.Upstreams[i].ID], d.Changed)
+		}
 	}
 	r.adopt(d.Freshness)
 	for _, id := range d.Removed {
-		r.drop(id, d.Changed)
+		r.remove(id, d.Changed)
 	}
 	if d.From == 0 {
 		for id := range r.upstreams {
 			if !present[id] {
-				r.drop(id, d.Changed)
+				r.remove(id, d.Changed)
 			}
 		}
 	}
 	r.freshness.Changed = max(r.freshness.Changed, d.Changed)
 	return before == nil || r.content == nil
 }
-
-// drop removes an upstream that a peer has removed.
-func (r *Registry) drop(id string, revision uint64) {
-	if r.upstreams[id] != nil {
-		r.remove(id, revision)
-	}
-}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -106,8 +106,10 @@
 	if s.Revision < r.freshness.Revision {
 		return false
 	}
-	if r.freshness.Revision == 0 {
+	if s.Revision > r.freshness.Revision {
+		// A whole read does not show what came and went since the last one, and a peer may know of that.
 		r.horizon = s.Revision
+		r.freshness.Changed = s.Revision
 	}
 	r.confirm(s.Revision, s.Confirmed)
 	before := r.content
@@ -164,8 +166,12 @@
 	r.touch(revision)
 }
 
+// put takes over an entry. One that says nothing new is news all the same for a peer that saw what came in
+// between.
 func (r *Registry) put(u *Upstream, revision uint64) {
 	if e := r.upstreams[u.ID]; e != nil && !e.lapsed && e.same(u) {
+		e.changed = revision
+		r.freshness.Changed = max(r.freshness.Changed, revision)
 		return
 	}
 	delete(r.removed, u.ID)
@@ -183,20 +189,33 @@
 func (r *Registry) miss(id string, revision uint64) {
 	e := r.upstreams[id]
 	switch {
-	case e == nil || e.lapsed:
-	case r.settled():
+	case e == nil, r.settled():
 		r.remove(id, revision)
 	default:
-		e.lapsed = true
-		e.changed = revision
-		r.touch(revision)
+		r.lapse(e, revision)
 	}
 }
 
+// lapse notes that an entry is missing in the store and kept for a while. Peers must learn of it, since each
+// expires the entry itself.
+func (r *Registry) lapse(e *entry, revision uint64) {
+	if e.lapsed && e.changed >= revision {
+		return
+	}
+	e.lapsed = true
+	e.changed = revision
+	r.touch(revision)
+}
+
+// remove forgets an upstream. The removal of one that is not known here is news all the same for a peer that
+// knows it.
 func (r *Registry) remove(id string, revision uint64) {
-	delete(r.upstreams, id)
 	r.removed[id] = removal{changed: revision, at: r.freshness.Confirmed}
-	r.touch(revision)
+	r.freshness.Changed = max(r.freshness.Changed, revision)
+	if r.upstreams[id] != nil {
+		delete(r.upstreams, id)
+		r.content = nil
+	}
 }
 
 // Expire removes the entries that lapsed and did not come back, and forgets old removals. It reports whether
--- /dev/null
+++ b/registry/registry_test.go
@@ -0,0 +1,362 @@
+package registry_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand"
+	"net/netip"
+	"os"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bramleyrack/bramleyrack/registry"
+)
+
+// checks is high enough to reach each fault that the property test has ever found.
+var checks = flag.String("checks", "7000", "number of cases of the property test")
+
+// TestMain fixes the seed of the property tests, so that every run checks the same cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": *checks} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func upstream(id string, incarnation uint64) registry.Upstream {
+	return registry.Upstream{
+		ID: id, Service: "orders", Address: netip.MustParseAddrPort("10.0.0.1:80"), Place: "north", Slots: 5, Incarnation: incarnation,
+	}
+}
+
+func configuration(version uint64) *registry.Configuration {
+	return &registry.Configuration{Version: version}
+}
+
+func snapshot(revision uint64, at time.Duration, upstreams ...registry.Upstream) registry.Snapshot {
+	return registry.Snapshot{Revision: revision, Confirmed: at, Configuration: configuration(1), Upstreams: upstreams}
+}
+
+func ids(r *registry.Registry) []string {
+	names := []string{}
+	for _, u := range r.View().Upstreams {
+		names = append(names, u.ID)
+	}
+	return names
+}
+
+func wantIDs(t *testing.T, r *registry.Registry, want ...string) {
+	t.Helper()
+	if got := ids(r); !reflect.DeepEqual(got, append([]string{}, want...)) {
+		t.Fatalf("upstreams %v, want %v", got, want)
+	}
+}
+
+func ExampleRegistry() {
+	r := registry.New(registry.DefaultConfig(1))
+	r.Replace(registry.Snapshot{
+		Revision:      7,
+		Configuration: &registry.Configuration{Version: 3},
+		Upstreams:     []registry.Upstream{{ID: "a", Service: "orders"}},
+	})
+	view := r.View()
+	fmt.Println(view.Revision, view.Version(), len(view.Upstreams))
+	// Output: 7 3 1
+}
+
+// steady returns a registry that has held some entries for a minute, confirmed every 500 ms.
+func steady(t *testing.T, upstreams ...registry.Upstream) *registry.Registry {
+	t.Helper()
+	r := registry.New(registry.DefaultConfig(1))
+	r.Replace(snapshot(10, 0, upstreams...))
+	for at := time.Duration(0); at <= time.Minute; at += 500 * time.Millisecond {
+		confirm(t, r, at)
+	}
+	return r
+}
+
+func confirm(t *testing.T, r *registry.Registry, at time.Duration) {
+	t.Helper()
+	revision := r.Freshness().Revision
+	if _, err := r.Apply(registry.Changes{After: revision, Revision: revision, Confirmed: at}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestRemovedEntryIsGoneAtOnce(t *testing.T) {
+	r := steady(t, upstream("a", 1), upstream("b", 1))
+	changed, err := r.Apply(registry.Changes{After: 10, Revision: 11, Confirmed: time.Minute + time.Second, Removed: []string{"a"}})
+	if err != nil || !changed {
+		t.Fatalf("changed %v, error %v", changed, err)
+	}
+	wantIDs(t, r, "b")
+}
+
+func TestEntryThatLapsedInAnOutageIsKeptUntilTheStoreIsSteady(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		miss func(r *registry.Registry, at time.Duration)
+	}{
+		{"whole read", func(r *registry.Registry, at time.Duration) { r.Replace(snapshot(12, at, upstream("b", 1))) }},
+		{"watch", func(r *registry.Registry, at time.Duration) {
+			if _, err := r.Apply(registry.Changes{After: 10, Revision: 12, Confirmed: at, Removed: []string{"a"}}); err != nil {
+				panic(err)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := steady(t, upstream("a", 1), upstream("b", 1))
+			back := time.Minute + 5*time.Second
+			c.miss(r, back)
+			for at := back; at < back+2*time.Second; at += 500 * time.Millisecond {
+				confirm(t, r, at)
+				r.Expire()
+				wantIDs(t, r, "a", "b")
+			}
+			confirm(t, r, back+2500*time.Millisecond)
+			if !r.Expire() {
+				t.Fatal("nothing expired")
+			}
+			wantIDs(t, r, "b")
+		})
+	}
+}
+
+func TestEntryThatComesBackAfterAnOutageStays(t *testing.T) {
+	r := steady(t, upstream("a", 1))
+	back := time.Minute + 5*time.Second
+	r.Replace(snapshot(12, back))
+	if _, err := r.Apply(registry.Changes{After: 12, Revision: 13, Confirmed: back + time.Second, Upstreams: []registry.Upstream{upstream("a", 1)}}); err != nil {
+		t.Fatal(err)
+	}
+	for at := back + time.Second; at < back+10*time.Second; at += time.Second {
+		confirm(t, r, at)
+		r.Expire()
+	}
+	wantIDs(t, r, "a")
+}
+
+func TestNothingExpiresWhileTheStoreIsAway(t *testing.T) {
+	r := steady(t, upstream("a", 1))
+	r.Replace(snapshot(12, time.Minute+5*time.Second))
+	if r.Expire() {
+		t.Fatal("an entry expired without a confirmation")
+	}
+	wantIDs(t, r, "a")
+}
+
+func TestPeersLearnOfALapseAndExpireItThemselves(t *testing.T) {
+	reader, peer := steady(t, upstream("a", 1)), steady(t, upstream("a", 1))
+	back := time.Minute + 5*time.Second
+	reader.Replace(snapshot(12, back))
+	if !peer.Observe(reader.Freshness()) {
+		t.Fatal("the peer does not know that it is behind")
+	}
+	peer.Merge(reader.Since(peer.Freshness().Revision))
+	wantIDs(t, peer, "a")
+	for at := back; at < back+4*time.Second; at += 500 * time.Millisecond {
+		confirm(t, reader, at)
+		if peer.Observe(reader.Freshness()) {
+			peer.Merge(reader.Since(peer.Freshness().Revision))
+		}
+		peer.Expire()
+		reader.Expire()
+	}
+	wantIDs(t, peer)
+	wantIDs(t, reader)
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	r := registry.New(registry.DefaultConfig(1))
+	r.Replace(registry.Snapshot{Revision: 5, Configuration: configuration(9)})
+	r.Replace(registry.Snapshot{Revision: 6, Configuration: configuration(8)})
+	r.Merge(registry.Delta{Freshness: registry.Freshness{Revision: 7, Changed: 7}, Configuration: configuration(7)})
+	if got := r.View().Version(); got != 9 {
+		t.Fatalf("version %d", got)
+	}
+}
+
+func TestOlderReadIsIgnored(t *testing.T) {
+	r := steady(t, upstream("a", 1))
+	if r.Replace(snapshot(9, 2*time.Minute)) {
+		t.Fatal("an older read changed the view")
+	}
+	if _, err := r.Apply(registry.Changes{After: 11, Revision: 12}); err != registry.ErrGap {
+		t.Fatalf("error %v", err)
+	}
+	wantIDs(t, r, "a")
+}
+
+func TestLaterRunOfAServerReplacesTheEarlier(t *testing.T) {
+	r := steady(t, upstream("a", 5))
+	// The clock of the server's VM has stepped back before the restart.
+	if _, err := r.Apply(registry.Changes{After: 10, Revision: 11, Confirmed: time.Hour, Upstreams: []registry.Upstream{upstream("a", 4)}}); err != nil {
+		t.Fatal(err)
+	}
+	if got := r.View().Upstreams[0].Incarnation; got != 4 {
+		t.Fatalf("incarnation %d", got)
+	}
+}
+
+func TestConfirmationOfAPeerCounts(t *testing.T) {
+	r := steady(t, upstream("a", 1))
+	content := r.View().Content
+	f := r.Freshness()
+	f.Revision, f.Confirmed, f.Reader = 99, 2*time.Minute, 7
+	if r.Observe(f) {
+		t.Fatal("behind, though nothing changed")
+	}
+	if got := r.Freshness(); got.Revision != 99 || got.Confirmed != 2*time.Minute || got.Reader != 7 {
+		t.Fatalf("freshness %+v", got)
+	}
+	if r.View().Content != content {
+		t.Fatal("the content was built anew")
+	}
+}
+
+// store is a model of the platform's store.
+type store struct {
+	revision uint64
+	version  uint64
+	entries  map[string]registry.Upstream
+	log      []registry.Changes
+}
+
+func (s *store) change(c registry.Changes) {
+	c.After, s.revision = s.revision, s.revision+1
+	c.Revision = s.revision
+	s.log = append(s.log, c)
+}
+
+func (s *store) snapshot(at time.Duration) registry.Snapshot {
+	snap := registry.Snapshot{Revision: s.revision, Confirmed: at, Configuration: configuration(s.version)}
+	for _, u := range s.entries {
+		snap.Upstreams = append(snap.Upstreams, u)
+	}
+	return snap
+}
+
+// since returns the changes after a revision, the last of each key.
+func (s *store) since(after uint64, at time.Duration) registry.Changes {
+	c := registry.Changes{After: after, Revision: s.revision, Confirmed: at}
+	touched := map[string]bool{}
+	for _, past := range s.log {
+		if past.Revision <= after {
+			continue
+		}
+		if past.Configuration != nil {
+			c.Configuration = configuration(s.version)
+		}
+		for _, u := range past.Upstreams {
+			touched[u.ID] = true
+		}
+		for _, id := range past.Removed {
+			touched[id] = true
+		}
+	}
+	for id := range touched {
+		if u, ok := s.entries[id]; ok {
+			c.Upstreams = append(c.Upstreams, u)
+		} else {
+			c.Removed = append(c.Removed, id)
+		}
+	}
+	return c
+}
+
+// TestEveryPathLeadsToTheStateOfTheStore lets registries read the store and each other in random order. At the
+// end each one that has caught up must show what the store holds.
+func TestEveryPathLeadsToTheStateOfTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rnd := rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed")))
+		s := &store{revision: 1, version: 1, entries: map[string]registry.Upstream{}}
+		nodes := make([]*registry.Registry, 4)
+		for i := range nodes {
+			nodes[i] = registry.New(registry.DefaultConfig(uint64(i)))
+		}
+		now := time.Duration(0)
+		for range 200 {
+			now += 200 * time.Millisecond
+			s.step(rnd)
+			sync(rnd, s, now, nodes)
+		}
+		now += 10 * time.Second
+		reader := nodes[0]
+		reader.Replace(s.snapshot(now))
+		for range 30 {
+			now += 200 * time.Millisecond
+			reader.Replace(s.snapshot(now))
+			reader.Expire()
+		}
+		for _, r := range nodes[1:] {
+			if r.Observe(reader.Freshness()) {
+				r.Merge(reader.Since(r.Freshness().Revision))
+			}
+			if r.Observe(reader.Freshness()) {
+				t.Fatal("still behind after a merge")
+			}
+			r.Expire()
+		}
+		for i, r := range nodes {
+			if got := r.View().Version(); got != s.version {
+				t.Fatalf("node %d: version %d, want %d", i, got, s.version)
+			}
+			if len(r.View().Upstreams) != len(s.entries) {
+				t.Fatalf("node %d: %v, the store has %v", i, r.View().Upstreams, s.entries)
+			}
+			for _, u := range r.View().Upstreams {
+				if u != s.entries[u.ID] {
+					t.Fatalf("node %d: %+v, want %+v", i, u, s.entries[u.ID])
+				}
+			}
+		}
+	})
+}
+
+// step changes the store at random.
+func (s *store) step(rnd *rand.Rand) {
+	id := fmt.Sprint("s", rnd.Intn(6))
+	switch rnd.Intn(4) {
+	case 0:
+		u := upstream(id, uint64(rnd.Intn(5)))
+		u.Draining = rnd.Intn(3) == 0
+		s.entries[id] = u
+		s.change(registry.Changes{Upstreams: []registry.Upstream{u}})
+	case 1:
+		if _, ok := s.entries[id]; ok {
+			delete(s.entries, id)
+			s.change(registry.Changes{Removed: []string{id}})
+		}
+	case 2:
+		s.version++
+		s.change(registry.Changes{Configuration: configuration(s.version)})
+	}
+}
+
+// sync lets a random node read the store or hear of another node.
+func sync(rnd *rand.Rand, s *store, now time.Duration, nodes []*registry.Registry) {
+	r := nodes[rnd.Intn(len(nodes))]
+	revision := r.Freshness().Revision
+	switch rnd.Intn(3) {
+	case 0:
+		r.Replace(s.snapshot(now))
+	case 1:
+		if revision > 0 {
+			if _, err := r.Apply(s.since(revision, now)); err != nil {
+				panic(err)
+			}
+		}
+	case 2:
+		peer := nodes[rnd.Intn(len(nodes))]
+		if r.Observe(peer.Freshness()) {
+			r.Merge(peer.Since(revision))
+		}
+	}
+	r.Expire()
+}
