Let a fresh view prove that a flow is lost, unless a peer knows of an interruption

Now the view says whether an interruption came before it; a fresh one is settled after 300 ms, in which peers tell what they know. Ruled out: slow starts (agents are up 40 to 200 ms after the power returns).

--- a/flow/director.go
+++ b/flow/director.go
@@ -30,9 +30,10 @@
 	DoubtAfter time.Duration
 	// TrustFor is how long the word of an agent counts for more than the entries of the store.
 	TrustFor time.Duration
-	// Settled is the time without an interruption of the store after which a missing entry proves that its
-	// server is gone.
-	Settled time.Duration
+	// Registry says when a missing entry proves that its server is gone.
+	Registry registry.Config
+	// MaxLag bounds how late the view learns of a new run of a server.
+	MaxLag time.Duration
 	// Fresh is the age up to which the view may refuse a client.
 	Fresh time.Duration
 }
@@ -51,7 +52,8 @@
 		MaxHeartbeats:     100,
 		DoubtAfter:        100 * time.Millisecond,
 		TrustFor:          500 * time.Millisecond,
-		Settled:           2200 * time.Millisecond,
+		Registry:          registry.DefaultConfig(0),
+		MaxLag:            2200 * time.Millisecond,
 		Fresh:             3 * time.Second,
 	}
 }
@@ -231,7 +233,7 @@
 // lost reports whether the server of a flow is known to be gone: its address belongs to another service, or
 // its agent is silent and the store names it no more or has long named a later run of it.
 func (d *Director) lost(now time.Duration, a *agent, h *hint) bool {
-	replaced := h.created+d.config.Settled < a.since
+	replaced := h.created+d.config.MaxLag < a.since
 	switch {
 	case a.service != h.service:
 		return replaced
@@ -245,7 +247,7 @@
 
 // settled reports whether a missing entry proves that its server is gone.
 func (d *Director) settled(now time.Duration) bool {
-	return now-d.view.Confirmed <= d.config.Fresh && d.view.Confirmed-d.view.Continuous >= d.config.Settled
+	return now-d.view.Confirmed <= d.config.Fresh && d.view.Settled(d.config.Registry)
 }
 
 // resetFlow ends a flow that may be open at its client. A reset is never answered by another one.
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -125,7 +125,7 @@
 func PutFreshness(h *nodev1.Header, now time.Duration, f registry.Freshness) {
 	h.Revision, h.Changed, h.Reader = f.Revision, f.Changed, f.Reader
 	h.AgeMs = uint32(max(0, now-f.Confirmed).Milliseconds())
-	h.ContinuousMs = uint64(max(0, now-f.Continuous).Milliseconds())
+	h.ContinuousMs, h.Interrupted = uint64(max(0, now-f.Continuous).Milliseconds()), f.Interrupted
 }
 
 // Freshness returns the freshness that h carries.
@@ -133,6 +133,6 @@
 	return registry.Freshness{
 		Revision: h.Revision, Changed: h.Changed, Reader: h.Reader,
 		Confirmed:  now - time.Duration(h.AgeMs)*time.Millisecond,
-		Continuous: now - time.Duration(h.ContinuousMs)*time.Millisecond,
+		Continuous: now - time.Duration(h.ContinuousMs)*time.Millisecond, Interrupted: h.Interrupted,
 	}
 }
--- a/internal/nodelink/view.go
+++ b/internal/nodelink/view.go
@@ -15,6 +15,7 @@
 		From: d.From, Revision: d.Revision, Changed: d.Changed, Reader: d.Reader,
 		AgeMs:        uint64(max(0, now-d.Confirmed).Milliseconds()),
 		ContinuousMs: uint64(max(0, now-d.Continuous).Milliseconds()),
+		Interrupted:  d.Interrupted,
 		Removed:      d.Removed,
 	}
 	if d.Configuration != nil {
@@ -54,7 +55,7 @@
 		Freshness: registry.Freshness{
 			Revision: m.Revision, Changed: m.Changed, Reader: m.Reader,
 			Confirmed:  now - time.Duration(m.AgeMs)*time.Millisecond,
-			Continuous: now - time.Duration(m.ContinuousMs)*time.Millisecond,
+			Continuous: now - time.Duration(m.ContinuousMs)*time.Millisecond, Interrupted: m.Interrupted,
 		},
 		Removed: m.Removed,
 	}
--- a/internal/nodeview/owner.go
+++ b/internal/nodeview/owner.go
@@ -198,6 +198,7 @@
 			o.config.Failure("store_lost", r.err, "took", r.took, "view_age", now-o.registry.Freshness().Confirmed)
 		}
 		o.lost = true
+		o.registry.Interrupt()
 		// A watch may be stuck although the store answers reads.
 		o.whole = o.whole || r.changes != nil
 		o.pacer.Failed(now)
--- a/registry/delta.go
+++ b/registry/delta.go
@@ -60,10 +60,11 @@
 // adopt takes over the confirmation of a peer that has the same content.
 func (r *Registry) adopt(f Freshness) {
 	own := &r.freshness
-	if own.Revision == 0 || f.Confirmed-own.Confirmed > r.config.InterruptedAfter {
-		own.Continuous = f.Continuous
+	unknown := own.Revision == 0 || f.Confirmed-own.Confirmed > r.config.InterruptedAfter
+	if unknown || f.Continuous < own.Continuous {
+		// Who has heard the store for longer knows better whether it was away.
+		own.Continuous, own.Interrupted = f.Continuous, f.Interrupted
 	}
-	own.Continuous = min(own.Continuous, f.Continuous)
 	own.Revision = f.Revision
 	if f.Confirmed > own.Confirmed {
 		own.Confirmed = f.Confirmed
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -18,6 +18,8 @@
 	// KeepLapsed is how long after an interruption an entry that is missing is kept. Servers that live
 	// register again within that time.
 	KeepLapsed time.Duration
+	// HearPeers is how long after the first read a process waits for peers that may know of an interruption.
+	HearPeers time.Duration
 	// KeepRemoved bounds the memory of removed servers, which peers need to learn of the removal.
 	KeepRemoved time.Duration
 }
@@ -28,6 +30,7 @@
 		Self:             self,
 		InterruptedAfter: 1500 * time.Millisecond,
 		KeepLapsed:       2200 * time.Millisecond,
+		HearPeers:        300 * time.Millisecond,
 		KeepRemoved:      time.Minute,
 	}
 }
@@ -61,6 +64,8 @@
 	removed       map[string]removal
 	// content is nil after a change, until it is asked for.
 	content *Content
+	// interrupted says that the store did not answer before the first read.
+	interrupted bool
 }
 
 // New returns an empty Registry.
@@ -148,8 +153,11 @@
 // confirm notes that the store told this process its revision.
 func (r *Registry) confirm(revision uint64, at time.Duration) {
 	f := &r.freshness
-	if f.Revision == 0 || at-f.Confirmed > r.config.InterruptedAfter {
-		f.Continuous = at
+	switch {
+	case f.Revision == 0:
+		f.Continuous, f.Interrupted = at, r.interrupted
+	case at-f.Confirmed > r.config.InterruptedAfter:
+		f.Continuous, f.Interrupted = at, true
 	}
 	f.Revision = revision
 	f.Confirmed = max(f.Confirmed, at)
@@ -179,17 +187,17 @@
 	r.touch(revision)
 }
 
-// settled reports whether an entry that is missing in the store has been removed. Shortly after an
-// interruption it may have lapsed although the server lives.
-func (r *Registry) settled() bool {
-	return r.freshness.Confirmed-r.freshness.Continuous >= r.config.KeepLapsed
+// Interrupt notes that the store did not answer. It counts for a registry that has read nothing yet; others
+// notice an interruption by the age of their view.
+func (r *Registry) Interrupt() {
+	r.interrupted = true
 }
 
 // miss notes that the store holds no entry of a server.
 func (r *Registry) miss(id string, revision uint64) {
 	e := r.upstreams[id]
 	switch {
-	case e == nil, r.settled():
+	case e == nil, r.freshness.Settled(r.config):
 		r.remove(id, revision)
 	default:
 		r.lapse(e, revision)
@@ -224,7 +232,7 @@
 func (r *Registry) Expire() bool {
 	expired := false
 	for id, e := range r.upstreams {
-		if e.lapsed && r.settled() {
+		if e.lapsed && r.freshness.Settled(r.config) {
 			r.remove(id, r.freshness.Revision)
 			expired = true
 		}
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -360,3 +360,52 @@
 	}
 	r.Expire()
 }
+
+func TestWhenAMissingEntryProvesThatItsServerIsGone(t *testing.T) {
+	config := registry.DefaultConfig(1)
+	settled := func(r *registry.Registry) bool { return r.Freshness().Settled(config) }
+	fresh := func() *registry.Registry {
+		r := registry.New(config)
+		r.Replace(snapshot(10, time.Minute))
+		return r
+	}
+
+	r := fresh()
+	if settled(r) {
+		t.Error("at the first read, before any peer could be heard")
+	}
+	confirm(t, r, time.Minute+500*time.Millisecond)
+	if !settled(r) {
+		t.Error("not half a second later, though nobody knows of an interruption")
+	}
+
+	r = fresh()
+	peer := r.Freshness()
+	peer.Continuous, peer.Interrupted = time.Minute-time.Second, true
+	r.Observe(peer)
+	confirm(t, r, time.Minute+500*time.Millisecond)
+	if settled(r) {
+		t.Error("although a peer knows of an interruption that ended 1.5 s ago")
+	}
+	confirm(t, r, time.Minute+1500*time.Millisecond)
+	if !settled(r) {
+		t.Error("not 2.5 s after the interruption")
+	}
+
+	r = registry.New(config)
+	r.Interrupt()
+	r.Replace(snapshot(10, time.Minute))
+	confirm(t, r, time.Minute+500*time.Millisecond)
+	if settled(r) {
+		t.Error("although the store did not answer before the first read")
+	}
+
+	r = steady(t)
+	r.Replace(snapshot(11, time.Minute+5*time.Second))
+	peer = r.Freshness()
+	peer.Continuous, peer.Interrupted = time.Minute, false
+	r.Observe(peer)
+	if !settled(r) {
+		t.Error("although a peer has heard the store all the while that this process was cut off")
+	}
+}
--- a/registry/types.go
+++ b/registry/types.go
@@ -84,12 +84,21 @@
 	Revision, Changed uint64
 	// Confirmed is the last time at which the store is known to have held this state.
 	Confirmed time.Duration
-	// Continuous is the time since which the store has confirmed the view without an interruption.
-	Continuous time.Duration
+	// Continuous is the time since which the store has confirmed the view without an interruption, and
+	// Interrupted says that one came before that.
+	Continuous  time.Duration
+	Interrupted bool
 	// Reader identifies the process that asked the store.
 	Reader uint64
 }
 
+// Settled reports whether an entry that the view lacks is gone. Shortly after an interruption of the store it may
+// have lapsed although its server lives; shortly after the first read a peer may still tell of an interruption.
+func (f Freshness) Settled(c Config) bool {
+	steady := f.Confirmed - f.Continuous
+	return steady >= c.KeepLapsed || !f.Interrupted && steady >= c.HearPeers
+}
+
 // Content is what a view shows. It never changes; another state has another Content.
 type Content struct {
 	// Configuration is nil before the first one.
