Refuse new flows that no server can answer in time

Cause: after a final fault the requests of the outage come back together onto cold servers. Agents measure the service time of requests that do not wait. A flow whose request would wait past the target of its route is reset at once, so that its client may try again; when all are full, the least loaded server takes it without passes; a flow that was opened but sends no request counts as busy for 100 ms only. Ruled out: bounding by flows instead of requests (flows are idle between requests).

--- a/flow/agents.go
+++ b/flow/agents.go
@@ -20,6 +20,8 @@
 	// Accepting says that the agent takes new flows.
 	Accepting          bool
 	Busy, Slots, Flows uint32
+	// ServiceTime is how long the server works on a request that does not wait; zero if it is not known.
+	ServiceTime time.Duration
 }
 
 // agent is what a balancer knows of the agent beside one server.
@@ -75,6 +77,37 @@
 	return float64(a.word.Busy + a.sent)
 }
 
+// late reports whether a new request is expected to wait for so long that its answer misses a target.
+func (a *agent) late(now, target time.Duration) bool {
+	return late(a.busy(), a.capacity(now), a.word.ServiceTime, target)
+}
+
+// late reports whether one more request beside those that are busy would be answered after a target. Without a
+// target none is.
+func late(busy, slots float64, service, target time.Duration) bool {
+	if target == 0 {
+		return false
+	}
+	if service == 0 {
+		service = time.Duration(unknownShare * float64(target))
+	}
+	wait := max(0, busy+1-slots) / slots * float64(service)
+	return wait+float64(service) > targetShare*float64(target)
+}
+
+// targetShare is the part of a target that waiting and service may take; the rest is for the way, and for
+// requests that take longer than the mean.
+const targetShare = 0.8
+
+// unknownShare is the part of a target that a request is taken to need before any was measured, as right after
+// a start, when servers are cold.
+const unknownShare = 0.35
+
+// pressure is the number of requests for each slot.
+func (a *agent) pressure(now time.Duration) float64 {
+	return a.busy() / a.capacity(now)
+}
+
 // load is the number of flows over the capacity, with one more.
 func (a *agent) load(now time.Duration) float64 {
 	return float64(a.word.Flows+a.sent+1) / a.capacity(now)
@@ -97,6 +130,8 @@
 	services []*service
 	weights  []uint32
 	total    uint32
+	// target is the time in which clients want an answer.
+	target time.Duration
 }
 
 // pick returns the service that takes a flow. Every copy of its opening packet gets the same.
@@ -176,7 +211,7 @@
 		return
 	}
 	for i := range c.Routes {
-		r := &route{}
+		r := &route{target: c.Routes[i].Target}
 		for _, share := range c.Routes[i].Shares {
 			r.services = append(r.services, d.service(share.Service))
 			r.weights = append(r.weights, share.Weight)
--- a/flow/choose.go
+++ b/flow/choose.go
@@ -1,6 +1,8 @@
 package flow
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/bramleyrack/bramleyrack/placement"
@@ -41,18 +43,22 @@
 // choose returns the agents for a new flow, the best first. The ranks of the flow decide within a class, so
 // that a later search finds it early; of the first two the one with the lower load is taken. The n-th copy
 // of an opening packet starts at another agent than the one before, since that may be dead or cut off.
-func (d *Director) choose(now time.Duration, s *service, p *Packet) []IP {
+func (d *Director) choose(now time.Duration, s *service, p *Packet, target time.Duration) []IP {
 	d.ranks = placement.Rank(d.ranks[:0], p.Key.Hash(), d.config.Place, s.candidates)
 	d.list = d.list[:0]
 	for want := roomHere; want < unfit; want++ {
 		start := len(d.list)
 		for _, rank := range d.ranks {
 			ip := address(rank)
-			if d.classify(now, d.agents[ip]) == want {
+			if a := d.agents[ip]; d.classify(now, a) == want && !(want == full && a.late(now, target)) {
 				d.list = append(d.list, ip)
 			}
 		}
-		d.twoChoices(now, d.list[start:])
+		if want == full {
+			d.byLoad(now, d.list[start:])
+		} else {
+			d.twoChoices(now, d.list[start:])
+		}
 	}
 	if n := len(d.list); n > 0 {
 		rotate(d.list, int(p.Copy)%n)
@@ -67,6 +73,13 @@
 	}
 }
 
+// byLoad puts the agents with the least requests for each slot first.
+func (d *Director) byLoad(now time.Duration, list []IP) {
+	slices.SortStableFunc(list, func(a, b IP) int {
+		return cmp.Compare(d.agents[a].pressure(now), d.agents[b].pressure(now))
+	})
+}
+
 // rotate moves the first n elements to the end.
 func rotate(list []IP, n int) {
 	for range n {
--- a/flow/director.go
+++ b/flow/director.go
@@ -120,6 +120,8 @@
 	Version uint64
 	// Remaining are the agents to try next, in order.
 	Remaining []IP
+	// Insist says that no agent has a free slot, so that the first one takes the flow nevertheless.
+	Insist bool
 	// Exhaustive says that no server outside of the list may hold the flow, as far as the view goes whose last
 	// change was at revision Changed.
 	Exhaustive bool
@@ -182,9 +184,9 @@
 		return d.refuse(now, p, "no route")
 	}
 	s := r.pick(p.Key)
-	list := d.choose(now, s, p)
+	list := d.choose(now, s, p, r.target)
 	if len(list) == 0 {
-		return d.refuse(now, p, "no upstream takes new flows")
+		return d.refuse(now, p, "no upstream can answer in time")
 	}
 	d.openings.add(now, p, raw, s, list)
 	return d.forwardOpening(now, s, list)
@@ -199,6 +201,7 @@
 		Service:   s.hash,
 		Version:   d.view.Version(),
 		Remaining: list[1:],
+		Insist:    d.classify(now, d.agents[list[0]]) == full,
 	}}
 }
 
--- a/flow/keeper.go
+++ b/flow/keeper.go
@@ -27,6 +27,9 @@
 	TryInterval time.Duration
 	// BusyFor is how long a request without an answer counts as running.
 	BusyFor time.Duration
+	// ReserveFor is how long a new flow counts as busy before its first request. A client sends that a round trip
+	// after the flow has opened; one that took another server's answer never does.
+	ReserveFor time.Duration
 	// ParkFor is how long a packet waits for the newer configuration that its sender went by.
 	ParkFor time.Duration
 	// MaxParked bounds the packets that wait.
@@ -44,6 +47,7 @@
 		MaxUnanswered: 2,
 		TryInterval:   200 * time.Millisecond,
 		BusyFor:       5 * time.Second,
+		ReserveFor:    100 * time.Millisecond,
 		ParkFor:       200 * time.Millisecond,
 		MaxParked:     256,
 	}
@@ -70,12 +74,14 @@
 	request Request
 	// clientAck is the last number that the client acknowledged; a reset must be near it.
 	clientAck uint32
-	// busy says that a request of the flow runs, since when.
+	// busy says that a request of the flow runs or is expected, since when.
 	busy  bool
 	since time.Duration
+	// asked says that the client has sent a request.
+	asked bool
 	seen  time.Duration
-	// repeatable says that the requests of the flow may be run twice.
-	repeatable bool
+	// alone says that the running request did not have to wait for a slot.
+	alone bool
 }
 
 // Note is what an agent tells a balancer beside what it does with a packet.
@@ -108,17 +114,21 @@
 	version uint64
 	// changed is the revision of the last change in the view.
 	changed uint64
-	// routes holds the addresses whose new flows may go to the server, and whether they are repeatable.
-	routes map[Endpoint]bool
+	// routes holds the routes whose new flows may go to the server.
+	routes map[Endpoint]*registry.Route
 	// entry is what the view says of the server; nil before it has named it.
 	entry *registry.Upstream
 	// gone says that the view has named the server and does not any more.
-	gone   bool
-	flows  *simplelru.LRU[Key, *held]
-	busy   int
-	live   int
-	server serverHealth
-	parked []parkedPacket
+	gone  bool
+	flows *simplelru.LRU[Key, *held]
+	busy  int
+	live  int
+	// serviceTime is the mean time that the server works on a request that does not wait.
+	serviceTime time.Duration
+	server      serverHealth
+	parked      []parkedPacket
+	// reserved holds the flows that were opened and have sent no request yet, the oldest first.
+	reserved []*held
 }
 
 // parkedPacket waits for a configuration.
@@ -163,11 +173,11 @@
 		return
 	}
 	k.version = c.Version
-	k.routes = make(map[Endpoint]bool, len(c.Routes))
+	k.routes = make(map[Endpoint]*registry.Route, len(c.Routes))
 	for i := range c.Routes {
 		for _, share := range c.Routes[i].Shares {
 			if share.Service == k.config.Service && share.Weight > 0 {
-				k.routes[EndpointOf(c.Routes[i].Address)] = c.Routes[i].Repeatable
+				k.routes[EndpointOf(c.Routes[i].Address)] = &c.Routes[i]
 			}
 		}
 	}
@@ -194,7 +204,8 @@
 
 // Word returns what the agent says of its server.
 func (k *Keeper) Word(now time.Duration) Word {
-	w := Word{Accepting: k.Accepting(now), Busy: uint32(k.busy), Flows: uint32(k.live)}
+	k.release(now)
+	w := Word{Accepting: k.Accepting(now), Busy: uint32(k.busy), Flows: uint32(k.live), ServiceTime: k.serviceTime}
 	if k.entry != nil {
 		w.Slots = uint32(k.entry.Slots)
 	}
@@ -217,33 +228,59 @@
 	if request.Version > k.version {
 		return k.park(now, p, raw, request)
 	}
-	repeatable, ok := k.routes[p.Key.Service]
+	route := k.routes[p.Key.Service]
 	switch {
-	case !ok:
+	case route == nil:
 		return refuse(request, "route is not in the configuration in force")
 	case !k.Accepting(now) && !k.server.tryAgain(now):
 		return k.pass(p, request, "server takes no new flows")
-	case k.full() && len(request.Remaining) > 0:
+	case !request.Insist && len(request.Remaining) > 0 && k.full(now):
 		return k.pass(p, request, "no free slot")
+	case k.late(now, route.Target):
+		return k.pass(p, request, "server can't answer in time")
 	}
 	if h, ok := k.flows.Peek(p.Key); ok && h.state == ended {
 		k.flows.Remove(p.Key)
 	}
 	h := k.flow(now, p, asked)
-	h.repeatable = repeatable
 	h.request = keep(request)
-	k.setBusy(now, h, true)
+	k.reserve(now, h)
 	k.server.opened(now)
 	return Verdict{Decision: Decision{Action: ToServer}}
 }
 
+// reserve counts a new flow as busy for as long as its first request may take to come.
+func (k *Keeper) reserve(now time.Duration, h *held) {
+	if h.asked || h.busy {
+		return
+	}
+	k.setBusy(now, h, true)
+	k.reserved = append(k.reserved, h)
+}
+
+// release gives back what was reserved for requests that did not come.
+func (k *Keeper) release(now time.Duration) {
+	for len(k.reserved) > 0 && now-k.reserved[0].since > k.config.ReserveFor {
+		if h := k.reserved[0]; !h.asked {
+			k.setBusy(now, h, false)
+		}
+		k.reserved = k.reserved[1:]
+	}
+}
+
 // keep returns a request whose lists outlive the packet.
 func keep(request Request) Request {
 	request.Remaining = append([]IP(nil), request.Remaining...)
 	return request
 }
 
-func (k *Keeper) full() bool {
+// late reports whether a new request is expected to be answered after a target.
+func (k *Keeper) late(now, target time.Duration) bool {
+	return k.entry != nil && late(float64(k.busy), float64(k.entry.Slots), k.serviceTime, target)
+}
+
+func (k *Keeper) full(now time.Duration) bool {
+	k.release(now)
 	return k.entry != nil && k.busy >= k.entry.Slots
 }
 
@@ -295,6 +332,9 @@
 	h.clientAck = p.Ack
 	h.request = keep(request)
 	if p.Length > 0 && h.state != ended {
+		h.asked = true
+		h.alone = k.entry != nil && k.busy <= k.entry.Slots
+		h.since = now
 		k.setBusy(now, h, true)
 	}
 	if p.Kind == Resetting {
@@ -319,6 +359,21 @@
 	return h
 }
 
+// serviceWeight is the weight of one request in the mean service time.
+const serviceWeight = 0.05
+
+// measure takes the time of a request that did not wait into the mean service time.
+func (k *Keeper) measure(now time.Duration, h *held) {
+	if !h.asked || !h.alone {
+		return
+	}
+	took := now - h.since
+	if k.serviceTime == 0 {
+		k.serviceTime = took
+	}
+	k.serviceTime += time.Duration(serviceWeight * float64(took-k.serviceTime))
+}
+
 func (k *Keeper) setBusy(now time.Duration, h *held, busy bool) {
 	if h.busy == busy {
 		return
@@ -358,7 +413,8 @@
 		h.state = open
 		v.Note, v.Balancer = NoteHeld, h.request.Balancer
 	}
-	if p.Length > 0 {
+	if p.Length > 0 && h.busy {
+		k.measure(now, h)
 		k.setBusy(now, h, false)
 	}
 	if p.Kind == Resetting || p.Kind == Closing {
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -61,6 +61,7 @@
 	h.Service = r.Service
 	h.ConfigVersion = r.Version
 	h.Exhaustive = r.Exhaustive
+	h.Insist = r.Insist
 	h.Changed = r.Changed
 	h.Balancer = pack(r.Balancer)
 	h.Remaining = h.Remaining[:0]
@@ -75,6 +76,7 @@
 		Service:    h.Service,
 		Version:    h.ConfigVersion,
 		Exhaustive: h.Exhaustive,
+		Insist:     h.Insist,
 		Changed:    h.Changed,
 		Balancer:   unpack(h.Balancer),
 		Remaining:  list[:0],
@@ -111,13 +113,14 @@
 func PutWord(h *nodev1.Header, w flow.Word) {
 	h.Process, h.Accepting = w.Process, w.Accepting
 	h.Busy, h.Slots, h.Flows = w.Busy, w.Slots, w.Flows
+	h.ServiceTimeUs = uint32(w.ServiceTime.Microseconds())
 }
 
 // Word returns the word of the agent at an address.
 func Word(h *nodev1.Header, from flow.IP) flow.Word {
 	return flow.Word{
 		From: from, Process: h.Process, Accepting: h.Accepting,
-		Busy: h.Busy, Slots: h.Slots, Flows: h.Flows,
+		Busy: h.Busy, Slots: h.Slots, Flows: h.Flows, ServiceTime: time.Duration(h.ServiceTimeUs) * time.Microsecond,
 	}
 }
 
--- a/registry/types.go
+++ b/registry/types.go
@@ -18,6 +18,8 @@
 	Shares  []Share
 	// Repeatable says that the requests of the route do no harm when they run twice.
 	Repeatable bool
+	// Target is the time in which clients want an answer; zero if it is not known.
+	Target time.Duration
 }
 
 // Configuration is one version of what operators publish. It never changes.
