--- a/flow/agents.go
+++ b/flow/agents.go
@@ -78,8 +78,8 @@
 }
 
 // late reports whether a new request is expected to wait for so long that its answer misses a target.
-func (a *agent) late(now, target time.Duration) bool {
-	return late(a.busy(), a.capacity(now), a.word.ServiceTime, target)
+func (a *agent) late(target time.Duration) bool {
+	return late(a.busy(), float64(max(1, a.slots)), a.word.ServiceTime, target)
 }
 
 // late reports whether one more request beside those that are busy would be answered after a target. Without a
--- a/flow/choose.go
+++ b/flow/choose.go
@@ -50,7 +50,7 @@
 		start := len(d.list)
 		for _, rank := range d.ranks {
 			ip := address(rank)
-			if a := d.agents[ip]; d.classify(now, a) == want && !(want == full && a.late(now, target)) {
+			if a := d.agents[ip]; d.classify(now, a) == want && !(want == full && a.late(target)) {
 				d.list = append(d.list, ip)
 			}
 		}
