--- a/flow/agents.go
+++ b/flow/agents.go
@@ -77,31 +77,42 @@
 	return float64(a.word.Busy + a.sent)
 }
 
-// late reports whether a new request is expected to wait for so long that its answer misses a target.
-func (a *agent) late(target time.Duration) bool {
-	return late(a.busy(), float64(max(1, a.slots)), a.word.ServiceTime, target)
+// late reports whether a new request is expected to take longer than a patience.
+func (a *agent) late(patience time.Duration) bool {
+	return late(a.busy(), float64(max(1, a.slots)), a.word.ServiceTime, patience)
 }
 
-// late reports whether one more request beside those that are busy would be answered after a target. Without a
-// target none is.
-func late(busy, slots float64, service, target time.Duration) bool {
-	if target == 0 {
+// late reports whether one more request beside those that are busy is expected to take longer than a patience.
+// Without a patience none is.
+func late(busy, slots float64, service, patience time.Duration) bool {
+	if patience == 0 {
 		return false
 	}
 	if service == 0 {
-		service = time.Duration(unknownShare * float64(target))
+		service = time.Duration(unknownShare * float64(patience))
 	}
 	wait := max(0, busy+1-slots) / slots * float64(service)
-	return wait+float64(service) > targetShare*float64(target)
+	return wait+float64(service) > float64(patience)
 }
 
-// targetShare is the part of a target that waiting and service may take; the rest is for the way, and for
-// requests that take longer than the mean.
-const targetShare = 0.8
+// patience is the time that waiting and service of a request of a route may take together. The rest of its
+// target is for the way and for requests that take longer than the mean. Less urgent routes are refused earlier,
+// so that there is room for the urgent ones.
+func patience(r *registry.Route) time.Duration {
+	share := patienceShare - patienceStep*float64(min(r.Priority, maxPriority))
+	return time.Duration(share * float64(r.Target))
+}
 
-// unknownShare is the part of a target that a request is taken to need before any was measured, as right after
-// a start, when servers are cold.
-const unknownShare = 0.35
+const (
+	// patienceShare is the part of its target that the most urgent route may use, and patienceStep what each
+	// step of priority takes away, up to maxPriority.
+	patienceShare = 0.9
+	patienceStep  = 0.1
+	maxPriority   = 4
+	// unknownShare is the part of its patience that a request is taken to need before any was measured, as right
+	// after a start, when servers are cold.
+	unknownShare = 0.45
+)
 
 // pressure is the number of requests for each slot.
 func (a *agent) pressure(now time.Duration) float64 {
@@ -130,8 +141,7 @@
 	services []*service
 	weights  []uint32
 	total    uint32
-	// target is the time in which clients want an answer.
-	target time.Duration
+	patience time.Duration
 }
 
 // pick returns the service that takes a flow. Every copy of its opening packet gets the same.
@@ -211,7 +221,7 @@
 		return
 	}
 	for i := range c.Routes {
-		r := &route{target: c.Routes[i].Target}
+		r := &route{patience: patience(&c.Routes[i])}
 		for _, share := range c.Routes[i].Shares {
 			r.services = append(r.services, d.service(share.Service))
 			r.weights = append(r.weights, share.Weight)
--- a/flow/choose.go
+++ b/flow/choose.go
@@ -43,14 +43,14 @@
 // choose returns the agents for a new flow, the best first. The ranks of the flow decide within a class, so
 // that a later search finds it early; of the first two the one with the lower load is taken. The n-th copy
 // of an opening packet starts at another agent than the one before, since that may be dead or cut off.
-func (d *Director) choose(now time.Duration, s *service, p *Packet, target time.Duration) []IP {
+func (d *Director) choose(now time.Duration, s *service, p *Packet, patience time.Duration) []IP {
 	d.ranks = placement.Rank(d.ranks[:0], p.Key.Hash(), d.config.Place, s.candidates)
 	d.list = d.list[:0]
 	for want := roomHere; want < unfit; want++ {
 		start := len(d.list)
 		for _, rank := range d.ranks {
 			ip := address(rank)
-			if a := d.agents[ip]; d.classify(now, a) == want && !(want == full && a.late(target)) {
+			if a := d.agents[ip]; d.classify(now, a) == want && !(want == full && a.late(patience)) {
 				d.list = append(d.list, ip)
 			}
 		}
--- a/flow/director.go
+++ b/flow/director.go
@@ -184,7 +184,7 @@
 		return d.refuse(now, p, "no route")
 	}
 	s := r.pick(p.Key)
-	list := d.choose(now, s, p, r.target)
+	list := d.choose(now, s, p, r.patience)
 	if len(list) == 0 {
 		return d.refuse(now, p, "no upstream can answer in time")
 	}
--- a/flow/keeper.go
+++ b/flow/keeper.go
@@ -236,7 +236,7 @@
 		return k.pass(p, request, "server takes no new flows")
 	case !request.Insist && len(request.Remaining) > 0 && k.full(now):
 		return k.pass(p, request, "no free slot")
-	case k.late(now, route.Target):
+	case k.late(patience(route)):
 		return k.pass(p, request, "server can't answer in time")
 	}
 	if h, ok := k.flows.Peek(p.Key); ok && h.state == ended {
@@ -274,9 +274,9 @@
 	return request
 }
 
-// late reports whether a new request is expected to be answered after a target.
-func (k *Keeper) late(now, target time.Duration) bool {
-	return k.entry != nil && late(float64(k.busy), float64(k.entry.Slots), k.serviceTime, target)
+// late reports whether a new request is expected to take longer than a patience.
+func (k *Keeper) late(patience time.Duration) bool {
+	return k.entry != nil && late(float64(k.busy), float64(k.entry.Slots), k.serviceTime, patience)
 }
 
 func (k *Keeper) full(now time.Duration) bool {
--- a/registry/types.go
+++ b/registry/types.go
@@ -20,6 +20,8 @@
 	Repeatable bool
 	// Target is the time in which clients want an answer; zero if it is not known.
 	Target time.Duration
+	// Priority orders the routes of a service when there is no room for all; zero goes first.
+	Priority int
 }
 
 // Configuration is one version of what operators publish. It never changes.
