Search for the owner of a flow in short chains that report their ends

With 66 servers of one service the owner of an old flow, which drained, was cut off the list, and every copy of the packet visited the same 64 in about 100 ms. Now the balancer asks 8 agents of the highest ranks, and then all others in chains of 8 at once; a draining server keeps its rank. The last agent of a chain reports a denial, and the balancer alone decides on the reset, so that the proof counts every chain. Packets of one flow wait for its search instead of starting another. Ruled out: a stale view (the owner was in it), loss of packets (each copy visited all 64).

--- a/flow/agents.go
+++ b/flow/agents.go
@@ -126,9 +126,11 @@
 
 // service holds the upstreams of one service.
 type service struct {
-	name       string
-	hash       uint64
-	candidates []placement.Candidate
+	name string
+	hash uint64
+	// candidates are the upstreams as new flows see them, and holders as the search for a flow does: there, one
+	// that drains is as likely an owner as any.
+	candidates, holders []placement.Candidate
 }
 
 // ServiceHash returns the number that stands for a service between processes.
@@ -203,7 +205,10 @@
 	a.service, a.place = s.hash, u.Place
 	a.slots, a.draining, a.warmAt = u.Slots, u.Draining, u.WarmAt
 	a.present = true
-	s.candidates = append(s.candidates, placement.Candidate{Number: number(ip), Place: u.Place, Weight: 1, Leaving: u.Draining})
+	candidate := placement.Candidate{Number: number(ip), Place: u.Place, Weight: 1}
+	s.holders = append(s.holders, candidate)
+	candidate.Leaving = u.Draining
+	s.candidates = append(s.candidates, candidate)
 }
 
 func (d *Director) service(name string) *service {
--- a/flow/choose.go
+++ b/flow/choose.go
@@ -88,30 +88,3 @@
 		list[len(list)-1] = first
 	}
 }
-
-// holders returns the agents whose servers may hold a flow, in the order in which to ask them, and whether
-// nobody else may hold it. Those that do not answer come last.
-func (d *Director) holders(now time.Duration, r *route, key Key, except IP) (list []IP, exhaustive bool) {
-	d.list = d.list[:0]
-	exhaustive = d.settled(now)
-	var silent []IP
-	for _, s := range r.services {
-		d.ranks = placement.Rank(d.ranks[:0], key.Hash(), d.config.Place, s.candidates)
-		for _, rank := range d.ranks {
-			ip := address(rank)
-			switch {
-			case ip == except:
-			case d.agents[ip].doubtful(now, d.config.DoubtAfter):
-				silent = append(silent, ip)
-			default:
-				d.list = append(d.list, ip)
-			}
-		}
-	}
-	exhaustive = exhaustive && len(silent) == 0
-	d.list = append(d.list, silent...)
-	return d.list[:min(len(d.list), maxSearch)], exhaustive && len(d.list) <= maxSearch
-}
-
-// maxSearch bounds the agents that one search asks, so that the header of its packet stays small.
-const maxSearch = 64
--- a/flow/director.go
+++ b/flow/director.go
@@ -36,6 +36,13 @@
 	MaxLag time.Duration
 	// Fresh is the age up to which the view may refuse a client.
 	Fresh time.Duration
+	// ChainLength is how many agents a packet of a search visits one after the other. Short chains end sooner;
+	// long ones spare the agents behind the owner.
+	ChainLength int
+	// SearchFor is how long the packets of a flow wait for the search for its owner.
+	SearchFor time.Duration
+	// MaxSearches bounds the searches under way.
+	MaxSearches int
 }
 
 // DefaultDirectorConfig returns the limits of a balancer in a place.
@@ -55,6 +62,9 @@
 		Registry:          registry.DefaultConfig(0),
 		MaxLag:            2200 * time.Millisecond,
 		Fresh:             3 * time.Second,
+		ChainLength:       8,
+		SearchFor:         150 * time.Millisecond,
+		MaxSearches:       4096,
 	}
 }
 
@@ -106,11 +116,19 @@
 	To IP
 	// Request is what the agent is told, for a forwarded packet.
 	Request Request
+	// Also holds further agents that get the same packet.
+	Also []Branch
 	// Seq is the number that a reset carries.
 	Seq    uint32
 	Reason string
 }
 
+// Branch is one more agent that a packet is sent to.
+type Branch struct {
+	To      IP
+	Request Request
+}
+
 // Request is what an agent is told of a packet. Its lists are valid until the next call.
 type Request struct {
 	Purpose Purpose
@@ -122,10 +140,10 @@
 	Remaining []IP
 	// Insist says that no agent has a free slot, so that the first one takes the flow nevertheless.
 	Insist bool
-	// Exhaustive says that no server outside of the list may hold the flow, as far as the view goes whose last
-	// change was at revision Changed.
-	Exhaustive bool
-	Changed    uint64
+	// Search is the number of the search that the packet belongs to. The last agent of its list reports a denial
+	// under that number. Changed is the revision of the last change that the searching view knows.
+	Search  uint64
+	Changed uint64
 	// Balancer took the packet from the client.
 	Balancer IP
 }
@@ -140,6 +158,7 @@
 	order    []*agent
 	hints    hints
 	openings openings
+	searches searches
 	ranks    []uint32
 	list     []IP
 	// heartbeat is the position in order of the next agent to look at.
@@ -158,6 +177,7 @@
 		agents:   map[IP]*agent{},
 		hints:    newHints(config.MaxFlows, config.IdleTimeout),
 		openings: newOpenings(config),
+		searches: newSearches(config),
 		started:  now,
 		ticked:   now,
 	}
@@ -172,9 +192,9 @@
 		return d.open(now, p, raw)
 	}
 	if h := d.hints.get(now, p.Key); h != nil {
-		return d.known(now, p, h)
+		return d.known(now, p, raw, h)
 	}
-	return d.search(now, p, IP{})
+	return d.search(now, p, raw, IP{})
 }
 
 // open places a new flow.
@@ -215,17 +235,20 @@
 }
 
 // known forwards a packet of a flow whose owner is remembered.
-func (d *Director) known(now time.Duration, p *Packet, h *hint) Decision {
+func (d *Director) known(now time.Duration, p *Packet, raw []byte, h *hint) Decision {
 	a := d.agents[h.owner]
 	if a == nil || d.lost(now, a, h) {
 		// The hint is no proof: another server may have taken a copy of the opening packet.
 		d.hints.remove(p.Key)
-		return d.search(now, p, h.owner)
+		return d.search(now, p, raw, h.owner)
+	}
+	if h.used == 0 {
+		h.used = now
 	}
-	if !h.used && a.doubtful(now, d.config.DoubtAfter) {
-		return d.search(now, p, IP{})
+	h.proved = h.proved || a.heard > h.used+d.config.HedgeAfter
+	if !h.proved && a.doubtful(now, d.config.DoubtAfter) {
+		return d.search(now, p, raw, IP{})
 	}
-	h.used = true
 	return Decision{Action: Forward, To: h.owner, Request: Request{
 		Purpose: Deliver,
 		Service: h.service,
@@ -261,37 +284,11 @@
 	return Decision{Action: Reset, Seq: p.Ack, Reason: reason}
 }
 
-// search has the agents find the owner of a flow. except has already denied it.
-func (d *Director) search(now time.Duration, p *Packet, except IP) Decision {
-	if p.Kind == Resetting {
-		return Decision{Reason: "reset of an unknown flow"}
-	}
-	r := d.routes[p.Key.Service]
-	if r == nil {
-		return d.refuse(now, p, "no route")
-	}
-	list, exhaustive := d.holders(now, r, p.Key, except)
-	if len(list) == 0 {
-		if exhaustive {
-			return resetFlow(p, "no server holds the flow")
-		}
-		return Decision{Reason: "no agent to ask for the flow"}
-	}
-	return Decision{Action: Forward, To: list[0], Request: Request{
-		Purpose:    Search,
-		Service:    d.agents[list[0]].service,
-		Version:    d.view.Version(),
-		Remaining:  list[1:],
-		Exhaustive: exhaustive,
-		Changed:    d.view.Changed,
-	}}
-}
-
 // Returned decides on a packet that an agent handed back, since its server does not hold the flow.
-func (d *Director) Returned(now time.Duration, p *Packet, from IP) Decision {
+func (d *Director) Returned(now time.Duration, p *Packet, raw []byte, from IP) Decision {
 	if h := d.hints.get(now, p.Key); h != nil && h.owner != from {
-		return d.known(now, p, h)
+		return d.known(now, p, raw, h)
 	}
 	d.hints.remove(p.Key)
-	return d.search(now, p, from)
+	return d.search(now, p, raw, from)
 }
--- a/flow/hints.go
+++ b/flow/hints.go
@@ -12,9 +12,11 @@
 	service uint64
 	// created is when the owner reported the flow, and seen when a packet of it last came.
 	created, seen time.Duration
-	// used says that the owner was given a packet of the open flow. Before that, the flow may be open at another
-	// server that took a copy of the opening packet.
-	used bool
+	// used is when the owner was first given a packet of the open flow, and proved says that it was heard after
+	// that and did not return the packet. Before that, the flow may be open at another server that took a copy of
+	// the opening packet.
+	used   time.Duration
+	proved bool
 }
 
 // hints remembers the owners of the flows that were seen last.
--- a/flow/keeper.go
+++ b/flow/keeper.go
@@ -97,6 +97,8 @@
 	NoteHeld
 	// NoteRefused tells that nobody took the new flow.
 	NoteRefused
+	// NoteDenied tells that nobody in the list of a search holds the flow.
+	NoteDenied
 )
 
 // Verdict is the decision of an agent with the note that goes to a balancer.
@@ -287,7 +289,7 @@
 // pass sends an opening packet to the next agent, or refuses the flow if there is none.
 func (k *Keeper) pass(p *Packet, request Request, reason string) Verdict {
 	if request.Purpose != Open {
-		return k.deny(p, request, reason)
+		return k.deny(request, reason)
 	}
 	if len(request.Remaining) == 0 {
 		return refuse(request, reason+", and nobody else does")
@@ -308,25 +310,33 @@
 	return Verdict{Decision: Decision{Action: Reset, Reason: reason}, Note: NoteRefused, Balancer: request.Balancer}
 }
 
-// deny handles a packet of a flow that the server does not hold. An agent that knows of a later change takes
-// away the proof that everyone was asked, since a newer server may hold the flow.
-func (k *Keeper) deny(p *Packet, request Request, reason string) Verdict {
-	request.Exhaustive = request.Exhaustive && request.Changed >= k.changed
+// deny handles a packet of a flow that the server does not hold. An agent that knows of a later change says so,
+// since a newer server may hold the flow.
+func (k *Keeper) deny(request Request, reason string) Verdict {
+	if k.changed > request.Changed {
+		request.Changed = outdated
+	}
 	switch {
 	case len(request.Remaining) > 0:
 		return Verdict{Decision: forward(request, reason)}
 	case request.Purpose == Deliver:
 		return Verdict{Decision: Decision{Action: Return, To: request.Balancer, Reason: reason}}
-	case request.Exhaustive:
-		return Verdict{Decision: resetFlow(p, reason+", nor does any other")}
 	}
-	return Verdict{Decision: Decision{Reason: reason + ", and not everyone was asked"}}
+	return Verdict{Decision: Decision{Request: request, Reason: reason}, Note: NoteDenied, Balancer: request.Balancer}
+}
+
+// outdated stands for the revision of a search in which an agent knew of a later change.
+const outdated = 0
+
+// Outdated reports whether an agent knew of a later change than the search.
+func (r *Request) Outdated() bool {
+	return r.Changed == outdated
 }
 
 // later decides on a packet of a flow that its client takes for open.
 func (k *Keeper) later(now time.Duration, p *Packet, request Request) Verdict {
 	if !k.flows.Contains(p.Key) && now-k.started > k.config.IdleTimeout {
-		return k.deny(p, request, "server does not hold the flow")
+		return k.deny(request, "server does not hold the flow")
 	}
 	h := k.flow(now, p, searched)
 	h.clientAck = p.Ack
@@ -441,7 +451,7 @@
 	case request.Purpose == Open:
 		return Verdict{Decision: Decision{Reason: "server does not hold the flow, and nobody sent the packet"}}
 	}
-	return k.deny(p, request, "server does not hold the flow")
+	return k.deny(request, "server does not hold the flow")
 }
 
 // park keeps an opening packet until the newer configuration of its sender is known.
--- a/flow/openings.go
+++ b/flow/openings.go
@@ -121,11 +121,12 @@
 	Service uint64
 }
 
-// Reported takes in what an agent says of a flow.
-func (d *Director) Reported(now time.Duration, r Report) {
+// Reported takes in what an agent says of a flow. It returns the packets that waited for the owner.
+func (d *Director) Reported(now time.Duration, r Report) []Waiting {
 	d.openings.answered(r.Key)
 	if !r.Held || d.agents[r.From] == nil {
-		return
+		return nil
 	}
 	d.hints.put(r.Key, hint{owner: r.From, service: r.Service, created: now, seen: now})
+	return d.found(r.Key)
 }
--- a/flow/property_test.go
+++ b/flow/property_test.go
@@ -84,18 +84,20 @@
 	},
 }
 
+// crashServer lets a server crash and come back at once, knowing nothing.
+func crashServer(w *world) {
+	server := w.servers[w.rnd.Intn(len(w.servers))]
+	if !server.running {
+		return
+	}
+	server.flows = map[flow.Key]*simFlow{}
+	server.incarnation++
+	w.publish()
+}
+
 // unplanned are failures.
 var unplanned = []func(w *world){
-	// A server crashes and comes back at once, knowing nothing.
-	func(w *world) {
-		server := w.servers[w.rnd.Intn(len(w.servers))]
-		if !server.running {
-			return
-		}
-		server.flows = map[flow.Key]*simFlow{}
-		server.incarnation++
-		w.publish()
-	},
+	crashServer,
 	// An agent is killed and comes back later.
 	func(w *world) {
 		server := w.servers[w.rnd.Intn(len(w.servers))]
@@ -141,6 +143,21 @@
 	}
 }
 
+// TestLostFlowsAreReset lets servers crash while every agent answers.
+func TestLostFlowsAreReset(t *testing.T) {
+	resets := 0
+	for seed := range int64(*propertySeeds) {
+		w := play(t, seed, []func(w *world){crashServer})
+		resets += w.counts["resets"]
+		if unheard := w.counts["lost flows that heard nothing"]; unheard > 0 {
+			t.Errorf("seed %d: %d lost flows heard nothing", seed, unheard)
+		}
+	}
+	if resets == 0 {
+		t.Fatal("no flow was reset")
+	}
+}
+
 func TestFailuresResetNoLivingFlow(t *testing.T) {
 	resets := 0
 	for seed := range int64(*propertySeeds) {
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -334,9 +334,11 @@
 	w.counts["balancer "+d.Action.String()]++
 	switch d.Action {
 	case flow.Forward:
-		request := copyRequest(d.Request)
-		request.Balancer = b.ip
-		w.toAgent(d.To, p, request, 0)
+		for _, branch := range append([]flow.Branch{{To: d.To, Request: d.Request}}, d.Also...) {
+			request := copyRequest(branch.Request)
+			request.Balancer = b.ip
+			w.toAgent(branch.To, p, request, 0)
+		}
 	case flow.Reset:
 		w.reset(p.Key, "balancer: "+d.Reason)
 	}
@@ -374,7 +376,7 @@
 	case flow.Forward:
 		w.toAgent(v.To, p, copyRequest(v.Request), hops+1)
 	case flow.Return:
-		w.toBalancer(v.To, func(b *simBalancer) { w.apply(b, p, b.director.Returned(w.now, &p, server.ip)) })
+		w.toBalancer(v.To, func(b *simBalancer) { w.apply(b, p, b.director.Returned(w.now, &p, nil, server.ip)) })
 	case flow.Reset:
 		w.reset(p.Key, "agent "+server.id+": "+v.Reason)
 	}
@@ -389,7 +391,16 @@
 		seen := w.seen[server.ip]
 		w.toBalancer(v.Balancer, func(b *simBalancer) {
 			w.heard(b, word, seen)
-			b.director.Reported(w.now, report)
+			for _, waiting := range b.director.Reported(w.now, report) {
+				w.apply(b, waiting.Packet, b.director.FromClient(w.now, &waiting.Packet, nil))
+			}
+		})
+	case flow.NoteDenied:
+		denial := flow.Denial{Key: p.Key, Search: v.Request.Search, Outdated: v.Request.Outdated()}
+		w.toBalancer(v.Balancer, func(b *simBalancer) {
+			if d, denied, _ := b.director.Denied(w.now, denial); denied != nil {
+				w.apply(b, *denied, d)
+			}
 		})
 	case flow.NoteWord:
 		for _, b := range w.balancers {
@@ -538,10 +549,13 @@
 		if c.closed || c.delivered >= p.Seq {
 			return
 		}
-		if !c.alive() {
+		late := w.now-started > lastCheck && w.now-c.server.away > lastCheck
+		switch {
+		case late && !c.alive():
+			w.counts["lost flows that heard nothing"]++
+			c.closed = true
 			return
-		}
-		if w.now-started > lastCheck && w.now-c.server.away > lastCheck {
+		case late:
 			w.fault("packet %d of %v did not reach %s in %v", p.Seq, c.key, c.server.id, w.now-started)
 			c.closed = true
 			return
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -244,6 +244,10 @@
 		l.agent.counts.refused.Add(1)
 		l.out.Kind, l.out.Verdict = nodev1.Kind_KIND_REPORT, nodev1.Verdict_VERDICT_REFUSED
 		nodelink.PutKey(&l.out, p.Key)
+	case flow.NoteDenied:
+		l.out.Kind, l.out.Verdict = nodev1.Kind_KIND_REPORT, nodev1.Verdict_VERDICT_DENIED
+		l.out.Search, l.out.Outdated = v.Request.Search, v.Request.Outdated()
+		nodelink.PutKey(&l.out, p.Key)
 	}
 	l.send(v.Balancer, nil)
 }
@@ -263,6 +267,8 @@
 		l.config.Event("flow_reset", "flow", p.Key, "seq", v.Seq, "reason", v.Reason, "version", l.keeper.Version())
 	case v.Action == flow.Park:
 		l.config.Event("flow_parked", "flow", p.Key, "sender_version", l.header.ConfigVersion, "version", l.keeper.Version())
+	case v.Note == flow.NoteDenied:
+		l.config.Event("flow_denied", "flow", p.Key, "search", v.Request.Search, "outdated", v.Request.Outdated(), "reason", v.Reason)
 	case v.Action == flow.Drop:
 		l.config.Event("packet_dropped", "flow", p.Key, "reason", v.Reason)
 	}
--- a/internal/flowbalancer/loop.go
+++ b/internal/flowbalancer/loop.go
@@ -134,9 +134,10 @@
 			l.balancer.counts.opened.Add(1)
 			l.sentAt[p.Key] = now
 		}
-		nodelink.Clear(&l.out)
-		nodelink.PutRequest(&l.out, &d.Request)
-		l.send(d.To, raw)
+		l.carry(flow.Branch{To: d.To, Request: d.Request}, raw)
+		for _, branch := range d.Also {
+			l.carry(branch, raw)
+		}
 	case flow.Reset:
 		l.reserve(l.toClients, l.balancer.clients)
 		to := sockAddr(p.Key.Client.IP, l.config.Clients.Port())
@@ -144,6 +145,13 @@
 	}
 }
 
+// carry sends a packet of a client to an agent.
+func (l *loop) carry(branch flow.Branch, raw []byte) {
+	nodelink.Clear(&l.out)
+	nodelink.PutRequest(&l.out, &branch.Request)
+	l.send(branch.To, raw)
+}
+
 // log writes a line for each decision that places, searches or ends a flow.
 func (l *loop) log(now time.Duration, p *flow.Packet, d *flow.Decision) {
 	view := l.config.View.Current()
@@ -158,7 +166,7 @@
 	case d.Action == flow.Forward && d.Request.Purpose == flow.Search:
 		l.balancer.counts.searched.Add(1)
 		l.config.Event("flow_searched", "flow", p.Key, "first", d.To, "more", len(d.Request.Remaining),
-			"exhaustive", d.Request.Exhaustive, "version", d.Request.Version, "view_age", age)
+			"search", d.Request.Search, "chains", 1+len(d.Also), "version", d.Request.Version, "view_age", age)
 	case d.Action == flow.Reset:
 		l.config.Event("flow_reset", "flow", p.Key, "seq", d.Seq, "reason", d.Reason, "version", view.Version(), "view_age", age)
 	case d.Action == flow.Drop:
--- a/internal/flowbalancer/nodes.go
+++ b/internal/flowbalancer/nodes.go
@@ -48,8 +48,14 @@
 	key := nodelink.Key(h)
 	held := h.Verdict == nodev1.Verdict_VERDICT_HELD
 	l.director.Heard(now, nodelink.Word(h, from))
-	l.director.Reported(now, flow.Report{Key: key, Held: held, From: from, Service: h.Service})
 	l.balancer.counts.reported.Add(1)
+	if h.Verdict == nodev1.Verdict_VERDICT_DENIED {
+		l.denied(now, key)
+		return
+	}
+	for _, waiting := range l.director.Reported(now, flow.Report{Key: key, Held: held, From: from, Service: h.Service}) {
+		l.apply(now, &waiting.Packet, waiting.Raw, l.director.FromClient(now, &waiting.Packet, waiting.Raw))
+	}
 	if sent, ok := l.sentAt[key]; ok {
 		delete(l.sentAt, key)
 		l.config.Answered(now - sent)
@@ -59,6 +65,14 @@
 	}
 }
 
+// denied goes on with a search, or ends it.
+func (l *loop) denied(now time.Duration, key flow.Key) {
+	denial := flow.Denial{Key: key, Search: l.header.Search, Outdated: l.header.Outdated}
+	if d, p, raw := l.director.Denied(now, denial); p != nil {
+		l.apply(now, p, raw, d)
+	}
+}
+
 // returned has a packet searched that an agent handed back.
 func (l *loop) returned(now time.Duration, from flow.IP, packet []byte) {
 	p, err := l.config.Codec.Parse(packet)
@@ -66,7 +80,7 @@
 		l.balancer.counts.malformed.Add(1)
 		return
 	}
-	l.apply(now, &p, packet, l.director.Returned(now, &p, from))
+	l.apply(now, &p, packet, l.director.Returned(now, &p, packet, from))
 }
 
 // answer answers the heartbeat of another process.
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -60,7 +60,7 @@
 	h.Purpose = purposes[r.Purpose]
 	h.Service = r.Service
 	h.ConfigVersion = r.Version
-	h.Exhaustive = r.Exhaustive
+	h.Search = r.Search
 	h.Insist = r.Insist
 	h.Changed = r.Changed
 	h.Balancer = pack(r.Balancer)
@@ -73,13 +73,13 @@
 // Request returns the request that h carries, with its list in the memory of list.
 func Request(h *nodev1.Header, list []flow.IP) flow.Request {
 	r := flow.Request{
-		Service:    h.Service,
-		Version:    h.ConfigVersion,
-		Exhaustive: h.Exhaustive,
-		Insist:     h.Insist,
-		Changed:    h.Changed,
-		Balancer:   unpack(h.Balancer),
-		Remaining:  list[:0],
+		Service:   h.Service,
+		Version:   h.ConfigVersion,
+		Search:    h.Search,
+		Insist:    h.Insist,
+		Changed:   h.Changed,
+		Balancer:  unpack(h.Balancer),
+		Remaining: list[:0],
 	}
 	switch h.Purpose {
 	case nodev1.Purpose_PURPOSE_OPEN:
