--- a/dissemination/pacer.go
+++ b/dissemination/pacer.go
@@ -11,6 +11,9 @@
 	// Wait is how long the reader lets one watch of the store wait for news. A short one finds a dead reader
 	// and a silent store sooner; a long one saves calls.
 	Wait time.Duration
+	// Gap is the least time between two reads of the reader. Changes that come in quick succession are read
+	// together; a long one delays them.
+	Gap time.Duration
 	// Least is the least age of the view at which another process reads the store. It must exceed Wait and
 	// the time that a confirmation needs to spread.
 	Least time.Duration
@@ -26,8 +29,9 @@
 func DefaultPacerConfig() PacerConfig {
 	return PacerConfig{
 		Wait:       600 * time.Millisecond,
+		Gap:        150 * time.Millisecond,
 		Least:      850 * time.Millisecond,
-		Spread:     650 * time.Millisecond,
+		Spread:     time.Second,
 		Backoff:    250 * time.Millisecond,
 		MaxBackoff: time.Second,
 	}
@@ -82,6 +86,7 @@
 func (p *Pacer) Succeeded(now, confirmed time.Duration) {
 	p.reading = p.reading || now-confirmed >= p.config.Least
 	p.backoff = 0
+	p.notUntil = now + p.config.Gap
 	p.draw()
 }
 
--- a/dissemination/pacer_test.go
+++ b/dissemination/pacer_test.go
@@ -170,6 +170,16 @@
 	}
 }
 
+func TestReaderLeavesAGapWhileChangesComeInQuickSuccession(t *testing.T) {
+	config := dissemination.DefaultPacerConfig()
+	p := dissemination.NewPacer(config, 1, rand.New(rand.NewSource(1)))
+	now := time.Hour
+	p.Succeeded(now, 0)
+	if wait := p.Next(now+time.Millisecond, now); wait != config.Gap-time.Millisecond {
+		t.Fatalf("next read after %v", wait)
+	}
+}
+
 func TestReadsAreSpreadWhileTheStoreIsAway(t *testing.T) {
 	f := newPacedFleet(100)
 	f.run(5 * time.Second)
--- a/flow/director.go
+++ b/flow/director.go
@@ -41,6 +41,8 @@
 	ChainLength int
 	// SearchFor is how long the packets of a flow wait for the search for its owner.
 	SearchFor time.Duration
+	// RestartFor is how long a search that was outdated waits for the change that it did not know.
+	RestartFor time.Duration
 	// MaxSearches bounds the searches under way.
 	MaxSearches int
 }
@@ -64,6 +66,7 @@
 		Fresh:             3 * time.Second,
 		ChainLength:       8,
 		SearchFor:         150 * time.Millisecond,
+		RestartFor:        500 * time.Millisecond,
 		MaxSearches:       4096,
 	}
 }
--- a/flow/search.go
+++ b/flow/search.go
@@ -23,8 +23,13 @@
 	rest []IP
 	// chains is how many chains have not reported a denial.
 	chains int
-	// proof says that the agents asked are all that may hold the flow.
+	// proof says that the agents of the search are all that may hold the flow, so that their denials prove that it
+	// is lost.
 	proof bool
+	// changed is the last change that the view knew when the search began, and outdated says that an agent knew of
+	// a later one.
+	changed  uint64
+	outdated bool
 	// waiting are further packets of the flow.
 	waiting []Waiting
 }
@@ -39,6 +44,8 @@
 type searches struct {
 	number uint64
 	lru    *simplelru.LRU[Key, *search]
+	// outdated are searches that begin anew once the view has changed, the earliest first.
+	outdated []*search
 }
 
 func newSearches(config DirectorConfig) searches {
@@ -65,30 +72,31 @@
 		}
 		return Decision{Reason: "the owner of the flow is being searched"}
 	}
-	list, proof := d.holders(now, r, p.Key, except)
-	if len(list) == 0 {
-		if proof {
-			return resetFlow(p, "no server holds the flow")
-		}
+	list := d.holders(now, r, p.Key, except)
+	proof := d.settled(now)
+	switch {
+	case len(list) == 0 && proof:
+		return resetFlow(p, "no server holds the flow")
+	case len(list) == 0:
 		return Decision{Reason: "no agent to ask for the flow"}
 	}
 	d.searches.number++
-	s := &search{number: d.searches.number, started: now, packet: *p, raw: slices.Clone(raw), proof: proof, rest: list}
+	s := &search{number: d.searches.number, started: now, packet: *p, raw: slices.Clone(raw), proof: proof, rest: list, changed: d.view.Changed}
 	d.searches.lru.Add(p.Key, s)
 	if again {
-		// The first search found nobody in time: an agent may not answer. Every chain starts now.
-		return d.ask(s, len(list))
+		// The first search found nobody in time: an agent may not answer. Everyone is asked at once.
+		return d.ask(s, len(list), 1)
 	}
-	return d.ask(s, d.config.ChainLength)
+	return d.ask(s, d.config.ChainLength, d.config.ChainLength)
 }
 
-// ask starts the chains over the next agents of a search.
-func (d *Director) ask(s *search, agents int) Decision {
+// ask starts chains of a length over the next agents of a search.
+func (d *Director) ask(s *search, agents, length int) Decision {
 	agents = min(agents, len(s.rest))
 	round := s.rest[:agents]
 	s.rest = s.rest[agents:]
 	var branches []Branch
-	for chain := range slices.Chunk(round, d.config.ChainLength) {
+	for chain := range slices.Chunk(round, length) {
 		branches = append(branches, Branch{To: chain[0], Request: Request{
 			Purpose:   Search,
 			Service:   d.agents[chain[0]].service,
@@ -102,9 +110,10 @@
 	return Decision{Action: Forward, To: branches[0].To, Request: branches[0].Request, Also: branches[1:]}
 }
 
-// holders returns the agents whose servers may hold a flow, in the order in which to ask them, and whether
-// nobody else may hold it. Those that do not answer come last.
-func (d *Director) holders(now time.Duration, r *route, key Key, except IP) (list []IP, proof bool) {
+// holders returns the agents whose servers may hold a flow, in the order in which to ask them. Those that do not
+// answer come last.
+func (d *Director) holders(now time.Duration, r *route, key Key, except IP) []IP {
+	var list []IP
 	var silent []IP
 	for _, s := range r.services {
 		d.ranks = placement.Rank(d.ranks[:0], key.Hash(), d.config.Place, s.holders)
@@ -119,7 +128,7 @@
 			}
 		}
 	}
-	return append(list, silent...), d.settled(now) && len(silent) == 0
+	return append(list, silent...)
 }
 
 // Denial is the report of the last agent of a chain that nobody in it holds the flow.
@@ -139,17 +148,39 @@
 	}
 	s.chains--
 	s.proof = s.proof && !denial.Outdated
+	s.outdated = s.outdated || denial.Outdated
 	switch {
 	case s.chains > 0:
 		return Decision{}, nil, nil
 	case len(s.rest) > 0:
-		return d.ask(s, len(s.rest)), &s.packet, s.raw
+		return d.ask(s, len(s.rest), d.config.ChainLength), &s.packet, s.raw
 	}
 	d.searches.lru.Remove(denial.Key)
-	if !s.proof {
-		return Decision{Reason: "no server holds the flow, and not everyone was asked"}, &s.packet, s.raw
+	switch {
+	case s.proof:
+		return resetFlow(&s.packet, "no server holds the flow"), &s.packet, s.raw
+	case s.outdated && s.changed == d.view.Changed:
+		// An agent knows of a change that is still on its way here.
+		d.searches.outdated = append(d.searches.outdated, s)
+	}
+	return Decision{Reason: "no server holds the flow, and not everyone was asked"}, &s.packet, s.raw
+}
+
+// Restarted returns the next search that an agent knew to be outdated, begun anew once the view has changed. The
+// packet is nil when there is none.
+func (d *Director) Restarted(now time.Duration) (Decision, *Packet, []byte) {
+	for len(d.searches.outdated) > 0 {
+		s := d.searches.outdated[0]
+		late := now-s.started > d.config.RestartFor
+		if !late && s.changed == d.view.Changed {
+			return Decision{}, nil, nil
+		}
+		d.searches.outdated = d.searches.outdated[1:]
+		if !late && d.hints.get(now, s.packet.Key) == nil {
+			return d.search(now, &s.packet, s.raw, IP{}), &s.packet, s.raw
+		}
 	}
-	return resetFlow(&s.packet, "no server holds the flow"), &s.packet, s.raw
+	return Decision{}, nil, nil
 }
 
 // found ends the search for a flow and returns the packets that waited for it.
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -219,6 +219,17 @@
 	if b.director != nil && s.Revision >= w.seen[b.ip] && w.now >= b.cutOff {
 		w.seen[b.ip] = s.Revision
 		b.director.Adopt(w.now, viewOf(s, w.now))
+		w.restart(b)
+	}
+}
+
+func (w *world) restart(b *simBalancer) {
+	for {
+		d, p, _ := b.director.Restarted(w.now)
+		if p == nil {
+			return
+		}
+		w.apply(b, *p, d)
 	}
 }
 
--- a/internal/flowbalancer/loop.go
+++ b/internal/flowbalancer/loop.go
@@ -57,7 +57,9 @@
 			l.handle(batch)
 			batch.Release()
 		case <-l.config.View.Updates():
-			l.adopt(l.config.Clock.Now())
+			now := l.config.Clock.Now()
+			l.adopt(now)
+			l.restart(now)
 			l.director.Urge()
 		case <-ticker.C:
 			l.tick()
--- a/internal/flowbalancer/nodes.go
+++ b/internal/flowbalancer/nodes.go
@@ -111,6 +111,7 @@
 	}
 	now := l.config.Clock.Now()
 	l.adopt(now)
+	l.restart(now)
 	l.hedge(now)
 	l.heartbeats(now)
 	if now-l.swept >= sweepInterval {
@@ -118,6 +119,17 @@
 	}
 }
 
+// restart begins the searches anew that did not know of the latest change.
+func (l *loop) restart(now time.Duration) {
+	for {
+		d, p, raw := l.director.Restarted(now)
+		if p == nil {
+			return
+		}
+		l.apply(now, p, raw, d)
+	}
+}
+
 // hedge sends the opening packets again that no agent has answered in time.
 func (l *loop) hedge(now time.Duration) {
 	for {
--- a/internal/nodeview/nodeview.go
+++ b/internal/nodeview/nodeview.go
@@ -56,6 +56,9 @@
 	fetchTimeout = 500 * time.Millisecond
 	// seedInterval is the time between two questions to the seeds while there is no view.
 	seedInterval = 200 * time.Millisecond
+	// seedPatience is how long a new process waits for a seed before it reads the store itself. A seed that lives
+	// answers within milliseconds.
+	seedPatience = 60 * time.Millisecond
 	// expireInterval is the time between two looks for entries that have lapsed for good.
 	expireInterval = 250 * time.Millisecond
 	// eventBuffer is how many events may wait for the owner; further observations are dropped.
@@ -122,6 +125,8 @@
 		config:   v.config,
 		registry: registry.New(v.config.Registry),
 		pacer:    dissemination.NewPacer(v.config.Pacer, v.config.Self, v.config.Rand),
+		started:  v.config.Clock.Now(),
+		alone:    len(v.config.Seeds()) == 0,
 		start:    func(f func()) { group.Go(func() error { f(); return nil }) },
 	}
 	group.Go(func() error { return o.run(ctx) })
--- a/internal/nodeview/owner.go
+++ b/internal/nodeview/owner.go
@@ -25,6 +25,9 @@
 	whole bool
 	// lost says that the store did not answer this process last time.
 	lost bool
+	// started is when the process began to run, and alone says that a seed could not help it.
+	started time.Duration
+	alone   bool
 	// hint is a peer that knows of changes; the zero value names none.
 	hint   netip.AddrPort
 	seeded time.Duration
@@ -63,7 +66,11 @@
 	if o.reading {
 		return time.Second
 	}
-	if wait := o.pacer.Next(now, o.confirmed(now)); wait > 0 {
+	wait := o.pacer.Next(now, o.confirmed(now))
+	if o.registry.Freshness().Revision == 0 && !o.alone {
+		wait = max(wait, o.started+seedPatience-now)
+	}
+	if wait > 0 {
 		return min(wait, seedInterval)
 	}
 	o.read(ctx)
@@ -209,6 +216,10 @@
 		o.config.Event("store_regained", "took", r.took, "view_age", now-o.registry.Freshness().Confirmed)
 	}
 	was, confirmed := o.pacer.Reading(), o.confirmed(now)
+	if o.registry.Freshness().Revision == 0 {
+		// Of many processes that start together, those wait to hear of a reader that have just read.
+		confirmed = now
+	}
 	o.pacer.Succeeded(now, confirmed)
 	if !was && o.pacer.Reading() {
 		o.config.Event("reader_started", "view_age", now-confirmed)
@@ -241,9 +252,11 @@
 func (o *owner) finishFetch(f *fetchResult) {
 	o.fetching = false
 	if f.err != nil {
+		o.alone = true
 		o.config.Failure("peer_fetch_failed", f.err, "peer", f.peer)
 		return
 	}
+	o.alone = o.alone || f.delta.Revision == 0
 	o.heard(f.delta.Freshness)
 	o.registry.Merge(f.delta)
 	o.publish("peer", f.peer.String())
