Test the decisions of balancer and agent one by one, the messages and the log

Failed first: a server without a cold time came out of a delta with one that ended now, so that it differed from its entry; the flush of the asynchronous log wrote at most one batch (596 of 8,192 lines).

--- a/flow/choose.go
+++ b/flow/choose.go
@@ -45,13 +45,21 @@
 // of an opening packet starts at another agent than the one before, since that may be dead or cut off.
 func (d *Director) choose(now time.Duration, s *service, p *Packet, patience time.Duration) []IP {
 	d.ranks = placement.Rank(d.ranks[:0], p.Key.Hash(), d.config.Place, s.candidates)
+	d.classes = d.classes[:0]
+	for _, rank := range d.ranks {
+		a := d.agents[address(rank)]
+		c := d.classify(now, a)
+		if c == full && a.late(patience) {
+			c = unfit
+		}
+		d.classes = append(d.classes, c)
+	}
 	d.list = d.list[:0]
 	for want := roomHere; want < unfit; want++ {
 		start := len(d.list)
-		for _, rank := range d.ranks {
-			ip := address(rank)
-			if a := d.agents[ip]; d.classify(now, a) == want && !(want == full && a.late(patience)) {
-				d.list = append(d.list, ip)
+		for i, rank := range d.ranks {
+			if d.classes[i] == want {
+				d.list = append(d.list, address(rank))
 			}
 		}
 		if want == full {
--- a/flow/director.go
+++ b/flow/director.go
@@ -163,6 +163,7 @@
 	openings openings
 	searches searches
 	ranks    []uint32
+	classes  []class
 	list     []IP
 	// heartbeat is the position in order of the next agent to look at.
 	heartbeat int
--- /dev/null
+++ b/flow/keeper_test.go
@@ -0,0 +1,327 @@
+package flow_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/bramleyrack/bramleyrack/flow"
+	"github.com/bramleyrack/bramleyrack/registry"
+)
+
+var balancerIP = flow.IP{10, 9, 0, 1}
+
+// newKeeper returns the Keeper beside server 1 of the orders.
+func newKeeper(view *registry.View) *flow.Keeper {
+	k := flow.NewKeeper(flow.DefaultKeeperConfig("orders", flow.Endpoint{IP: agentIP(1), Port: simPort}), start)
+	k.Adopt(view)
+	return k
+}
+
+func orderView(version uint64) *registry.View { return viewAt(start, version, upstreamOf(1, "orders")) }
+
+// request returns what a balancer asks of the agent.
+func request(purpose flow.Purpose, remaining ...flow.IP) flow.Request {
+	return flow.Request{
+		Purpose: purpose, Service: flow.ServiceHash("orders"), Version: 5, Remaining: remaining, Balancer: balancerIP, Search: 9, Changed: 5,
+	}
+}
+
+func wantAction(t *testing.T, v flow.Verdict, action flow.Action, note flow.Note) {
+	t.Helper()
+	if v.Action != action || v.Note != note {
+		t.Fatalf("got %v with note %d, want %v with %d: %s", v.Action, v.Note, action, note, v.Reason)
+	}
+}
+
+// accept lets the server take a flow.
+func accept(t *testing.T, k *flow.Keeper, now time.Duration, n int) {
+	t.Helper()
+	wantAction(t, k.FromNode(now, opening(n), nil, request(flow.Open)), flow.ToServer, flow.NoNote)
+	wantAction(t, k.FromServer(now, &flow.Packet{Key: opening(n).Key, Kind: flow.Accepting}), flow.ToClient, flow.NoteHeld)
+}
+
+// ask lets a client send a request over an open flow, and answer lets the server answer it.
+func ask(k *flow.Keeper, now time.Duration, n int) flow.Verdict {
+	return k.FromNode(now, later(n), nil, request(flow.Deliver))
+}
+
+func answer(k *flow.Keeper, now time.Duration, n int) flow.Verdict {
+	return k.FromServer(now, &flow.Packet{Key: opening(n).Key, Kind: flow.Other, Length: 100})
+}
+
+func TestAgentTakesAFlowAndReportsItWhenTheServerHasAnswered(t *testing.T) {
+	k := newKeeper(orderView(5))
+	v := k.FromNode(start, opening(1), nil, request(flow.Open))
+	wantAction(t, v, flow.ToServer, flow.NoNote)
+	v = k.FromServer(start, &flow.Packet{Key: opening(1).Key, Kind: flow.Accepting})
+	wantAction(t, v, flow.ToClient, flow.NoteHeld)
+	if v.Balancer != balancerIP {
+		t.Fatalf("told %v", v.Balancer)
+	}
+}
+
+func TestAgentGoesByItsOwnConfiguration(t *testing.T) {
+	k := newKeeper(orderView(5))
+	p := opening(1)
+	p.Key.Service = photos
+	wantAction(t, k.FromNode(start, p, nil, request(flow.Open)), flow.Reset, flow.NoteRefused)
+	p.Key.Service.Port++
+	wantAction(t, k.FromNode(start, p, nil, request(flow.Open)), flow.Reset, flow.NoteRefused)
+
+	r := request(flow.Open, agentIP(3))
+	r.Service = flow.ServiceHash("photos")
+	if v := k.FromNode(start, opening(1), nil, r); v.Action != flow.Forward || v.To != agentIP(3) {
+		t.Fatalf("a flow of another service: %v", v.Action)
+	}
+}
+
+func TestFlowOfANewerConfigurationWaitsForIt(t *testing.T) {
+	k := newKeeper(orderView(4))
+	wantAction(t, k.FromNode(start, opening(1), []byte("raw"), request(flow.Open)), flow.Park, flow.NoNote)
+	if _, p, _ := k.Unpark(start); p != nil {
+		t.Fatal("went on without the configuration")
+	}
+	k.Adopt(orderView(5))
+	v, p, raw := k.Unpark(start + 10*time.Millisecond)
+	if p == nil || string(raw) != "raw" {
+		t.Fatal("still waits")
+	}
+	wantAction(t, v, flow.ToServer, flow.NoNote)
+
+	k = newKeeper(orderView(4))
+	k.FromNode(start, opening(1), nil, request(flow.Open))
+	k.Adopt(orderView(4))
+	if _, p, _ := k.Unpark(start + time.Second); p != nil {
+		t.Fatal("went on without the configuration after its time")
+	}
+	k.Adopt(orderView(5))
+	if _, p, _ := k.Unpark(start + time.Second); p != nil {
+		t.Fatal("a packet that had waited for too long went on")
+	}
+}
+
+func TestServerThatTakesNoNewFlows(t *testing.T) {
+	draining := upstreamOf(1, "orders")
+	draining.Draining = true
+	for name, views := range map[string][]*registry.View{
+		"draining": {viewAt(start, 5, draining)},
+		"gone":     {orderView(5), viewAt(start, 5)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			k := newKeeper(views[0])
+			for _, view := range views[1:] {
+				k.Adopt(view)
+			}
+			v := k.FromNode(start, opening(1), nil, request(flow.Open, agentIP(3), agentIP(5)))
+			wantAction(t, v, flow.Forward, flow.NoteWord)
+			if v.To != agentIP(3) || !slices.Equal(v.Request.Remaining, []flow.IP{agentIP(5)}) {
+				t.Fatalf("passed to %v and then %v", v.To, v.Request.Remaining)
+			}
+			wantAction(t, k.FromNode(start, opening(1), nil, request(flow.Open)), flow.Reset, flow.NoteRefused)
+		})
+	}
+}
+
+func TestServerThatTheViewDoesNotNameYetTakesFlows(t *testing.T) {
+	k := newKeeper(viewAt(start, 5))
+	wantAction(t, k.FromNode(start, opening(1), nil, request(flow.Open)), flow.ToServer, flow.NoNote)
+}
+
+func TestBusyServerPassesNewFlowsOn(t *testing.T) {
+	k := newKeeper(orderView(5))
+	for n := range 4 {
+		accept(t, k, start, n)
+		ask(k, start, n)
+	}
+	wantAction(t, k.FromNode(start, opening(9), nil, request(flow.Open, agentIP(3))), flow.Forward, flow.NoteWord)
+	insisting := request(flow.Open, agentIP(3))
+	insisting.Insist = true
+	wantAction(t, k.FromNode(start, opening(9), nil, insisting), flow.ToServer, flow.NoNote)
+	answer(k, start, 0)
+	answer(k, start, 1)
+	wantAction(t, k.FromNode(start, opening(10), nil, request(flow.Open, agentIP(3))), flow.ToServer, flow.NoNote)
+}
+
+func TestFlowWithoutARequestIsBusyForAShortTimeOnly(t *testing.T) {
+	k := newKeeper(orderView(5))
+	for n := range 4 {
+		accept(t, k, start, n)
+	}
+	if busy := k.Word(start).Busy; busy != 4 {
+		t.Fatalf("%d busy", busy)
+	}
+	if busy := k.Word(start + 150*time.Millisecond).Busy; busy != 0 {
+		t.Fatalf("%d busy after 150 ms without a request", busy)
+	}
+}
+
+func TestFlowThatCouldNotBeAnsweredInTimeIsRefused(t *testing.T) {
+	k := newKeeper(orderView(5))
+	insisting := request(flow.Open)
+	insisting.Insist = true
+	for n := range 100 {
+		v := k.FromNode(start, opening(n), nil, insisting)
+		if v.Action == flow.Reset {
+			if n < 5 {
+				t.Fatalf("refused with %d requests at 4 slots", n)
+			}
+			return
+		}
+	}
+	t.Fatal("took 100 flows at once")
+}
+
+func TestServiceTimeIsThatOfRequestsThatDidNotWait(t *testing.T) {
+	k := newKeeper(orderView(5))
+	now := start
+	for n := range 100 {
+		accept(t, k, now, n)
+		ask(k, now, n)
+		now += 40 * time.Millisecond
+		answer(k, now, n)
+	}
+	if got := k.Word(now).ServiceTime; got != 40*time.Millisecond {
+		t.Fatalf("service time %v", got)
+	}
+	insisting := request(flow.Open)
+	insisting.Insist = true
+	for n := 200; n < 206; n++ {
+		k.FromNode(now, opening(n), nil, insisting)
+		k.FromServer(now, &flow.Packet{Key: opening(n).Key, Kind: flow.Accepting})
+		ask(k, now, n)
+	}
+	now += 400 * time.Millisecond
+	answer(k, now, 204)
+	answer(k, now, 205)
+	if got := k.Word(now).ServiceTime; got != 40*time.Millisecond {
+		t.Fatalf("service time %v with requests that waited", got)
+	}
+}
+
+func TestPacketThatTheServerReturnsIsSearchedFurther(t *testing.T) {
+	k := newKeeper(orderView(5))
+	wantAction(t, k.FromNode(start, later(1), nil, request(flow.Search, agentIP(3))), flow.ToServer, flow.NoNote)
+	returned := later(1)
+	returned.Returned = true
+	v := k.FromServer(start, returned)
+	wantAction(t, v, flow.Forward, flow.NoNote)
+	if v.To != agentIP(3) || v.Request.Purpose != flow.Search {
+		t.Fatalf("went to %v", v.To)
+	}
+
+	wantAction(t, k.FromNode(start, later(2), nil, request(flow.Search)), flow.ToServer, flow.NoNote)
+	returned = later(2)
+	returned.Returned = true
+	v = k.FromServer(start, returned)
+	wantAction(t, v, flow.Drop, flow.NoteDenied)
+	if v.Request.Search != 9 || v.Request.Outdated() {
+		t.Fatalf("denied %+v", v.Request)
+	}
+
+	accept(t, k, start, 3)
+	ask(k, start, 3)
+	returned = later(3)
+	returned.Returned = true
+	v = k.FromServer(start, returned)
+	wantAction(t, v, flow.Return, flow.NoNote)
+	if v.To != balancerIP {
+		t.Fatalf("returned to %v", v.To)
+	}
+}
+
+func TestAgentThatKnowsItsFlowsDeniesOthersItself(t *testing.T) {
+	k := newKeeper(orderView(5))
+	now := start + time.Minute
+	accept(t, k, now, 1)
+	wantAction(t, k.FromNode(now, later(1), nil, request(flow.Search)), flow.ToServer, flow.NoteHeld)
+	wantAction(t, k.FromNode(now, later(2), nil, request(flow.Search)), flow.Drop, flow.NoteDenied)
+	k.Adopt(viewAt(start, 6, upstreamOf(1, "orders")))
+	if v := k.FromNode(now, later(2), nil, request(flow.Search)); !v.Request.Outdated() {
+		t.Fatal("a later change than the search knows was not told")
+	}
+}
+
+func TestOpeningPacketThatTheServerReturnsGoesToTheNextAgent(t *testing.T) {
+	k := newKeeper(orderView(5))
+	k.FromNode(start, opening(1), nil, request(flow.Open, agentIP(3)))
+	returned := opening(1)
+	returned.Returned = true
+	v := k.FromServer(start, returned)
+	wantAction(t, v, flow.Forward, flow.NoteWord)
+	if v.To != agentIP(3) {
+		t.Fatalf("went to %v", v.To)
+	}
+	k.FromNode(start, opening(2), nil, request(flow.Open))
+	returned = opening(2)
+	returned.Returned = true
+	wantAction(t, k.FromServer(start, returned), flow.Reset, flow.NoteRefused)
+}
+
+func TestServerThatDoesNotAnswerGetsNewFlowsForTrialOnly(t *testing.T) {
+	k := newKeeper(orderView(5))
+	now := start
+	for n := range 4 {
+		k.FromNode(now, opening(n), nil, request(flow.Open, agentIP(3)))
+		now += 100 * time.Millisecond
+	}
+	if k.Accepting(now) || !k.Suspicious(now) {
+		t.Fatal("a server that answered nothing counts as well")
+	}
+	given := 0
+	for n := range 100 {
+		if v := k.FromNode(now, opening(100+n), nil, request(flow.Open, agentIP(3))); v.Action == flow.ToServer {
+			given++
+		}
+		now += 10 * time.Millisecond
+	}
+	if given < 3 || given > 7 {
+		t.Fatalf("%d trials in a second", given)
+	}
+	k.FromServer(now, &flow.Packet{Key: opening(100).Key, Kind: flow.Accepting})
+	if !k.Accepting(now) {
+		t.Fatal("a server that answers again gets no flows")
+	}
+}
+
+func TestFlowsOfAServerThatEndedAreReset(t *testing.T) {
+	k := newKeeper(orderView(5))
+	accept(t, k, start, 1)
+	ask(k, start, 1)
+	accept(t, k, start, 2)
+	k.FromServer(start, &flow.Packet{Key: opening(2).Key, Kind: flow.Closing})
+	lost := k.Lost()
+	if len(lost) != 1 || lost[opening(1).Key] != 77 {
+		t.Fatalf("lost %v", lost)
+	}
+	if w := k.Word(start); w.Flows != 0 || w.Busy != 0 || w.Accepting {
+		t.Fatalf("word %+v", w)
+	}
+}
+
+func TestPortThatIsUsedAgainOpensANewFlow(t *testing.T) {
+	k := newKeeper(orderView(5))
+	accept(t, k, start, 1)
+	k.FromServer(start, &flow.Packet{Key: opening(1).Key, Kind: flow.Closing})
+	if flows := k.Word(start).Flows; flows != 0 {
+		t.Fatalf("%d flows after the end", flows)
+	}
+	accept(t, k, start+time.Second, 1)
+	if flows := k.Word(start).Flows; flows != 1 {
+		t.Fatalf("%d flows", flows)
+	}
+}
+
+func TestSilentFlowsAreForgotten(t *testing.T) {
+	k := newKeeper(orderView(5))
+	accept(t, k, start, 1)
+	ask(k, start, 1)
+	k.Sweep(start + 6*time.Second)
+	if w := k.Word(start + 6*time.Second); w.Busy != 0 || w.Flows != 1 {
+		t.Fatalf("word %+v after a request of 6 s", w)
+	}
+	k.Sweep(start + 20*time.Second)
+	if flows := k.Word(start + 20*time.Second).Flows; flows != 0 {
+		t.Fatalf("%d flows", flows)
+	}
+}
--- /dev/null
+++ b/internal/nodelink/nodelink_test.go
@@ -0,0 +1,151 @@
+package nodelink_test
+
+import (
+	"net/netip"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	nodev1 "github.com/bramleyrack/bramleyrack/gen/bramley/node/v1"
+	"github.com/bramleyrack/bramleyrack/flow"
+	"github.com/bramleyrack/bramleyrack/internal/frame"
+	"github.com/bramleyrack/bramleyrack/internal/nodelink"
+	"github.com/bramleyrack/bramleyrack/registry"
+)
+
+const now = time.Hour
+
+func exampleRequest(remaining int) flow.Request {
+	r := flow.Request{
+		Purpose: flow.Search, Service: flow.ServiceHash("orders"), Version: 1 << 40, Insist: true, Search: 1 << 40, Changed: 1 << 40,
+		Balancer: flow.IP{10, 1, 2, 3},
+	}
+	for n := range remaining {
+		r.Remaining = append(r.Remaining, flow.IP{10, 2, byte(n >> 8), byte(n)})
+	}
+	return r
+}
+
+func TestRequestSurvivesTheWay(t *testing.T) {
+	var sent, received nodev1.Header
+	for _, remaining := range []int{0, 7, 3} {
+		want := exampleRequest(remaining)
+		nodelink.Clear(&sent)
+		nodelink.PutRequest(&sent, &want)
+		packet, err := nodelink.Decode(nodelink.Encode(nil, &sent, []byte("packet")), &received)
+		if err != nil || string(packet) != "packet" {
+			t.Fatalf("packet %q, error %v", packet, err)
+		}
+		got := nodelink.Request(&received, nil)
+		if !slices.Equal(got.Remaining, want.Remaining) {
+			t.Fatalf("got %v, want %v", got.Remaining, want.Remaining)
+		}
+		got.Remaining, want.Remaining = nil, nil
+		if !reflect.DeepEqual(got, want) {
+			t.Fatalf("got %+v, want %+v", got, want)
+		}
+	}
+}
+
+func TestHeaderOfALongListFits(t *testing.T) {
+	config := flow.DefaultDirectorConfig("")
+	r := exampleRequest(max(config.ChainLength, config.MaxAlternatives))
+	var h nodev1.Header
+	nodelink.PutRequest(&h, &r)
+	if size := h.SizeVT(); size > frame.MaxHeader {
+		t.Fatalf("%d bytes, at most %d are accepted", size, frame.MaxHeader)
+	}
+}
+
+func TestReportSurvivesTheWay(t *testing.T) {
+	key := flow.Key{
+		Client:  flow.EndpointOf(netip.MustParseAddrPort("100.64.0.7:40001")),
+		Service: flow.EndpointOf(netip.MustParseAddrPort("198.18.0.1:443")),
+	}
+	word := flow.Word{From: flow.IP{10, 0, 0, 1}, Process: 9, Accepting: true, Busy: 3, Slots: 5, Flows: 70, ServiceTime: 43 * time.Millisecond}
+	fresh := registry.Freshness{Revision: 8, Changed: 7, Confirmed: now - 250*time.Millisecond, Continuous: now - time.Minute, Interrupted: true, Reader: 5}
+	var sent, received nodev1.Header
+	nodelink.PutKey(&sent, key)
+	nodelink.PutWord(&sent, word)
+	nodelink.PutFreshness(&sent, now, fresh)
+	if _, err := nodelink.Decode(nodelink.Encode(nil, &sent, nil), &received); err != nil {
+		t.Fatal(err)
+	}
+	if got := nodelink.Key(&received); got != key {
+		t.Errorf("key %v", got)
+	}
+	if got := nodelink.Word(&received, word.From); got != word {
+		t.Errorf("word %+v", got)
+	}
+	if got := nodelink.Freshness(&received, now); got != fresh {
+		t.Errorf("freshness %+v", got)
+	}
+}
+
+func TestDeltaSurvivesTheWay(t *testing.T) {
+	want := registry.Delta{
+		From:      3,
+		Freshness: registry.Freshness{Revision: 8, Changed: 7, Confirmed: now - time.Second, Continuous: now - time.Minute, Reader: 5},
+		Configuration: &registry.Configuration{Version: 12, IdleTimeout: 15 * time.Second, Routes: []registry.Route{{
+			Address: netip.MustParseAddrPort("198.18.0.1:443"), Shares: []registry.Share{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}},
+			Repeatable: true, Target: 200 * time.Millisecond, Priority: 2,
+		}}},
+		Upstreams: []registry.Upstream{
+			{ID: "x", Service: "a", Address: netip.MustParseAddrPort("10.0.0.1:80"), Place: "north", Slots: 5, Incarnation: 7},
+			{ID: "y", Service: "b", Address: netip.MustParseAddrPort("10.0.0.2:80"), Place: "south", Slots: 2, Draining: true, WarmAt: now + time.Second},
+		},
+		Lapsed:  []bool{false, true},
+		Removed: []string{"z"},
+	}
+	encoded, err := nodelink.PutDelta(now, want).MarshalVT()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var message nodev1.View
+	if err := message.UnmarshalVT(encoded); err != nil {
+		t.Fatal(err)
+	}
+	if got := nodelink.Delta(now, &message); !reflect.DeepEqual(got, want) {
+		t.Fatalf("got  %+v\nwant %+v", got, want)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	var h nodev1.Header
+	r := exampleRequest(3)
+	nodelink.PutRequest(&h, &r)
+	f.Add(nodelink.Encode(nil, &h, []byte("packet")))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var h nodev1.Header
+		packet, err := nodelink.Decode(b, &h)
+		if err != nil {
+			return
+		}
+		if len(packet) > len(b) {
+			t.Fatal("the packet is longer than the datagram")
+		}
+		nodelink.Request(&h, nil)
+		nodelink.Key(&h)
+		nodelink.Freshness(&h, now)
+	})
+}
+
+func BenchmarkCarry(b *testing.B) {
+	var sent, received nodev1.Header
+	r := exampleRequest(6)
+	packet := make([]byte, 1200)
+	buffer := make([]byte, 0, nodelink.MaxDatagram)
+	var list []flow.IP
+	b.ReportAllocs()
+	for b.Loop() {
+		nodelink.Clear(&sent)
+		nodelink.PutRequest(&sent, &r)
+		buffer = nodelink.Encode(buffer[:0], &sent, packet)
+		if _, err := nodelink.Decode(buffer, &received); err != nil {
+			b.Fatal(err)
+		}
+		list = nodelink.Request(&received, list).Remaining
+	}
+}
--- a/internal/nodelink/view.go
+++ b/internal/nodelink/view.go
@@ -82,11 +82,14 @@
 }
 
 func upstream(now time.Duration, m *nodev1.Upstream) registry.Upstream {
-	return registry.Upstream{
+	u := registry.Upstream{
 		ID: m.Id, Service: m.Service, Address: addrPort(m.Ip, m.Port), Place: m.Place, Slots: int(m.Slots),
 		Draining: m.Draining, Incarnation: m.Incarnation,
-		WarmAt: now + time.Duration(m.ColdMs)*time.Millisecond,
 	}
+	if m.ColdMs > 0 {
+		u.WarmAt = now + time.Duration(m.ColdMs)*time.Millisecond
+	}
+	return u
 }
 
 func addrPort(ip, port uint32) netip.AddrPort {
--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -67,14 +67,13 @@
 			timer.Reset(asyncDelay)
 			select {
 			case <-timer.C:
-			case done := <-a.flush:
 				a.write(a.drain(batch))
+			case done := <-a.flush:
+				a.writeAll(batch)
 				close(done)
-				continue
 			}
-			a.write(a.drain(batch))
 		case done := <-a.flush:
-			a.write(a.drain(batch[:0]))
+			a.writeAll(batch[:0])
 			close(done)
 		}
 	}
@@ -99,6 +98,13 @@
 	return batch
 }
 
+// writeAll writes a batch and everything that waits.
+func (a *asyncWriter) writeAll(batch []byte) {
+	for batch = a.drain(batch); len(batch) > 0; batch = a.drain(batch[:0]) {
+		a.write(batch)
+	}
+}
+
 func (a *asyncWriter) write(batch []byte) {
 	if len(batch) == 0 {
 		return
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
+	"expvar"
 	"log"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -94,3 +97,53 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+// blockedWriter takes nothing until it is released.
+type blockedWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	text    bytes.Buffer
+}
+
+func (w *blockedWriter) Write(b []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.text.Write(b)
+}
+
+func TestAsyncLogNeverBlocks(t *testing.T) {
+	w := &blockedWriter{release: make(chan struct{})}
+	flush := LogAsync(w)
+	t.Cleanup(func() { LogTo(os.Stderr) })
+	SetRate("test_async", 1<<30)
+	for range 2 * asyncLines {
+		Event("test_async")
+	}
+	close(w.release)
+	flush()
+	w.mu.Lock()
+	lines := strings.Count(w.text.String(), "op=test_async")
+	w.mu.Unlock()
+	if lines < asyncLines/2 || lines > 2*asyncLines-1 {
+		t.Fatalf("%d of %d lines were written", lines, 2*asyncLines)
+	}
+	if dropped := expvar.Get("log_lines_dropped").String(); dropped == "0" {
+		t.Fatal("no dropped line was counted")
+	}
+}
+
+func TestHistogramIsPublished(t *testing.T) {
+	h := NewHistogram("test_histogram")
+	for n := range 100 {
+		h.Record(time.Duration(n+1) * time.Millisecond)
+	}
+	h.Record(time.Hour)
+	var got map[string]int64
+	if err := json.Unmarshal([]byte(expvar.Get("test_histogram").String()), &got); err != nil {
+		t.Fatal(err)
+	}
+	if got["count"] != 101 || got["p50"] < 50_000 || got["p50"] > 52_000 || got["max"] < 10_000_000 {
+		t.Fatalf("got %v", got)
+	}
+}
