--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,9 @@
 DEPLOYMENT ?= agencia
 TOOL = go tool -modfile=tools/go.mod
 
-.PHONY: build test lint generate demo
+SEED ?= 1-10
+
+.PHONY: build test lint generate demo demo-platform soak
 
 build:
 	mkdir -p bin
@@ -25,3 +27,9 @@
 
 demo: build
 	scripts/demo.sh $(DEPLOYMENT)
+
+demo-platform:
+	go test -count=1 -v -run 'TestCalmRun' ./platform/soak
+
+soak:
+	go test -count=1 -v -timeout 6h -run 'TestLongSoak' ./platform/soak -soak-seeds $(SEED)
--- a/internal/nodelink/nodelink_test.go
+++ b/internal/nodelink/nodelink_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	nodev1 "github.com/bramleyrack/bramleyrack/gen/bramley/node/v1"
 	"github.com/bramleyrack/bramleyrack/flow"
+	nodev1 "github.com/bramleyrack/bramleyrack/gen/bramley/node/v1"
 	"github.com/bramleyrack/bramleyrack/internal/frame"
 	"github.com/bramleyrack/bramleyrack/internal/nodelink"
 	"github.com/bramleyrack/bramleyrack/registry"
--- a/registry/delta.go
+++ b/registry/delta.go
@@ -60,7 +60,12 @@
 // adopt takes over the confirmation of a peer that has the same content.
 func (r *Registry) adopt(f Freshness) {
 	own := &r.freshness
-	unknown := own.Revision == 0 || f.Confirmed-own.Confirmed > r.config.InterruptedAfter
+	if own.Revision == 0 {
+		f.Changed = max(f.Changed, own.Changed)
+		*own = f
+		return
+	}
+	unknown := f.Confirmed-own.Confirmed > r.config.InterruptedAfter
 	if unknown || f.Continuous < own.Continuous {
 		// Who has heard the store for longer knows better whether it was away.
 		own.Continuous, own.Interrupted = f.Continuous, f.Interrupted
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -409,3 +409,13 @@
 		t.Error("although a peer has heard the store all the while that this process was cut off")
 	}
 }
+
+func TestFirstDeltaIsTakenOverWithItsAge(t *testing.T) {
+	r := registry.New(registry.DefaultConfig(1))
+	// The clock of a new process starts at zero, so that what a peer knew before has a negative time.
+	f := registry.Freshness{Revision: 5, Changed: 5, Confirmed: -300 * time.Millisecond, Continuous: -time.Minute, Reader: 7}
+	r.Merge(registry.Delta{Freshness: f})
+	if got := r.Freshness(); got != f {
+		t.Fatalf("got %+v, want %+v", got, f)
+	}
+}
