Let agents find a free slot for a new flow from one to the next

Balancers went by load that is up to 620 ms old (62 agents, 100 heartbeats a second) while a request takes 43 ms: an agent that had been full got nothing until its next word, and then the flows of 24 balancers at once. A first long request made a server count as slow for its next twenty, and one that had once been too slow was never tried again.

Now a balancer takes the rank and leaves some of the list to other places. The agents decide by their own load: a server with a free slot takes the flow, one without passes it on with its expected wait, and after the last one the best takes it or refuses it. The mean service time weighs its first samples alike and rare ones more, and a server that seems too slow is tried once a second.

TestWhenAllAreFullTheLeastLoadedMustTakeTheFlow and TestFlowThatNobodyCanAnswerInTimeIsRefused checked that the balancer decided; they are replaced by tests of the same outcomes at the agents, which decide now.

--- a/flow/agents.go
+++ b/flow/agents.go
@@ -18,10 +18,9 @@
 	// Process is the start of the agent, which tells its runs apart.
 	Process uint64
 	// Accepting says that the agent takes new flows.
-	Accepting          bool
+	Accepting bool
+	// Busy is the number of requests that run, wait or are expected, and Flows that of open flows.
 	Busy, Slots, Flows uint32
-	// ServiceTime is how long the server works on a request that does not wait; zero if it is not known.
-	ServiceTime time.Duration
 }
 
 // agent is what a balancer knows of the agent beside one server.
@@ -72,53 +71,6 @@
 	return slots
 }
 
-// busy estimates the requests that the server runs.
-func (a *agent) busy() float64 {
-	return float64(a.word.Busy + a.sent)
-}
-
-// late reports whether a new request is expected to take longer than a patience.
-func (a *agent) late(patience time.Duration) bool {
-	return late(a.busy(), float64(max(1, a.slots)), a.word.ServiceTime, patience)
-}
-
-// late reports whether one more request beside those that are busy is expected to take longer than a patience.
-// Without a patience none is.
-func late(busy, slots float64, service, patience time.Duration) bool {
-	if patience == 0 {
-		return false
-	}
-	if service == 0 {
-		service = time.Duration(unknownShare * float64(patience))
-	}
-	wait := max(0, busy+1-slots) / slots * float64(service)
-	return wait+float64(service) > float64(patience)
-}
-
-// patience is the time that waiting and service of a request of a route may take together. The rest of its
-// target is for the way and for requests that take longer than the mean. Less urgent routes are refused earlier,
-// so that there is room for the urgent ones.
-func patience(r *registry.Route) time.Duration {
-	share := patienceShare - patienceStep*float64(min(r.Priority, maxPriority))
-	return time.Duration(share * float64(r.Target))
-}
-
-const (
-	// patienceShare is the part of its target that the most urgent route may use, and patienceStep what each
-	// step of priority takes away, up to maxPriority.
-	patienceShare = 0.9
-	patienceStep  = 0.1
-	maxPriority   = 4
-	// unknownShare is the part of its patience that a request is taken to need before any was measured, as right
-	// after a start, when servers are cold.
-	unknownShare = 0.45
-)
-
-// pressure is the number of requests for each slot.
-func (a *agent) pressure(now time.Duration) float64 {
-	return a.busy() / a.capacity(now)
-}
-
 // load is the number of flows over the capacity, with one more.
 func (a *agent) load(now time.Duration) float64 {
 	return float64(a.word.Flows+a.sent+1) / a.capacity(now)
@@ -143,7 +95,6 @@
 	services []*service
 	weights  []uint32
 	total    uint32
-	patience time.Duration
 }
 
 // pick returns the service that takes a flow. Every copy of its opening packet gets the same.
@@ -226,7 +177,7 @@
 		return
 	}
 	for i := range c.Routes {
-		r := &route{patience: patience(&c.Routes[i])}
+		r := &route{}
 		for _, share := range c.Routes[i].Shares {
 			r.services = append(r.services, d.service(share.Service))
 			r.weights = append(r.weights, share.Weight)
--- a/flow/director.go
+++ b/flow/director.go
@@ -19,8 +19,10 @@
 	HedgeAfter time.Duration
 	// MaxHedges bounds how often one opening packet is sent again.
 	MaxHedges int
-	// MaxAlternatives bounds the agents that a new flow may be passed on to.
-	MaxAlternatives int
+	// MaxAlternatives bounds the agents that a new flow may be passed on to. Many find a free slot also when few
+	// servers have one; each costs a pass. MinElsewhere of them are in other places, if there are any, for the case
+	// that the own place is full.
+	MaxAlternatives, MinElsewhere int
 	// HeartbeatInterval is the time between two heartbeats to an agent, and RetryInterval that to one that
 	// does not answer. Short ones find dead agents sooner.
 	HeartbeatInterval, RetryInterval time.Duration
@@ -55,7 +57,8 @@
 		IdleTimeout:       15 * time.Second,
 		HedgeAfter:        40 * time.Millisecond,
 		MaxHedges:         3,
-		MaxAlternatives:   6,
+		MaxAlternatives:   7,
+		MinElsewhere:      3,
 		HeartbeatInterval: 300 * time.Millisecond,
 		RetryInterval:     100 * time.Millisecond,
 		MaxHeartbeats:     100,
@@ -141,8 +144,11 @@
 	Version uint64
 	// Remaining are the agents to try next, in order.
 	Remaining []IP
-	// Insist says that no agent has a free slot, so that the first one takes the flow nevertheless.
-	Insist bool
+	// Best is the agent of those before this one that expects to answer soonest, after BestWait; the zero value
+	// names none. Final says that nobody has a free slot, so that this agent, the best, takes the flow nevertheless.
+	Best     IP
+	BestWait time.Duration
+	Final    bool
 	// Search is the number of the search that the packet belongs to. The last agent of its list reports a denial
 	// under that number. Changed is the revision of the last change that the searching view knows.
 	Search  uint64
@@ -163,7 +169,6 @@
 	openings openings
 	searches searches
 	ranks    []uint32
-	classes  []class
 	list     []IP
 	// heartbeat is the position in order of the next agent to look at.
 	heartbeat int
@@ -208,9 +213,9 @@
 		return d.refuse(now, p, "no route")
 	}
 	s := r.pick(p.Key)
-	list := d.choose(now, s, p, r.patience)
+	list := d.choose(now, s, p)
 	if len(list) == 0 {
-		return d.refuse(now, p, "no upstream can answer in time")
+		return d.refuse(now, p, "no upstream takes new flows")
 	}
 	d.openings.add(now, p, raw, s, list)
 	return d.forwardOpening(now, s, list)
@@ -225,7 +230,6 @@
 		Service:   s.hash,
 		Version:   d.view.Version(),
 		Remaining: list[1:],
-		Insist:    d.classify(now, d.agents[list[0]]) == full,
 	}}
 }
 
--- a/flow/keeper.go
+++ b/flow/keeper.go
@@ -27,6 +27,9 @@
 	TryInterval time.Duration
 	// BusyFor is how long a request without an answer counts as running.
 	BusyFor time.Duration
+	// RetryInterval is the time between two new flows that a server is tried with which would be too slow by its
+	// measured service time. A short one finds out sooner that it has become fast; each may be answered late.
+	RetryInterval time.Duration
 	// ReserveFor is how long a new flow counts as busy before its first request. A client sends that a round trip
 	// after the flow has opened; one that took another server's answer never does.
 	ReserveFor time.Duration
@@ -47,6 +50,7 @@
 		MaxUnanswered: 2,
 		TryInterval:   200 * time.Millisecond,
 		BusyFor:       5 * time.Second,
+		RetryInterval: time.Second,
 		ReserveFor:    100 * time.Millisecond,
 		ParkFor:       200 * time.Millisecond,
 		MaxParked:     256,
@@ -121,16 +125,11 @@
 	// entry is what the view says of the server; nil before it has named it.
 	entry *registry.Upstream
 	// gone says that the view has named the server and does not any more.
-	gone  bool
-	flows *simplelru.LRU[Key, *held]
-	busy  int
-	live  int
-	// serviceTime is the mean time that the server works on a request that does not wait.
-	serviceTime time.Duration
-	server      serverHealth
-	parked      []parkedPacket
-	// reserved holds the flows that were opened and have sent no request yet, the oldest first.
-	reserved []*held
+	gone   bool
+	flows  *simplelru.LRU[Key, *held]
+	load   load
+	server serverHealth
+	parked []parkedPacket
 }
 
 // parkedPacket waits for a configuration.
@@ -143,8 +142,8 @@
 
 // NewKeeper returns the Keeper of an agent that starts now. Its limits must be positive.
 func NewKeeper(config KeeperConfig, now time.Duration) *Keeper {
-	k := &Keeper{config: config, service: ServiceHash(config.Service), started: now, server: newServerHealth(config)}
-	flows, err := simplelru.NewLRU(config.MaxFlows, func(_ Key, h *held) { k.dropped(h) })
+	k := &Keeper{config: config, service: ServiceHash(config.Service), started: now, load: newLoad(config), server: newServerHealth(config)}
+	flows, err := simplelru.NewLRU(config.MaxFlows, func(_ Key, h *held) { k.end(h) })
 	if err != nil {
 		panic(err)
 	}
@@ -167,6 +166,9 @@
 		}
 	}
 	k.gone = k.entry == nil && (k.gone || before != nil)
+	if k.entry != nil {
+		k.load.slots = k.entry.Slots
+	}
 	k.adoptRoutes(view.Configuration)
 }
 
@@ -206,19 +208,20 @@
 
 // Word returns what the agent says of its server.
 func (k *Keeper) Word(now time.Duration) Word {
-	k.release(now)
-	w := Word{Accepting: k.Accepting(now), Busy: uint32(k.busy), Flows: uint32(k.live), ServiceTime: k.serviceTime}
-	if k.entry != nil {
-		w.Slots = uint32(k.entry.Slots)
+	k.load.release(now)
+	return Word{
+		Accepting: k.Accepting(now),
+		Busy:      uint32(k.load.busy), Slots: uint32(k.load.slots), Flows: uint32(k.load.flows),
 	}
-	return w
 }
 
 // FromNode decides on a packet that a balancer or another agent has sent.
 func (k *Keeper) FromNode(now time.Duration, p *Packet, raw []byte, request Request) Verdict {
 	switch {
+	case request.Service != k.service && request.Purpose == Open:
+		return k.pass(p, request, nil, "server of another service")
 	case request.Service != k.service:
-		return k.pass(p, request, "server of another service")
+		return k.deny(request, "server of another service")
 	case request.Purpose == Open:
 		return k.open(now, p, raw, request)
 	}
@@ -231,43 +234,44 @@
 		return k.park(now, p, raw, request)
 	}
 	route := k.routes[p.Key.Service]
-	switch {
-	case route == nil:
+	if route == nil {
 		return refuse(request, "route is not in the configuration in force")
-	case !k.Accepting(now) && !k.server.tryAgain(now):
-		return k.pass(p, request, "server takes no new flows")
-	case !request.Insist && len(request.Remaining) > 0 && k.full(now):
-		return k.pass(p, request, "no free slot")
-	case k.late(patience(route)):
-		return k.pass(p, request, "server can't answer in time")
 	}
-	if h, ok := k.flows.Peek(p.Key); ok && h.state == ended {
-		k.flows.Remove(p.Key)
+	if !k.Accepting(now) && !k.server.tryAgain(now) {
+		return k.pass(p, request, route, "server takes no new flows")
 	}
-	h := k.flow(now, p, asked)
-	h.request = keep(request)
-	k.reserve(now, h)
-	k.server.opened(now)
+	k.load.release(now)
+	if !k.takes(now, &request, patience(route)) {
+		return k.pass(p, request, route, "no free slot")
+	}
+	k.take(now, p, request)
 	return Verdict{Decision: Decision{Action: ToServer}}
 }
 
-// reserve counts a new flow as busy for as long as its first request may take to come.
-func (k *Keeper) reserve(now time.Duration, h *held) {
-	if h.asked || h.busy {
-		return
+// takes reports whether a flow is taken here. A server with a free slot takes it at once; of servers that have
+// none, the one that expects to answer soonest, which a request that is passed on names.
+func (k *Keeper) takes(now time.Duration, request *Request, limit time.Duration) bool {
+	wait := k.load.expected(limit)
+	switch {
+	case !k.load.full():
+		return wait <= limit || k.load.retry(now)
+	case request.Final:
+		return wait <= limit
+	case request.Best == (IP{}) || wait < request.BestWait:
+		request.Best, request.BestWait = k.config.Address.IP, wait
 	}
-	k.setBusy(now, h, true)
-	k.reserved = append(k.reserved, h)
+	return len(request.Remaining) == 0 && request.Best == k.config.Address.IP && wait <= limit
 }
 
-// release gives back what was reserved for requests that did not come.
-func (k *Keeper) release(now time.Duration) {
-	for len(k.reserved) > 0 && now-k.reserved[0].since > k.config.ReserveFor {
-		if h := k.reserved[0]; !h.asked {
-			k.setBusy(now, h, false)
-		}
-		k.reserved = k.reserved[1:]
+// take notes that the server is given an opening packet.
+func (k *Keeper) take(now time.Duration, p *Packet, request Request) {
+	if h, ok := k.flows.Peek(p.Key); ok && h.state == ended {
+		k.flows.Remove(p.Key)
 	}
+	h := k.flow(now, p, asked)
+	h.request = keep(request)
+	k.load.reserve(now, h)
+	k.server.opened(now)
 }
 
 // keep returns a request whose lists outlive the packet.
@@ -276,25 +280,24 @@
 	return request
 }
 
-// late reports whether a new request is expected to take longer than a patience.
-func (k *Keeper) late(patience time.Duration) bool {
-	return k.entry != nil && late(float64(k.busy), float64(k.entry.Slots), k.serviceTime, patience)
-}
-
-func (k *Keeper) full(now time.Duration) bool {
-	k.release(now)
-	return k.entry != nil && k.busy >= k.entry.Slots
-}
-
-// pass sends an opening packet to the next agent, or refuses the flow if there is none.
-func (k *Keeper) pass(p *Packet, request Request, reason string) Verdict {
-	if request.Purpose != Open {
-		return k.deny(request, reason)
-	}
-	if len(request.Remaining) == 0 {
+// pass sends an opening packet to the next agent. After the last one the flow goes to the one that expects to
+// answer soonest, or is refused if that is too late.
+func (k *Keeper) pass(p *Packet, request Request, route *registry.Route, reason string) Verdict {
+	switch {
+	case len(request.Remaining) > 0:
+		v := Verdict{Decision: forward(request, reason)}
+		if request.Best == (IP{}) || request.Best == k.config.Address.IP {
+			v.Note, v.Balancer = NoteWord, request.Balancer
+		}
+		return v
+	case request.Final || request.Best == (IP{}):
 		return refuse(request, reason+", and nobody else does")
+	case route == nil || request.BestWait > patience(route):
+		return refuse(request, "no server can answer in time")
 	}
-	return Verdict{Decision: forward(request, reason), Note: NoteWord, Balancer: request.Balancer}
+	request.Final = true
+	request.Remaining = []IP{request.Best}
+	return Verdict{Decision: forward(request, reason)}
 }
 
 // forward sends a packet to the first of the remaining agents.
@@ -343,9 +346,7 @@
 	h.request = keep(request)
 	if p.Length > 0 && h.state != ended {
 		h.asked = true
-		h.alone = k.entry != nil && k.busy <= k.entry.Slots
-		h.since = now
-		k.setBusy(now, h, true)
+		k.load.started(now, h)
 	}
 	if p.Kind == Resetting {
 		k.end(h)
@@ -363,52 +364,20 @@
 	if !ok {
 		h = &held{state: initial}
 		k.flows.Add(p.Key, h)
-		k.live++
+		k.load.flows++
 	}
 	h.seen = now
 	return h
 }
 
-// serviceWeight is the weight of one request in the mean service time.
-const serviceWeight = 0.05
-
-// measure takes the time of a request that did not wait into the mean service time.
-func (k *Keeper) measure(now time.Duration, h *held) {
-	if !h.asked || !h.alone {
-		return
-	}
-	took := now - h.since
-	if k.serviceTime == 0 {
-		k.serviceTime = took
-	}
-	k.serviceTime += time.Duration(serviceWeight * float64(took-k.serviceTime))
-}
-
-func (k *Keeper) setBusy(now time.Duration, h *held, busy bool) {
-	if h.busy == busy {
-		return
-	}
-	h.busy, h.since = busy, now
-	if busy {
-		k.busy++
-		return
-	}
-	k.busy--
-}
-
 // end notes that a flow is over. It is remembered for a while, since packets of it may still come.
 func (k *Keeper) end(h *held) {
 	if h.state == ended {
 		return
 	}
 	h.state = ended
-	k.live--
-	k.setBusy(0, h, false)
-}
-
-// dropped keeps the counts right when a flow is forgotten.
-func (k *Keeper) dropped(h *held) {
-	k.end(h)
+	k.load.flows--
+	k.load.setBusy(h, false)
 }
 
 // FromServer decides on a packet of the server.
@@ -424,8 +393,7 @@
 		v.Note, v.Balancer = NoteHeld, h.request.Balancer
 	}
 	if p.Length > 0 && h.busy {
-		k.measure(now, h)
-		k.setBusy(now, h, false)
+		k.load.answered(now, h)
 	}
 	if p.Kind == Resetting || p.Kind == Closing {
 		k.end(h)
@@ -447,7 +415,7 @@
 	k.flows.Remove(p.Key)
 	switch {
 	case p.Kind == Opening:
-		return k.pass(p, request, "server refused the flow")
+		return k.pass(p, request, k.routes[p.Key.Service], "server refused the flow")
 	case request.Purpose == Open:
 		return Verdict{Decision: Decision{Reason: "server does not hold the flow, and nobody sent the packet"}}
 	}
@@ -497,7 +465,7 @@
 	}
 	for _, h := range k.flows.Values() {
 		if h.busy && now-h.since > k.config.BusyFor {
-			k.setBusy(now, h, false)
+			k.load.setBusy(h, false)
 		}
 	}
 }
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -17,6 +17,9 @@
 // MaxDatagram bounds a whole datagram between two processes, in bytes.
 const MaxDatagram = MaxPacket + frame.MaxPrefix
 
+// maxWait is the longest expected wait that processes tell each other; any longer one is too long.
+const maxWait = time.Minute
+
 // Decode reads the header of a datagram into h and returns the packet that follows, which aliases b. It
 // reuses the memory of h.
 func Decode(b []byte, h *nodev1.Header) (packet []byte, err error) {
@@ -61,7 +64,7 @@
 	h.Service = r.Service
 	h.ConfigVersion = r.Version
 	h.Search = r.Search
-	h.Insist = r.Insist
+	h.Best, h.BestWaitUs, h.Final = pack(r.Best), uint32(min(r.BestWait, maxWait).Microseconds()), r.Final
 	h.Changed = r.Changed
 	h.Balancer = pack(r.Balancer)
 	h.Remaining = h.Remaining[:0]
@@ -76,7 +79,9 @@
 		Service:   h.Service,
 		Version:   h.ConfigVersion,
 		Search:    h.Search,
-		Insist:    h.Insist,
+		Best:      unpack(h.Best),
+		BestWait:  time.Duration(h.BestWaitUs) * time.Microsecond,
+		Final:     h.Final,
 		Changed:   h.Changed,
 		Balancer:  unpack(h.Balancer),
 		Remaining: list[:0],
@@ -113,14 +118,13 @@
 func PutWord(h *nodev1.Header, w flow.Word) {
 	h.Process, h.Accepting = w.Process, w.Accepting
 	h.Busy, h.Slots, h.Flows = w.Busy, w.Slots, w.Flows
-	h.ServiceTimeUs = uint32(w.ServiceTime.Microseconds())
 }
 
 // Word returns the word of the agent at an address.
 func Word(h *nodev1.Header, from flow.IP) flow.Word {
 	return flow.Word{
 		From: from, Process: h.Process, Accepting: h.Accepting,
-		Busy: h.Busy, Slots: h.Slots, Flows: h.Flows, ServiceTime: time.Duration(h.ServiceTimeUs) * time.Microsecond,
+		Busy: h.Busy, Slots: h.Slots, Flows: h.Flows,
 	}
 }
 
