Reset lost flows as soon as every agent has spoken

Waiting was meant for peers that know of an interruption of the store. They say so in their answers to the first heartbeats, so a search now ends once every agent has answered and none leaves it open; one that proved nothing goes on when that is known, without another packet of the client.

--- a/flow/agents.go
+++ b/flow/agents.go
@@ -21,6 +21,8 @@
 	Accepting bool
 	// Busy is the number of requests that run, wait or are expected, and Flows that of open flows.
 	Busy, Slots, Flows uint32
+	// View is the freshness of the agent's view; its revision is zero if the agent has none.
+	View registry.Freshness
 }
 
 // agent is what a balancer knows of the agent beside one server.
--- a/flow/director.go
+++ b/flow/director.go
@@ -43,8 +43,8 @@
 	ChainLength int
 	// SearchFor is how long the packets of a flow wait for the search for its owner.
 	SearchFor time.Duration
-	// RestartFor is how long a search that was outdated waits for the change that it did not know.
-	RestartFor time.Duration
+	// ResumeFor is how long a search that proved nothing waits for what it lacked.
+	ResumeFor time.Duration
 	// MaxSearches bounds the searches under way.
 	MaxSearches int
 }
@@ -69,7 +69,7 @@
 		Fresh:             3 * time.Second,
 		ChainLength:       8,
 		SearchFor:         150 * time.Millisecond,
-		RestartFor:        500 * time.Millisecond,
+		ResumeFor:         500 * time.Millisecond,
 		MaxSearches:       4096,
 	}
 }
@@ -279,9 +279,26 @@
 	return replaced
 }
 
-// settled reports whether a missing entry proves that its server is gone.
+// settled reports whether a missing entry proves that its server is gone. A view that was just read first does so
+// when every agent has spoken and none knows of an interruption of the store before that.
 func (d *Director) settled(now time.Duration) bool {
-	return now-d.view.Confirmed <= d.config.Fresh && d.view.Settled(d.config.Registry)
+	switch {
+	case now-d.view.Confirmed > d.config.Fresh:
+		return false
+	case d.view.Settled(d.config.Registry):
+		return true
+	}
+	return !d.view.Interrupted && d.everyAgentTrusts(d.view.Continuous)
+}
+
+// everyAgentTrusts reports whether every agent has spoken and none doubts what the store held at a time.
+func (d *Director) everyAgentTrusts(read time.Duration) bool {
+	for _, a := range d.order {
+		if a.present && (a.word.Process == 0 || a.word.View.Doubts(d.config.Registry, read)) {
+			return false
+		}
+	}
+	return true
 }
 
 // resetFlow ends a flow that may be open at its client. A reset is never answered by another one.
--- a/flow/director_test.go
+++ b/flow/director_test.go
@@ -328,17 +328,63 @@
 	}
 }
 
+// TestLostFlowIsResetOnceEveryAgentHasSpoken lets a new process search for a flow with a view that it has just read.
+func TestLostFlowIsResetOnceEveryAgentHasSpoken(t *testing.T) {
+	read := viewAt(start, 5, upstreamOf(1, "orders"), upstreamOf(3, "orders"))
+	read.Continuous = start
+	calm := read.Freshness
+	interrupted := calm
+	interrupted.Interrupted = true
+	silent := calm
+	silent.Revision, silent.Confirmed = 4, start-5*time.Second
+	for _, c := range []struct {
+		name   string
+		views  []registry.Freshness
+		resets bool
+	}{
+		{"every agent", []registry.Freshness{calm, calm}, true},
+		{"an agent without a view", []registry.Freshness{calm, {}}, true},
+		{"not every agent", []registry.Freshness{calm}, false},
+		{"one that knows of an interruption", []registry.Freshness{calm, interrupted}, false},
+		{"one that has not heard the store for long", []registry.Freshness{calm, silent}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := flow.NewDirector(flow.DefaultDirectorConfig("here"), start)
+			d.Adopt(start, read)
+			first := d.FromClient(start, later(1), nil)
+			if got, _, _ := d.Denied(start, flow.Denial{Key: later(1).Key, Search: first.Request.Search}); got.Action != flow.Drop {
+				t.Fatalf("%v before any agent has spoken", got.Action)
+			}
+			for i, view := range c.views {
+				if _, p, _ := d.Resumed(start); p != nil {
+					t.Fatal("the search ended before the last agent has spoken")
+				}
+				w := word(2*i+1, 0, 0)
+				w.View = view
+				d.Heard(start+time.Millisecond, w)
+			}
+			got, p, _ := d.Resumed(start + 2*time.Millisecond)
+			if c.resets && (p == nil || got.Action != flow.Reset || got.Seq != later(1).Ack) {
+				t.Fatalf("got %+v", got)
+			}
+			if !c.resets && p != nil {
+				t.Fatalf("got %+v", got)
+			}
+		})
+	}
+}
+
 func TestOutdatedSearchBeginsAnewWhenTheViewHasChanged(t *testing.T) {
 	d := newDirector(upstreamOf(1, "orders"))
 	first := d.FromClient(start, later(1), nil)
 	if got, p, _ := d.Denied(start, flow.Denial{Key: later(1).Key, Search: first.Request.Search, Outdated: true}); p == nil || got.Action != flow.Drop {
 		t.Fatalf("got %v", got.Action)
 	}
-	if _, p, _ := d.Restarted(start); p != nil {
+	if _, p, _ := d.Resumed(start); p != nil {
 		t.Fatal("began anew with the same view")
 	}
 	d.Adopt(start+time.Millisecond, viewAt(start, 6, upstreamOf(1, "orders"), upstreamOf(3, "orders")))
-	got, p, _ := d.Restarted(start + time.Millisecond)
+	got, p, _ := d.Resumed(start + time.Millisecond)
 	if p == nil || len(asked(got)) != 2 {
 		t.Fatalf("got %+v", got)
 	}
--- a/flow/search.go
+++ b/flow/search.go
@@ -23,11 +23,8 @@
 	rest []IP
 	// chains is how many chains have not reported a denial.
 	chains int
-	// proof says that the agents of the search are all that may hold the flow, so that their denials prove that it
-	// is lost.
-	proof bool
 	// changed is the last change that the view knew when the search began, and outdated says that an agent knew of
-	// a later one.
+	// a later one, so that a newer server may hold the flow.
 	changed  uint64
 	outdated bool
 	// waiting are further packets of the flow.
@@ -44,8 +41,9 @@
 type searches struct {
 	number uint64
 	lru    *simplelru.LRU[Key, *search]
-	// outdated are searches that begin anew once the view has changed, the earliest first.
-	outdated []*search
+	// unproved are searches that everyone has denied although a server may hold the flow that the view did not name,
+	// the earliest first.
+	unproved []*search
 }
 
 func newSearches(config DirectorConfig) searches {
@@ -73,15 +71,14 @@
 		return Decision{Reason: "the owner of the flow is being searched"}
 	}
 	list := d.holders(now, r, p.Key, except)
-	proof := d.settled(now)
 	switch {
-	case len(list) == 0 && proof:
+	case len(list) == 0 && d.settled(now):
 		return resetFlow(p, "no server holds the flow")
 	case len(list) == 0:
 		return Decision{Reason: "no agent to ask for the flow"}
 	}
 	d.searches.number++
-	s := &search{number: d.searches.number, started: now, packet: *p, raw: slices.Clone(raw), proof: proof, rest: list, changed: d.view.Changed}
+	s := &search{number: d.searches.number, started: now, packet: *p, raw: slices.Clone(raw), rest: list, changed: d.view.Changed}
 	d.searches.lru.Add(p.Key, s)
 	if again {
 		// The first search found nobody in time: an agent may not answer. Everyone is asked at once.
@@ -147,7 +144,6 @@
 		return Decision{}, nil, nil
 	}
 	s.chains--
-	s.proof = s.proof && !denial.Outdated
 	s.outdated = s.outdated || denial.Outdated
 	switch {
 	case s.chains > 0:
@@ -156,27 +152,36 @@
 		return d.ask(s, len(s.rest), d.config.ChainLength), &s.packet, s.raw
 	}
 	d.searches.lru.Remove(denial.Key)
-	switch {
-	case s.proof:
+	if d.proves(now, s) {
 		return resetFlow(&s.packet, "no server holds the flow"), &s.packet, s.raw
-	case s.outdated && s.changed == d.view.Changed:
-		// An agent knows of a change that is still on its way here.
-		d.searches.outdated = append(d.searches.outdated, s)
 	}
+	d.searches.unproved = append(d.searches.unproved, s)
 	return Decision{Reason: "no server holds the flow, and not everyone was asked"}, &s.packet, s.raw
 }
 
-// Restarted returns the next search that an agent knew to be outdated, begun anew once the view has changed. The
-// packet is nil when there is none.
-func (d *Director) Restarted(now time.Duration) (Decision, *Packet, []byte) {
-	for len(d.searches.outdated) > 0 {
-		s := d.searches.outdated[0]
-		late := now-s.started > d.config.RestartFor
-		if !late && s.changed == d.view.Changed {
-			return Decision{}, nil, nil
+// proves reports whether the denials of a search prove that its flow is lost: the view named all servers that may
+// hold it.
+func (d *Director) proves(now time.Duration, s *search) bool {
+	return !s.outdated && s.changed == d.view.Changed && d.settled(now)
+}
+
+// Resumed returns the next decision on a search that had proved nothing: it begins anew once the view has changed,
+// and ends once the view is known to be complete. The packet is nil when there is none.
+func (d *Director) Resumed(now time.Duration) (Decision, *Packet, []byte) {
+	for i := 0; i < len(d.searches.unproved); i++ {
+		s := d.searches.unproved[i]
+		late := now-s.started > d.config.ResumeFor
+		proved := d.proves(now, s)
+		if !late && !proved && s.changed == d.view.Changed {
+			continue
 		}
-		d.searches.outdated = d.searches.outdated[1:]
-		if !late && d.hints.get(now, s.packet.Key) == nil {
+		d.searches.unproved = slices.Delete(d.searches.unproved, i, i+1)
+		i--
+		switch {
+		case late || d.hints.get(now, s.packet.Key) != nil:
+		case proved:
+			return resetFlow(&s.packet, "no server holds the flow"), &s.packet, s.raw
+		default:
 			return d.search(now, &s.packet, s.raw, IP{}), &s.packet, s.raw
 		}
 	}
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -249,13 +249,13 @@
 	if b.director != nil && s.Revision >= w.seen[b.ip] && w.now >= b.cutOff {
 		w.seen[b.ip] = s.Revision
 		b.director.Adopt(w.now, viewOf(s, w.now))
-		w.restart(b)
+		w.resume(b)
 	}
 }
 
-func (w *world) restart(b *simBalancer) {
+func (w *world) resume(b *simBalancer) {
 	for {
-		d, p, _ := b.director.Restarted(w.now)
+		d, p, _ := b.director.Resumed(w.now)
 		if p == nil {
 			return
 		}
@@ -339,8 +339,7 @@
 	if server.keeper == nil {
 		return
 	}
-	word := server.keeper.Word(w.now)
-	word.From, word.Process = server.ip, server.process
+	word := w.wordOf(server)
 	seen := w.seen[server.ip]
 	w.send(func() {
 		if b.director == nil {
@@ -350,6 +349,12 @@
 	})
 }
 
+func (w *world) wordOf(server *simServer) flow.Word {
+	word := server.keeper.Word(w.now)
+	word.From, word.Process = server.ip, server.process
+	return word
+}
+
 // heard lets a balancer take in the word of an agent, and ask it for what changed if it knows more.
 func (w *world) heard(b *simBalancer, word flow.Word, seen uint64) {
 	b.director.Heard(w.now, word)
@@ -433,8 +438,7 @@
 func (w *world) note(server *simServer, p flow.Packet, v flow.Verdict) {
 	switch v.Note {
 	case flow.NoteHeld, flow.NoteRefused:
-		word := server.keeper.Word(w.now)
-		word.From, word.Process = server.ip, server.process
+		word := w.wordOf(server)
 		report := flow.Report{Key: p.Key, Held: v.Note == flow.NoteHeld, From: server.ip, Service: server.keeper.Service()}
 		seen := w.seen[server.ip]
 		w.toBalancer(v.Balancer, func(b *simBalancer) {
--- a/internal/flowbalancer/loop.go
+++ b/internal/flowbalancer/loop.go
@@ -59,7 +59,7 @@
 		case <-l.config.View.Updates():
 			now := l.config.Clock.Now()
 			l.adopt(now)
-			l.restart(now)
+			l.resume(now)
 			l.director.Urge()
 		case <-ticker.C:
 			l.tick()
--- a/internal/flowbalancer/nodes.go
+++ b/internal/flowbalancer/nodes.go
@@ -23,7 +23,7 @@
 	case nodev1.Kind_KIND_REPORT:
 		l.reported(now, from)
 	case nodev1.Kind_KIND_ANSWER:
-		l.director.Heard(now, nodelink.Word(h, from))
+		l.director.Heard(now, nodelink.Word(h, now, from))
 	case nodev1.Kind_KIND_LEAVE:
 		l.director.Leaving(now, from, h.Process)
 		l.config.Event("agent_leaving", "agent", from)
@@ -47,7 +47,7 @@
 	h := &l.header
 	key := nodelink.Key(h)
 	held := h.Verdict == nodev1.Verdict_VERDICT_HELD
-	l.director.Heard(now, nodelink.Word(h, from))
+	l.director.Heard(now, nodelink.Word(h, now, from))
 	l.balancer.counts.reported.Add(1)
 	if h.Verdict == nodev1.Verdict_VERDICT_DENIED {
 		l.denied(now, key)
@@ -111,7 +111,7 @@
 	}
 	now := l.config.Clock.Now()
 	l.adopt(now)
-	l.restart(now)
+	l.resume(now)
 	l.hedge(now)
 	l.heartbeats(now)
 	if now-l.swept >= sweepInterval {
@@ -119,10 +119,10 @@
 	}
 }
 
-// restart begins the searches anew that did not know of the latest change.
-func (l *loop) restart(now time.Duration) {
+// resume goes on with the searches that proved nothing before the latest news.
+func (l *loop) resume(now time.Duration) {
 	for {
-		d, p, raw := l.director.Restarted(now)
+		d, p, raw := l.director.Resumed(now)
 		if p == nil {
 			return
 		}
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -120,11 +120,11 @@
 	h.Busy, h.Slots, h.Flows = w.Busy, w.Slots, w.Flows
 }
 
-// Word returns the word of the agent at an address.
-func Word(h *nodev1.Header, from flow.IP) flow.Word {
+// Word returns the word of the agent at an address, received now.
+func Word(h *nodev1.Header, now time.Duration, from flow.IP) flow.Word {
 	return flow.Word{
 		From: from, Process: h.Process, Accepting: h.Accepting,
-		Busy: h.Busy, Slots: h.Slots, Flows: h.Flows,
+		Busy: h.Busy, Slots: h.Slots, Flows: h.Flows, View: Freshness(h, now),
 	}
 }
 
--- a/internal/nodelink/nodelink_test.go
+++ b/internal/nodelink/nodelink_test.go
@@ -65,6 +65,7 @@
 	}
 	word := flow.Word{From: flow.IP{10, 0, 0, 1}, Process: 9, Accepting: true, Busy: 3, Slots: 5, Flows: 70}
 	fresh := registry.Freshness{Revision: 8, Changed: 7, Confirmed: now - 250*time.Millisecond, Continuous: now - time.Minute, Interrupted: true, Reader: 5}
+	word.View = fresh
 	var sent, received nodev1.Header
 	nodelink.PutKey(&sent, key)
 	nodelink.PutWord(&sent, word)
@@ -75,7 +76,7 @@
 	if got := nodelink.Key(&received); got != key {
 		t.Errorf("key %v", got)
 	}
-	if got := nodelink.Word(&received, word.From); got != word {
+	if got := nodelink.Word(&received, now, word.From); got != word {
 		t.Errorf("word %+v", got)
 	}
 	if got := nodelink.Freshness(&received, now); got != fresh {
--- a/registry/delta.go
+++ b/registry/delta.go
@@ -47,7 +47,11 @@
 // Observe takes in the freshness of a peer. It reports whether the peer knows of changes that this registry
 // lacks. If it knows of none, its confirmation counts here as well.
 func (r *Registry) Observe(f Freshness) (behind bool) {
-	if f.Revision == 0 || f.Revision < r.freshness.Revision {
+	if f.Revision == 0 {
+		return false
+	}
+	if f.Revision < r.freshness.Revision {
+		r.suspect(f)
 		return false
 	}
 	if f.Changed > r.freshness.Revision {
@@ -57,6 +61,13 @@
 	return false
 }
 
+// suspect takes in the freshness of a peer that lags. If it lost the store long before this process first heard of
+// it, the store may have been away in between.
+func (r *Registry) suspect(f Freshness) {
+	own := &r.freshness
+	own.Interrupted = own.Interrupted || own.Continuous-f.Confirmed > r.config.InterruptedAfter
+}
+
 // adopt takes over the confirmation of a peer that has the same content.
 func (r *Registry) adopt(f Freshness) {
 	own := &r.freshness
@@ -66,9 +77,16 @@
 		return
 	}
 	unknown := f.Confirmed-own.Confirmed > r.config.InterruptedAfter
-	if unknown || f.Continuous < own.Continuous {
+	switch {
+	case unknown && f.Continuous-own.Confirmed > r.config.InterruptedAfter:
+		// Nobody is known to have heard the store in between.
+		own.Continuous, own.Interrupted = f.Continuous, true
+	case unknown || f.Continuous < own.Continuous:
 		// Who has heard the store for longer knows better whether it was away.
 		own.Continuous, own.Interrupted = f.Continuous, f.Interrupted
+	case f.Interrupted && f.Continuous-own.Continuous < r.config.InterruptedAfter:
+		// The peer knows of an interruption that ended when this process first heard the store.
+		own.Interrupted = true
 	}
 	own.Revision = f.Revision
 	if f.Confirmed > own.Confirmed {
@@ -99,12 +117,12 @@
 	}
 	r.adopt(d.Freshness)
 	for _, id := range d.Removed {
-		r.remove(id, d.Changed)
+		r.miss(id, d.Changed)
 	}
 	if d.From == 0 {
 		for id := range r.upstreams {
 			if !present[id] {
-				r.remove(id, d.Changed)
+				r.miss(id, d.Changed)
 			}
 		}
 	}
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -419,3 +419,73 @@
 		t.Fatalf("got %+v, want %+v", got, f)
 	}
 }
+
+// exchange lets two registries take over from each other what they lack.
+func exchange(a, b *registry.Registry) {
+	for _, pair := range [][2]*registry.Registry{{a, b}, {b, a}, {a, b}} {
+		if pair[0].Observe(pair[1].Freshness()) {
+			pair[0].Merge(pair[1].Since(pair[0].Freshness().Revision))
+		}
+	}
+}
+
+// TestNewProcessDoesNotHideAnInterruption lets a process that starts right after an outage be the first to read the
+// store, in which an entry has lapsed.
+func TestNewProcessDoesNotHideAnInterruption(t *testing.T) {
+	config := registry.DefaultConfig(1)
+	back := time.Minute + 5*time.Second
+	for name, talk := range map[string]func(old, fresh *registry.Registry){
+		"the old process listens first": exchange,
+		"the new process listens first": func(old, fresh *registry.Registry) { exchange(fresh, old) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			old := steady(t, upstream("a", 1), upstream("b", 1))
+			fresh := registry.New(config)
+			fresh.Replace(snapshot(12, back, upstream("b", 1)))
+			talk(old, fresh)
+			for at := back; at < back+2*time.Second; at += 500 * time.Millisecond {
+				confirm(t, fresh, at)
+				talk(old, fresh)
+				old.Expire()
+				fresh.Expire()
+				wantIDs(t, old, "a", "b")
+				if old.Freshness().Settled(config) || fresh.Freshness().Settled(config) {
+					t.Fatalf("missing entries are taken for removed after %v", at-back)
+				}
+			}
+			confirm(t, fresh, back+2500*time.Millisecond)
+			talk(old, fresh)
+			old.Expire()
+			wantIDs(t, old, "b")
+			if !fresh.Freshness().Settled(config) {
+				t.Fatal("the new process is not settled after 2.5 s")
+			}
+		})
+	}
+}
+
+// TestRemovalThatANewProcessSawIsJudgedByWhoKnewTheServer lets a new process see the deletion of an entry that it
+// never knew.
+func TestRemovalThatANewProcessSawIsJudgedByWhoKnewTheServer(t *testing.T) {
+	old := steady(t, upstream("a", 1))
+	fresh := registry.New(registry.DefaultConfig(2))
+	back := time.Minute + 5*time.Second
+	fresh.Replace(snapshot(10, back))
+	if _, err := fresh.Apply(registry.Changes{After: 10, Revision: 11, Confirmed: back, Removed: []string{"a"}}); err != nil {
+		t.Fatal(err)
+	}
+	exchange(old, fresh)
+	wantIDs(t, old, "a")
+}
+
+func TestProcessThatWasCutOffTakesRemovalsFromPeersThatWereNot(t *testing.T) {
+	cut, calm := steady(t, upstream("a", 1)), steady(t, upstream("a", 1))
+	for at := time.Minute; at < time.Minute+5*time.Second; at += 500 * time.Millisecond {
+		confirm(t, calm, at)
+	}
+	if _, err := calm.Apply(registry.Changes{After: 10, Revision: 11, Confirmed: time.Minute + 5*time.Second, Removed: []string{"a"}}); err != nil {
+		t.Fatal(err)
+	}
+	exchange(cut, calm)
+	wantIDs(t, cut)
+}
--- a/registry/types.go
+++ b/registry/types.go
@@ -103,6 +103,15 @@
 	return steady >= c.KeepLapsed || !f.Interrupted && steady >= c.HearPeers
 }
 
+// Doubts reports whether a peer of this freshness leaves it open that an entry is gone which the store lacked when
+// another process first read it: the store was away shortly before, or the peer had lost it.
+func (f Freshness) Doubts(c Config, read time.Duration) bool {
+	if f.Revision == 0 {
+		return false
+	}
+	return f.Interrupted && !f.Settled(c) || read-f.Confirmed > c.InterruptedAfter
+}
+
 // Content is what a view shows. It never changes; another state has another Content.
 type Content struct {
 	// Configuration is nil before the first one.
