Ask peers again after one was silent

Cause: the result of a question to a peer was handed over under the context that bounds the question. After a timeout both branches of the select were ready, so that half of the results were dropped and the process never asked a peer again.

A question now takes 250 ms at most instead of 500 ms, and a new process waits 25 ms instead of 60 ms for a seed before it reads the store: machines that are still dark held up the first view of the others.

--- a/internal/nodeview/nodeview.go
+++ b/internal/nodeview/nodeview.go
@@ -52,13 +52,13 @@
 	// readTimeout bounds a read of the store, or the part of a watch that exceeds its wait. The store
 	// answers within some milliseconds; a slow one within some hundred.
 	readTimeout = 700 * time.Millisecond
-	// fetchTimeout bounds a question to a peer, whose answer takes some milliseconds.
-	fetchTimeout = 500 * time.Millisecond
+	// fetchTimeout bounds a question to a peer, whose answer takes some milliseconds, on a small VM some ten.
+	fetchTimeout = 250 * time.Millisecond
 	// seedInterval is the time between two questions to the seeds while there is no view.
 	seedInterval = 200 * time.Millisecond
 	// seedPatience is how long a new process waits for a seed before it reads the store itself. A seed that lives
 	// answers within milliseconds.
-	seedPatience = 60 * time.Millisecond
+	seedPatience = 25 * time.Millisecond
 	// expireInterval is the time between two looks for entries that have lapsed for good.
 	expireInterval = 250 * time.Millisecond
 	// eventBuffer is how many events may wait for the owner; further observations are dropped.
--- a/internal/nodeview/nodeview_test.go
+++ b/internal/nodeview/nodeview_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -194,6 +195,8 @@
 	stops []context.CancelFunc
 	clock *clock.Clock
 	group sync.WaitGroup
+	// hang lets no question to a peer be answered.
+	hang atomic.Bool
 }
 
 func newFleet(t *testing.T, size int) *fleet {
@@ -233,6 +236,10 @@
 		Self:   uint64(process + 1),
 		Fetch: func(ctx context.Context, peer netip.AddrPort, revision uint64) (registry.Delta, error) {
 			time.Sleep(storeLatency)
+			if f.hang.Load() {
+				<-ctx.Done()
+				return registry.Delta{}, ctx.Err()
+			}
 			view := f.process(peer)
 			if view == nil {
 				return registry.Delta{}, errors.New("no such process")
@@ -387,6 +394,21 @@
 	})
 }
 
+// TestPeersAreAskedAgainAfterOneWasSilent lets every question to a peer end by its timeout for a while.
+func TestPeersAreAskedAgainAfterOneWasSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 30)
+		time.Sleep(10 * time.Second)
+		reader := f.reader()
+		f.store.set(func(s *fakeStore) { s.refuse = func(p int) bool { return p != reader } })
+		f.hang.Store(true)
+		version := f.store.configure()
+		time.Sleep(2 * time.Second)
+		f.hang.Store(false)
+		f.awaitVersion(version)
+	})
+}
+
 func TestNewProcessTakesItsFirstViewFromASeedWhileTheStoreIsDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 5)
--- a/internal/nodeview/owner.go
+++ b/internal/nodeview/owner.go
@@ -102,9 +102,9 @@
 	o.fetching = true
 	revision := o.registry.Freshness().Revision
 	o.start(func() {
-		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		timed, cancel := context.WithTimeout(ctx, fetchTimeout)
 		defer cancel()
-		delta, err := o.config.Fetch(ctx, peer, revision)
+		delta, err := o.config.Fetch(timed, peer, revision)
 		o.view.deliver(ctx, event{fetched: &fetchResult{peer: peer, delta: delta, err: err}})
 	})
 }
