Search without servers that are silent, and reset what they owe

A server that died while its machine lives kept every search from proving that a flow is lost, and clients with flows on it heard nothing. An agent now denies for a server that has said nothing 100 ms after it was given the packet, and a server that left six packets without any word for 500 ms counts as silent: the flows that it owes an answer are reset if it had confirmed them, others are searched. Pauses of the agent itself do not count.

--- a/flow/keeper.go
+++ b/flow/keeper.go
@@ -25,6 +25,16 @@
 	MaxUnanswered int
 	// TryInterval is the time between two new flows that a silent server is tried with.
 	TryInterval time.Duration
+	// DenyAfter is how long a server may say nothing after it was given a packet that is searched for, until it
+	// counts as one that does not hold the flow.
+	DenyAfter time.Duration
+	// SilentAfter is how long a server may say nothing at all while it is given packets, SilentPackets at least,
+	// until its flows count as lost. A server that works acknowledges every second packet at once.
+	SilentAfter   time.Duration
+	SilentPackets int
+	// Looks is how often the agent must have looked for an answer in these times, so that a pause of its own is not
+	// taken for one of the server.
+	Looks int
 	// BusyFor is how long a request without an answer counts as running.
 	BusyFor time.Duration
 	// RetryInterval is the time between two new flows that a server is tried with which would be too slow by its
@@ -49,6 +59,10 @@
 		AnswerWithin:  60 * time.Millisecond,
 		MaxUnanswered: 2,
 		TryInterval:   200 * time.Millisecond,
+		DenyAfter:     100 * time.Millisecond,
+		SilentAfter:   500 * time.Millisecond,
+		SilentPackets: 6,
+		Looks:         3,
 		BusyFor:       5 * time.Second,
 		RetryInterval: time.Second,
 		ReserveFor:    100 * time.Millisecond,
@@ -81,9 +95,13 @@
 	// busy says that a request of the flow runs or is expected, since when.
 	busy  bool
 	since time.Duration
-	// asked says that the client has sent a request.
-	asked bool
-	seen  time.Duration
+	// asked says that the client has sent a request, and owed that the server was given a packet of the flow that
+	// asks for an answer and has said nothing since.
+	asked, owed bool
+	// confirmed says that the server has sent more than its answer to the opening packet, so that the client has
+	// opened the flow here and not at another server that took a copy of the packet.
+	confirmed bool
+	seen      time.Duration
 	// alone says that the running request did not have to wait for a slot.
 	alone bool
 }
@@ -130,6 +148,7 @@
 	load   load
 	server serverHealth
 	parked []parkedPacket
+	probes []probe
 }
 
 // parkedPacket waits for a configuration.
@@ -225,7 +244,7 @@
 	case request.Purpose == Open:
 		return k.open(now, p, raw, request)
 	}
-	return k.later(now, p, request)
+	return k.later(now, p, raw, request)
 }
 
 // open decides on the opening packet of a flow.
@@ -337,23 +356,43 @@
 }
 
 // later decides on a packet of a flow that its client takes for open.
-func (k *Keeper) later(now time.Duration, p *Packet, request Request) Verdict {
-	if !k.flows.Contains(p.Key) && now-k.started > k.config.IdleTimeout {
+func (k *Keeper) later(now time.Duration, p *Packet, raw []byte, request Request) Verdict {
+	h, known := k.flows.Peek(p.Key)
+	silent := !k.server.talks() && !k.server.tryAgain(now)
+	switch {
+	case !known && now-k.started > k.config.IdleTimeout:
 		return k.deny(request, "server does not hold the flow")
+	case silent && (!known || !h.confirmed):
+		k.flows.Remove(p.Key)
+		return k.deny(request, "server does not answer")
+	case silent && h.state == open && p.asks():
+		k.end(h)
+		return Verdict{Decision: resetFlow(p, "server does not answer")}
 	}
+	return k.deliver(now, p, raw, request)
+}
+
+// deliver hands the server a packet of a flow that it may hold.
+func (k *Keeper) deliver(now time.Duration, p *Packet, raw []byte, request Request) Verdict {
 	h := k.flow(now, p, searched)
 	h.clientAck = p.Ack
 	h.request = keep(request)
 	if p.Length > 0 && h.state != ended {
-		h.asked = true
 		k.load.started(now, h)
 	}
 	if p.Kind == Resetting {
 		k.end(h)
 	}
+	if p.asks() {
+		h.owed = true
+		k.server.gave(now)
+	}
 	v := Verdict{Decision: Decision{Action: ToServer}}
-	if request.Purpose == Search && h.state == open {
+	switch {
+	case request.Purpose == Search && h.state == open:
 		v.Note, v.Balancer = NoteHeld, request.Balancer
+	case h.state == asked || h.state == searched:
+		k.probe(now, p, raw, h.request)
 	}
 	return v
 }
@@ -385,8 +424,10 @@
 	if p.Returned {
 		return k.returned(now, p)
 	}
-	k.server.answered()
+	k.server.answered(now)
 	h := k.flow(now, p, open)
+	h.owed = false
+	h.confirmed = h.confirmed || p.Kind != Accepting
 	v := Verdict{Decision: Decision{Action: ToClient}}
 	if (h.state == asked || h.state == searched) && p.Kind != Resetting {
 		h.state = open
@@ -403,7 +444,7 @@
 
 // returned decides on a packet that the server handed back. Its ends are those of the client's packet.
 func (k *Keeper) returned(now time.Duration, p *Packet) Verdict {
-	k.server.answered()
+	k.server.answered(now)
 	h, ok := k.flows.Peek(p.Key)
 	if !ok {
 		return Verdict{Decision: Decision{Reason: "returned packet of an unknown flow"}}
@@ -475,7 +516,7 @@
 func (k *Keeper) Lost() map[Key]uint32 {
 	lost := map[Key]uint32{}
 	for _, key := range k.flows.Keys() {
-		if h, _ := k.flows.Peek(key); h.state == open {
+		if h, _ := k.flows.Peek(key); h.state == open && h.confirmed {
 			lost[key] = h.clientAck
 		}
 	}
--- a/flow/keeper_test.go
+++ b/flow/keeper_test.go
@@ -334,6 +334,148 @@
 	}
 }
 
+// look lets an agent look for answers of its server as often as it must, until a time.
+func look(k *flow.Keeper, until time.Duration) (silent bool) {
+	for range flow.DefaultKeeperConfig("", flow.Endpoint{}).Looks {
+		silent = k.Look(until) || silent
+	}
+	return silent
+}
+
+func TestSearchGoesOnWithoutAServerThatIsSilent(t *testing.T) {
+	k := newKeeper(orderView(5))
+	wantAction(t, k.FromNode(start, later(1), []byte("raw"), request(flow.Search, agentIP(3))), flow.ToServer, flow.NoNote)
+	wantAction(t, k.FromNode(start, later(2), nil, request(flow.Search)), flow.ToServer, flow.NoNote)
+	now := start + flow.DefaultKeeperConfig("", flow.Endpoint{}).DenyAfter
+	k.Look(start + time.Minute)
+	if _, p, _ := k.Unanswered(start + time.Minute); p != nil {
+		t.Fatal("a pause of the agent was taken for one of the server")
+	}
+	look(k, now)
+	if _, p, _ := k.Unanswered(now - 1); p != nil {
+		t.Fatal("the server had no time to answer")
+	}
+	v, p, raw := k.Unanswered(now)
+	wantAction(t, v, flow.Forward, flow.NoNote)
+	if v.To != agentIP(3) || p.Key != later(1).Key || string(raw) != "raw" {
+		t.Fatalf("%v with %q went to %v", p, raw, v.To)
+	}
+	v, _, _ = k.Unanswered(now)
+	wantAction(t, v, flow.Drop, flow.NoteDenied)
+	if _, p, _ := k.Unanswered(now); p != nil {
+		t.Fatal("decided twice on a packet")
+	}
+}
+
+func TestServerThatSpeaksIsNotDeniedFor(t *testing.T) {
+	k := newKeeper(orderView(5))
+	wantAction(t, k.FromNode(start, later(1), nil, request(flow.Search)), flow.ToServer, flow.NoNote)
+	now := start + time.Second
+	look(k, now)
+	accept(t, k, now, 2)
+	if v, p, _ := k.Unanswered(now); p != nil {
+		t.Fatalf("got %v", v.Action)
+	}
+}
+
+func TestPacketOfAKnownOwnerComesBackFromASilentServer(t *testing.T) {
+	k := newKeeper(orderView(5))
+	wantAction(t, k.FromNode(start, later(1), []byte("raw"), request(flow.Deliver)), flow.ToServer, flow.NoNote)
+	now := start + time.Second
+	look(k, now)
+	v, p, raw := k.Unanswered(now)
+	if p == nil || v.Action != flow.Return || v.To != balancerIP || string(raw) != "raw" {
+		t.Fatalf("got %v to %v", v.Action, v.To)
+	}
+}
+
+func TestFlowsOfASilentServerAreReset(t *testing.T) {
+	config := flow.DefaultKeeperConfig("", flow.Endpoint{})
+	k := newKeeper(orderView(5))
+	for n := range config.SilentPackets + 1 {
+		accept(t, k, start, n)
+		ask(k, start, n)
+		answer(k, start, n)
+	}
+	for n := range config.SilentPackets {
+		ask(k, start, n)
+	}
+	if look(k, start+config.SilentAfter-1) {
+		t.Fatal("the server had no time to answer")
+	}
+	k.Look(start + config.SilentAfter)
+	stalled := k.Stalled()
+	if len(stalled) != config.SilentPackets || stalled[opening(0).Key] != 77 {
+		t.Fatalf("stalled %v", stalled)
+	}
+	now := start + config.SilentAfter
+	v := ask(k, now, config.SilentPackets)
+	if v.Action == flow.ToServer {
+		// The first packet tries the server again.
+		v = ask(k, now, config.SilentPackets)
+	}
+	if v.Action != flow.Reset || v.Seq != 77 {
+		t.Fatalf("got %v: %s", v.Action, v.Reason)
+	}
+	accept(t, k, now+time.Second, 100)
+	if v := ask(k, now+time.Second, 100); v.Action != flow.ToServer {
+		t.Fatalf("got %v after the server has answered again", v.Action)
+	}
+}
+
+// TestAgentResetsNoFlowThatMayBeOpenElsewhere lets a server answer the opening packet of a flow that its client opened
+// at another one.
+func TestAgentResetsNoFlowThatMayBeOpenElsewhere(t *testing.T) {
+	config := flow.DefaultKeeperConfig("", flow.Endpoint{})
+	k := newKeeper(orderView(5))
+	for n := range config.SilentPackets + 1 {
+		accept(t, k, start, n)
+	}
+	for n := range config.SilentPackets + 1 {
+		ask(k, start, n)
+	}
+	if !look(k, start+config.SilentAfter) {
+		t.Fatal("the server is not silent")
+	}
+	if stalled := k.Stalled(); len(stalled) != 0 {
+		t.Fatalf("stalled %v", stalled)
+	}
+	ask(k, start+config.SilentAfter, 0)
+	wantAction(t, ask(k, start+config.SilentAfter, 1), flow.Return, flow.NoNote)
+	if lost := k.Lost(); len(lost) != 0 {
+		t.Fatalf("lost %v", lost)
+	}
+}
+
+func TestServerThatAcknowledgesIsNotSilent(t *testing.T) {
+	config := flow.DefaultKeeperConfig("", flow.Endpoint{})
+	k := newKeeper(orderView(5))
+	for n := range config.SilentPackets {
+		accept(t, k, start, n)
+	}
+	now := start
+	for range 20 {
+		for n := range config.SilentPackets {
+			ask(k, now, n)
+			now += config.SilentAfter / 10
+			k.FromServer(now, &flow.Packet{Key: opening(n).Key, Kind: flow.Other})
+		}
+		if look(k, now) {
+			t.Fatal("a server that acknowledges counts as silent")
+		}
+	}
+}
+
+func TestServerThatDoesNotRunHoldsNoFlow(t *testing.T) {
+	k := newKeeper(orderView(5))
+	k.Lost()
+	k.FromNode(start, later(9), nil, request(flow.Search))
+	wantAction(t, k.FromNode(start, later(1), nil, request(flow.Search)), flow.Drop, flow.NoteDenied)
+	now := start + time.Second
+	accept(t, k, now, 2)
+	wantAction(t, k.FromNode(now, later(1), nil, request(flow.Search)), flow.ToServer, flow.NoNote)
+}
+
 func TestAgentThatKnowsItsFlowsDeniesOthersItself(t *testing.T) {
 	k := newKeeper(orderView(5))
 	now := start + time.Minute
@@ -392,6 +534,7 @@
 	k := newKeeper(orderView(5))
 	accept(t, k, start, 1)
 	ask(k, start, 1)
+	answer(k, start, 1)
 	accept(t, k, start, 2)
 	k.FromServer(start, &flow.Packet{Key: opening(2).Key, Kind: flow.Closing})
 	lost := k.Lost()
--- a/flow/packet.go
+++ b/flow/packet.go
@@ -86,3 +86,8 @@
 	// Returned says that the server hands the packet back, since it does not hold the flow or takes no new one.
 	Returned bool
 }
+
+// asks reports whether a packet of an open flow asks for an answer: its sender repeats it until it is acknowledged.
+func (p *Packet) asks() bool {
+	return p.Length > 0 || p.Kind == Closing
+}
--- a/flow/property_test.go
+++ b/flow/property_test.go
@@ -95,9 +95,30 @@
 	w.publish()
 }
 
+// darkenServer lets a server fall silent for a while and come back knowing nothing. Its agent lives and has just
+// started itself, so that it knows no flows either.
+func darkenServer(w *world) {
+	server := w.servers[w.rnd.Intn(len(w.servers))]
+	if !server.running || server.keeper == nil {
+		return
+	}
+	server.running = false
+	w.startAgent(server)
+	w.after(3*time.Second, func() {
+		if !server.registered {
+			return
+		}
+		server.running = true
+		server.flows = map[flow.Key]*simFlow{}
+		server.incarnation++
+		w.publish()
+	})
+}
+
 // unplanned are failures.
 var unplanned = []func(w *world){
 	crashServer,
+	darkenServer,
 	// An agent is killed and comes back later.
 	func(w *world) {
 		server := w.servers[w.rnd.Intn(len(w.servers))]
@@ -147,7 +168,7 @@
 func TestLostFlowsAreReset(t *testing.T) {
 	resets := 0
 	for seed := range int64(*propertySeeds) {
-		w := play(t, seed, []func(w *world){crashServer})
+		w := play(t, seed, []func(w *world){crashServer, darkenServer})
 		resets += w.counts["resets"]
 		if unheard := w.counts["lost flows that heard nothing"]; unheard > 0 {
 			t.Errorf("seed %d: %d lost flows heard nothing", seed, unheard)
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -75,6 +75,8 @@
 	director *flow.Director
 	// cutOff is until when the balancer hears nothing of changes.
 	cutOff time.Duration
+	// snapshot is the state of the store that the balancer has in force.
+	snapshot registry.Snapshot
 }
 
 // simClient is one flow of a client.
@@ -161,6 +163,7 @@
 	}
 	w.publish()
 	w.heartbeats()
+	w.confirm()
 	w.run(time.Second)
 	return w
 }
@@ -247,12 +250,22 @@
 
 func (w *world) adoptBalancer(b *simBalancer, s registry.Snapshot) {
 	if b.director != nil && s.Revision >= w.seen[b.ip] && w.now >= b.cutOff {
-		w.seen[b.ip] = s.Revision
+		w.seen[b.ip], b.snapshot = s.Revision, s
 		b.director.Adopt(w.now, viewOf(s, w.now))
 		w.resume(b)
 	}
 }
 
+// confirm lets every balancer hear from time to time that the store has not changed.
+func (w *world) confirm() {
+	for _, b := range w.balancers {
+		if b.snapshot.Revision == w.revision {
+			w.adoptBalancer(b, b.snapshot)
+		}
+	}
+	w.after(time.Second, w.confirm)
+}
+
 func (w *world) resume(b *simBalancer) {
 	for {
 		d, p, _ := b.director.Resumed(w.now)
@@ -311,9 +324,30 @@
 	for _, b := range w.balancers {
 		w.tick(b)
 	}
+	for _, server := range w.servers {
+		w.tickAgent(server)
+	}
 	w.after(20*time.Millisecond, w.heartbeats)
 }
 
+func (w *world) tickAgent(server *simServer) {
+	if server.keeper == nil {
+		return
+	}
+	if server.keeper.Look(w.now) {
+		for key := range server.keeper.Stalled() {
+			w.reset(key, "agent "+server.id+": server is silent")
+		}
+	}
+	for {
+		v, p, _ := server.keeper.Unanswered(w.now)
+		if p == nil {
+			return
+		}
+		w.applyAgent(server, *p, v, 0)
+	}
+}
+
 func (w *world) tick(b *simBalancer) {
 	if b.director == nil {
 		return
--- a/internal/flowagent/tick.go
+++ b/internal/flowagent/tick.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/bramleyrack/bramleyrack/flow"
 )
 
 // tick does what is due.
@@ -19,6 +21,7 @@
 	l.adopt(now)
 	l.noteAccepting(now)
 	l.unpark(now)
+	l.look(now)
 	if l.keeper.Suspicious(now) {
 		l.checker.ask(ctx, now)
 	}
@@ -38,6 +41,31 @@
 	}
 }
 
+// look looks for answers of the server. Flows that it owes one are reset when it says nothing at all, so that their
+// clients can try again, and searches go on without it.
+func (l *loop) look(now time.Duration) {
+	if l.keeper.Look(now) {
+		l.end("server_silent", l.keeper.Stalled())
+	}
+	for {
+		v, p, raw := l.keeper.Unanswered(now)
+		if p == nil {
+			return
+		}
+		l.apply(now, p, raw, v)
+	}
+}
+
+// end resets flows that are lost.
+func (l *loop) end(event string, lost map[flow.Key]uint32) {
+	l.agent.counts.lost.Add(uint64(len(lost)))
+	l.config.Event(event, "flows_reset", len(lost))
+	for key, seq := range lost {
+		l.reset(key, seq)
+	}
+	l.noteAccepting(l.config.Clock.Now())
+}
+
 func (l *loop) sweep(now time.Duration) {
 	l.swept = now
 	l.keeper.Sweep(now)
@@ -57,13 +85,7 @@
 	if running {
 		return
 	}
-	lost := l.keeper.Lost()
-	l.agent.counts.lost.Add(uint64(len(lost)))
-	l.config.Event("server_down", "flows_reset", len(lost))
-	for key, seq := range lost {
-		l.reset(key, seq)
-	}
-	l.noteAccepting(l.config.Clock.Now())
+	l.end("server_down", l.keeper.Lost())
 }
 
 // checker asks the system whether the server runs, in a goroutine of its own.
