Take flows of a newer configuration at once

Cause: with each change of the configuration the agents kept opening packets for up to 200 ms until they had the version of the balancer. The balancer goes by the newer version, so the agent need not know it. What must not happen is that an agent which has acted by a version goes by an older one 250 ms later: it now remembers by which versions it has acted and lets flows of older ones wait for the client's next copy after 200 ms.

--- a/flow/director.go
+++ b/flow/director.go
@@ -104,11 +104,9 @@
 	Return
 	// Reset tells the client that the flow does not exist.
 	Reset
-	// Park keeps the packet until the newer configuration of its sender is known.
-	Park
 )
 
-var actionNames = [...]string{"drop", "forward", "to_server", "to_client", "return", "reset", "park"}
+var actionNames = [...]string{"drop", "forward", "to_server", "to_client", "return", "reset"}
 
 // String returns the name of the action in logs and counters.
 func (a Action) String() string {
--- a/flow/keeper.go
+++ b/flow/keeper.go
@@ -43,10 +43,9 @@
 	// ReserveFor is how long a new flow counts as busy before its first request. A client sends that a round trip
 	// after the flow has opened; one that took another server's answer never does.
 	ReserveFor time.Duration
-	// ParkFor is how long a packet waits for the newer configuration that its sender went by.
-	ParkFor time.Duration
-	// MaxParked bounds the packets that wait.
-	MaxParked int
+	// MixFor is how long an agent that has acted by the newer configuration of a balancer may still go by an older
+	// one, until it has the newer one itself. The users allow 250 ms.
+	MixFor time.Duration
 }
 
 // DefaultKeeperConfig returns the limits of the agent beside a server.
@@ -66,8 +65,7 @@
 		BusyFor:       5 * time.Second,
 		RetryInterval: time.Second,
 		ReserveFor:    100 * time.Millisecond,
-		ParkFor:       200 * time.Millisecond,
-		MaxParked:     256,
+		MixFor:        200 * time.Millisecond,
 	}
 }
 
@@ -147,16 +145,8 @@
 	flows  *simplelru.LRU[Key, *held]
 	load   load
 	server serverHealth
-	parked []parkedPacket
 	probes []probe
-}
-
-// parkedPacket waits for a configuration.
-type parkedPacket struct {
-	packet  Packet
-	raw     []byte
-	request Request
-	until   time.Duration
+	ahead  ahead
 }
 
 // NewKeeper returns the Keeper of an agent that starts now. Its limits must be positive.
@@ -196,6 +186,7 @@
 		return
 	}
 	k.version = c.Version
+	k.ahead.reached(k.version)
 	k.routes = make(map[Endpoint]*registry.Route, len(c.Routes))
 	for i := range c.Routes {
 		for _, share := range c.Routes[i].Shares {
@@ -242,18 +233,20 @@
 	case request.Service != k.service:
 		return k.deny(request, "server of another service")
 	case request.Purpose == Open:
-		return k.open(now, p, raw, request)
+		return k.open(now, p, request)
 	}
 	return k.later(now, p, raw, request)
 }
 
-// open decides on the opening packet of a flow.
-func (k *Keeper) open(now time.Duration, p *Packet, raw []byte, request Request) Verdict {
-	if request.Version > k.version {
-		return k.park(now, p, raw, request)
-	}
+// open decides on the opening packet of a flow. The newer of the configurations of balancer and agent counts.
+func (k *Keeper) open(now time.Duration, p *Packet, request Request) Verdict {
 	route := k.routes[p.Key.Service]
-	if route == nil {
+	switch {
+	case k.ahead.forbids(now, max(request.Version, k.version), k.config.MixFor):
+		return Verdict{Decision: Decision{Reason: "newer configuration was acted by and is not known yet"}}
+	case request.Version > k.version:
+		k.ahead.act(now, request.Version)
+	case route == nil:
 		return refuse(request, "route is not in the configuration in force")
 	}
 	if !k.Accepting(now) && !k.server.tryAgain(now) {
@@ -311,7 +304,7 @@
 		return v
 	case request.Final || request.Best == (IP{}):
 		return refuse(request, reason+", and nobody else does")
-	case route == nil || request.BestWait > patience(route):
+	case request.BestWait > patience(route):
 		return refuse(request, "no server can answer in time")
 	}
 	request.Final = true
@@ -463,38 +456,6 @@
 	return k.deny(request, "server does not hold the flow")
 }
 
-// park keeps an opening packet until the newer configuration of its sender is known.
-func (k *Keeper) park(now time.Duration, p *Packet, raw []byte, request Request) Verdict {
-	if len(k.parked) >= k.config.MaxParked {
-		return Verdict{Decision: Decision{Reason: "too many packets wait for a configuration"}}
-	}
-	k.parked = append(k.parked, parkedPacket{
-		packet:  *p,
-		raw:     append([]byte(nil), raw...),
-		request: keep(request),
-		until:   now + k.config.ParkFor,
-	})
-	return Verdict{Decision: Decision{Action: Park, Reason: "sender has a newer configuration"}}
-}
-
-// Unpark returns the next packet whose configuration is known now, with the decision on it. The packet is nil
-// when there is none.
-func (k *Keeper) Unpark(now time.Duration) (Verdict, *Packet, []byte) {
-	for i := 0; i < len(k.parked); i++ {
-		waiting := k.parked[i]
-		if waiting.request.Version > k.version && now < waiting.until {
-			continue
-		}
-		k.parked = append(k.parked[:i], k.parked[i+1:]...)
-		if waiting.request.Version > k.version {
-			i--
-			continue
-		}
-		return k.open(now, &waiting.packet, waiting.raw, waiting.request), &waiting.packet, waiting.raw
-	}
-	return Verdict{}, nil, nil
-}
-
 // Sweep forgets silent flows and requests that have run for too long. It is to be called about once a second.
 func (k *Keeper) Sweep(now time.Duration) {
 	for {
--- a/flow/load.go
+++ b/flow/load.go
@@ -120,14 +120,13 @@
 
 // patience is the time that waiting and service of a request of a route may take together. The rest of its
 // target is for the way and for requests that take longer than the mean. Less urgent routes are refused earlier,
-// so that there is room for the urgent ones.
+// so that there is room for the urgent ones. A route that is not known yet is nil.
 func patience(r *registry.Route) time.Duration {
-	target := r.Target
-	if target == 0 {
-		target = unknownTarget
+	if r == nil || r.Target == 0 {
+		return unknownPatience
 	}
 	share := patienceShare - patienceStep*float64(min(r.Priority, maxPriority))
-	return time.Duration(share * float64(target))
+	return time.Duration(share * float64(r.Target))
 }
 
 const (
@@ -136,8 +135,8 @@
 	patienceShare = 0.9
 	patienceStep  = 0.1
 	maxPriority   = 4
-	// unknownTarget stands for the target of a route that has none.
-	unknownTarget = 10 * time.Second
+	// unknownPatience is that of a route without a target; it bounds what a server lets wait.
+	unknownPatience = time.Second
 	// unknownShare is the part of its patience that a request is taken to need before any was measured.
 	unknownShare = 0.45
 )
--- a/internal/flowagent/counters.go
+++ b/internal/flowagent/counters.go
@@ -11,7 +11,7 @@
 	nodePackets   atomic.Uint64
 	serverPackets atomic.Uint64
 	malformed     atomic.Uint64
-	actions       [flow.Park + 1]atomic.Uint64
+	actions       [flow.Reset + 1]atomic.Uint64
 	held          atomic.Uint64
 	refused       atomic.Uint64
 	lost          atomic.Uint64
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -99,7 +99,6 @@
 	l.keeper.Adopt(view)
 	l.config.Event("view_in_force", "version", view.Version(), "revision", view.Revision, "age", now-view.Confirmed)
 	l.noteAccepting(now)
-	l.unpark(now)
 }
 
 // noteAccepting logs when the server begins or ceases to take new flows.
@@ -265,8 +264,6 @@
 		l.config.Event("packet_passed", "flow", p.Key, "to", v.To, "more", len(v.Request.Remaining), "reason", v.Reason)
 	case v.Action == flow.Reset:
 		l.config.Event("flow_reset", "flow", p.Key, "seq", v.Seq, "reason", v.Reason, "version", l.keeper.Version())
-	case v.Action == flow.Park:
-		l.config.Event("flow_parked", "flow", p.Key, "sender_version", l.header.ConfigVersion, "version", l.keeper.Version())
 	case v.Note == flow.NoteDenied:
 		l.config.Event("flow_denied", "flow", p.Key, "search", v.Request.Search, "outdated", v.Request.Outdated(), "reason", v.Reason)
 	case v.Action == flow.Drop:
--- a/internal/flowagent/tick.go
+++ b/internal/flowagent/tick.go
@@ -20,7 +20,6 @@
 	now := l.config.Clock.Now()
 	l.adopt(now)
 	l.noteAccepting(now)
-	l.unpark(now)
 	l.look(now)
 	if l.keeper.Suspicious(now) {
 		l.checker.ask(ctx, now)
@@ -30,17 +29,6 @@
 	}
 }
 
-// unpark decides on the packets that waited for a configuration.
-func (l *loop) unpark(now time.Duration) {
-	for {
-		v, p, raw := l.keeper.Unpark(now)
-		if p == nil {
-			return
-		}
-		l.apply(now, p, raw, v)
-	}
-}
-
 // look looks for answers of the server. Flows that it owes one are reset when it says nothing at all, so that their
 // clients can try again, and searches go on without it.
 func (l *loop) look(now time.Duration) {
--- a/internal/flowbalancer/counters.go
+++ b/internal/flowbalancer/counters.go
@@ -10,7 +10,7 @@
 type counters struct {
 	clientPackets atomic.Uint64
 	malformed     atomic.Uint64
-	actions       [flow.Park + 1]atomic.Uint64
+	actions       [flow.Reset + 1]atomic.Uint64
 	opened        atomic.Uint64
 	searched      atomic.Uint64
 	hedged        atomic.Uint64
