Measure service times by the order of requests

Estimates came from those few (17 to 231 ms where 43 are right), so that admission and the choice among full servers went by noise. An agent now takes a closing packet for the end of the request too, and knows which requests run and which wait, since a server takes them in order, so that each one gives a sample, also under overload.

Failed first: TestServiceTimeIsMeasuredWhenTheFlowClosesBeforeTheAnswer.

--- a/flow/keeper.go
+++ b/flow/keeper.go
@@ -90,9 +90,9 @@
 	request Request
 	// clientAck is the last number that the client acknowledged; a reset must be near it.
 	clientAck uint32
-	// busy says that a request of the flow runs or is expected, since when.
-	busy  bool
-	since time.Duration
+	// work is what the server has to do for the flow, since when, and began when it began to work on the request.
+	work         work
+	since, began time.Duration
 	// asked says that the client has sent a request, and owed that the server was given a packet of the flow that
 	// asks for an answer and has said nothing since.
 	asked, owed bool
@@ -100,8 +100,6 @@
 	// opened the flow here and not at another server that took a copy of the packet.
 	confirmed bool
 	seen      time.Duration
-	// alone says that the running request did not have to wait for a slot.
-	alone bool
 }
 
 // Note is what an agent tells a balancer beside what it does with a packet.
@@ -221,7 +219,7 @@
 	k.load.release(now)
 	return Word{
 		Accepting: k.Accepting(now),
-		Busy:      uint32(k.load.busy), Slots: uint32(k.load.slots), Flows: uint32(k.load.flows),
+		Busy:      uint32(k.load.busy()), Slots: uint32(k.load.slots), Flows: uint32(k.load.flows),
 	}
 }
 
@@ -263,7 +261,7 @@
 // takes reports whether a flow is taken here. A server with a free slot takes it at once; of servers that have
 // none, the one that expects to answer soonest, which a request that is passed on names.
 func (k *Keeper) takes(now time.Duration, request *Request, limit time.Duration) bool {
-	wait := k.load.expected(limit)
+	wait := k.load.expects(limit)
 	switch {
 	case !k.load.full():
 		return wait <= limit || k.load.retry(now)
@@ -371,7 +369,7 @@
 	h.clientAck = p.Ack
 	h.request = keep(request)
 	if p.Length > 0 && h.state != ended {
-		k.load.started(now, h)
+		k.load.start(now, h)
 	}
 	if p.Kind == Resetting {
 		k.end(h)
@@ -409,7 +407,7 @@
 	}
 	h.state = ended
 	k.load.flows--
-	k.load.setBusy(h, false)
+	k.load.end(h)
 }
 
 // FromServer decides on a packet of the server.
@@ -426,8 +424,9 @@
 		h.state = open
 		v.Note, v.Balancer = NoteHeld, h.request.Balancer
 	}
-	if p.Length > 0 && h.busy {
-		k.load.answered(now, h)
+	if h.work == requested && (p.Length > 0 || p.Kind == Closing) {
+		// The packet that closes the flow may overtake the answer.
+		k.load.answer(now, h)
 	}
 	if p.Kind == Resetting || p.Kind == Closing {
 		k.end(h)
@@ -465,11 +464,7 @@
 		}
 		k.flows.Remove(key)
 	}
-	for _, h := range k.flows.Values() {
-		if h.busy && now-h.since > k.config.BusyFor {
-			k.load.setBusy(h, false)
-		}
-	}
+	k.load.forget(now)
 }
 
 // Lost returns the flows that ended with the server, with the number that the reset of each must carry, and
--- a/flow/keeper_test.go
+++ b/flow/keeper_test.go
@@ -258,6 +258,25 @@
 	}
 }
 
+func TestServiceTimeIsMeasuredWhenTheFlowClosesBeforeTheAnswer(t *testing.T) {
+	k := newKeeper(orderView(5))
+	now := start
+	for n := range 20 {
+		accept(t, k, now, n)
+		ask(k, now, n)
+		now += 40 * time.Millisecond
+		k.FromServer(now, &flow.Packet{Key: opening(n).Key, Kind: flow.Closing})
+		answer(k, now, n)
+	}
+	for n := 200; n < 204; n++ {
+		accept(t, k, now, n)
+		ask(k, now, n)
+	}
+	if got := expected(k, now); got != 50*time.Millisecond {
+		t.Fatalf("one more request of 40 ms beside 4 in 4 slots is expected to take %v", got)
+	}
+}
+
 func TestOneLongRequestDoesNotMakeAServerSlow(t *testing.T) {
 	k := newKeeper(orderView(5))
 	now := start
--- a/flow/load.go
+++ b/flow/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/bramleyrack/bramleyrack/registry"
@@ -11,19 +12,36 @@
 type load struct {
 	config KeeperConfig
 	slots  int
-	// busy is the number of requests that run, wait or are expected, and flows that of open flows.
-	busy, flows int
-	// reserved holds the flows that were opened and have sent no request yet, the oldest first.
+	// flows is the number of open flows.
+	flows int
+	// requests holds the flows with requests that run or wait, in the order in which the server got them. It runs
+	// the first ones, as many as it has slots.
+	requests []*held
+	// reserved holds the flows that were opened, the oldest first; expected of them have sent no request yet.
 	reserved []*held
-	// mean is the time that the server works on a request that does not wait, over samples, the last of which was
-	// taken at measured.
+	expected int
+	// mean is the time that the server works on a request, over samples, the last of which was taken at measured.
 	mean     time.Duration
 	samples  int
 	measured time.Duration
 	// tried is when the server was last tried although it seemed too slow.
 	tried time.Duration
+	// now is the latest time that was passed in.
+	now time.Duration
 }
 
+// work is what the server has to do for a flow.
+type work uint8
+
+const (
+	// idle means that nothing is to be done.
+	idle work = iota
+	// expected means that the first request is about to come.
+	expected
+	// requested means that a request runs or waits.
+	requested
+)
+
 func newLoad(config KeeperConfig) load {
 	return load{config: config, slots: 1}
 }
@@ -35,25 +53,30 @@
 	forgetAfter = time.Second
 )
 
+// busy returns the number of requests that run, wait or are expected.
+func (l *load) busy() int {
+	return len(l.requests) + l.expected
+}
+
 // full reports whether a new request would have to wait for a slot.
 func (l *load) full() bool {
-	return l.busy >= l.slots
+	return l.busy() >= l.slots
 }
 
-// expected returns how long a new request is expected to wait and to be worked on. patience serves as the measure
+// expects returns how long a new request is expected to wait and to be worked on. patience serves as the measure
 // as long as none was taken, as right after a start, when servers are cold.
-func (l *load) expected(patience time.Duration) time.Duration {
+func (l *load) expects(patience time.Duration) time.Duration {
 	service := l.mean
 	if l.samples == 0 {
 		service = time.Duration(unknownShare * float64(patience))
 	}
-	turns := float64(max(0, l.busy+1-l.slots)) / float64(l.slots)
+	turns := float64(max(0, l.busy()+1-l.slots)) / float64(l.slots)
 	return service + time.Duration(turns*float64(service))
 }
 
 // retry reports whether an idle server is to be tried that seems too slow.
 func (l *load) retry(now time.Duration) bool {
-	if l.busy > 0 || now-l.tried < l.config.RetryInterval {
+	if l.busy() > 0 || now-l.tried < l.config.RetryInterval {
 		return false
 	}
 	l.tried = now
@@ -62,42 +85,79 @@
 
 // reserve counts a new flow as busy for as long as its first request may take to come.
 func (l *load) reserve(now time.Duration, h *held) {
-	if h.asked || h.busy {
+	if h.asked || h.work != idle {
 		return
 	}
-	h.since = now
-	l.setBusy(h, true)
+	h.work, h.since = expected, now
+	l.expected++
 	l.reserved = append(l.reserved, h)
 }
 
 // release gives back what was reserved for requests that did not come.
 func (l *load) release(now time.Duration) {
-	for len(l.reserved) > 0 && now-l.reserved[0].since > l.config.ReserveFor {
-		if h := l.reserved[0]; !h.asked {
-			l.setBusy(h, false)
+	l.now = now
+	for len(l.reserved) > 0 {
+		h := l.reserved[0]
+		if h.work == expected && now-h.since <= l.config.ReserveFor {
+			return
+		}
+		if h.work == expected {
+			l.end(h)
 		}
 		l.reserved = l.reserved[1:]
 	}
 }
 
-// started notes a request.
-func (l *load) started(now time.Duration, h *held) {
+// start notes a packet of a request. The server begins with it when it has the whole request and a free slot.
+func (l *load) start(now time.Duration, h *held) {
+	l.now = now
 	h.asked = true
-	h.since = now
-	l.setBusy(h, true)
-	h.alone = l.busy <= l.slots
+	if h.work == requested {
+		if slices.Index(l.requests, h) < l.slots {
+			h.began = now
+		}
+		return
+	}
+	if h.work == expected {
+		l.expected--
+	}
+	h.work, h.since, h.began = requested, now, now
+	l.requests = append(l.requests, h)
+}
+
+// answer notes that the server began to answer the request of a flow.
+func (l *load) answer(now time.Duration, h *held) {
+	l.now = now
+	if h.work == requested && slices.Index(l.requests, h) < l.slots {
+		l.measure(now, now-h.began)
+	}
+	l.end(h)
+}
+
+// end notes that nothing is to be done for a flow any more. The next request that waits gets its slot.
+func (l *load) end(h *held) {
+	switch h.work {
+	case expected:
+		l.expected--
+	case requested:
+		i := slices.Index(l.requests, h)
+		l.requests = slices.Delete(l.requests, i, i+1)
+		if i < l.slots && len(l.requests) >= l.slots {
+			l.requests[l.slots-1].began = l.now
+		}
+	}
+	h.work = idle
 }
 
-// answered notes that the server began to answer the request of a flow.
-func (l *load) answered(now time.Duration, h *held) {
-	l.setBusy(h, false)
-	if h.asked && h.alone {
-		l.measure(now, now-h.since)
+// forget ends the requests that have run or waited for too long.
+func (l *load) forget(now time.Duration) {
+	for len(l.requests) > 0 && now-l.requests[0].since > l.config.BusyFor {
+		l.end(l.requests[0])
 	}
 }
 
-// measure takes the time of a request that did not wait into the mean. The first samples weigh alike; later ones
-// weigh more the rarer they are.
+// measure takes the time of a request into the mean. The first samples weigh alike; later ones weigh more the rarer
+// they are.
 func (l *load) measure(now, took time.Duration) {
 	l.samples++
 	rare := 1 - math.Exp(-float64(now-l.measured)/float64(forgetAfter))
@@ -106,18 +166,6 @@
 	l.measured = now
 }
 
-func (l *load) setBusy(h *held, busy bool) {
-	if h.busy == busy {
-		return
-	}
-	h.busy = busy
-	if busy {
-		l.busy++
-		return
-	}
-	l.busy--
-}
-
 // patience is the time that waiting and service of a request of a route may take together. The rest of its
 // target is for the way and for requests that take longer than the mean. Less urgent routes are refused earlier,
 // so that there is room for the urgent ones. A route that is not known yet is nil.
