Avoid servers that fail more of their requests than their peers

The payload is not ours to read. An agent judges its server by what becomes of its requests: an answer in less than an eighth of its peers' median service time, one that does not come in ten times of it, a reset. Balancers tell each agent with the heartbeat what the median of its peers is, so that a service that mixes light and heavy requests, or fails as a whole, makes nobody suspect. A suspect server takes flows of repeatable routes for trial, 2.5 a second, and others only when nobody else can answer in time; it counts as well after five good requests in a row, and after more if it soon relapsed. Failures do not enter the mean service time.

--- a/flow/agents.go
+++ b/flow/agents.go
@@ -21,6 +21,10 @@
 	Accepting bool
 	// Busy is the number of requests that run, wait or are expected, and Flows that of open flows.
 	Busy, Slots, Flows uint32
+	// ServiceTime is how long the server works on a request on the mean; zero if it is not known. Failing is the share
+	// of its requests that seem to have failed.
+	ServiceTime time.Duration
+	Failing     float64
 	// View is the freshness of the agent's view; its revision is zero if the agent has none.
 	View registry.Freshness
 }
--- a/flow/director.go
+++ b/flow/director.go
@@ -142,11 +142,10 @@
 	Version uint64
 	// Remaining are the agents to try next, in order.
 	Remaining []IP
-	// Best is the agent of those before this one that expects to answer soonest, after BestWait; the zero value
-	// names none. Final says that nobody has a free slot, so that this agent, the best, takes the flow nevertheless.
-	Best     IP
-	BestWait time.Duration
-	Final    bool
+	// Best is the best offer of the agents before this one. Final says that nobody has a free slot, so that this
+	// agent, which made it, takes the flow nevertheless.
+	Best  Offer
+	Final bool
 	// Search is the number of the search that the packet belongs to. The last agent of its list reports a denial
 	// under that number. Changed is the revision of the last change that the searching view knows.
 	Search  uint64
@@ -155,6 +154,31 @@
 	Balancer IP
 }
 
+// Offer is what an agent without a free slot says of a new flow. The zero value is none.
+type Offer struct {
+	Agent IP
+	// Wait is how long the answer is expected to take.
+	Wait time.Duration
+	// Suspect says that the server fails more of its requests than its peers.
+	Suspect bool
+}
+
+// within reports whether an answer is offered within a limit.
+func (o *Offer) within(limit time.Duration) bool {
+	return o.Agent != IP{} && o.Wait <= limit
+}
+
+// better reports whether an offer is to be preferred to another one.
+func (o *Offer) better(other *Offer, limit time.Duration) bool {
+	switch {
+	case o.within(limit) != other.within(limit):
+		return o.within(limit)
+	case other.Agent == IP{} || o.Suspect != other.Suspect:
+		return other.Agent == IP{} || other.Suspect
+	}
+	return o.Wait < other.Wait
+}
+
 // Director decides for one balancer. It is not safe for concurrent use.
 type Director struct {
 	config   DirectorConfig
@@ -173,6 +197,9 @@
 	budget    float64
 	ticked    time.Duration
 	started   time.Duration
+	// peers is what the servers of each service have in common, as of peersAt.
+	peers   map[uint64]Peers
+	peersAt time.Duration
 }
 
 // NewDirector returns a Director without a view, which drops every packet.
--- a/flow/director_test.go
+++ b/flow/director_test.go
@@ -457,3 +457,26 @@
 		d.FromClient(start, p, nil)
 	}
 }
+
+func TestPeersAreTheMedianOfTheService(t *testing.T) {
+	d := newDirector(upstreamOf(1, "orders"), upstreamOf(2, "orders"), upstreamOf(3, "orders"), upstreamOf(5, "photos"))
+	tell := func(n int, service time.Duration, failing float64) {
+		w := word(n, 0, 0)
+		w.ServiceTime, w.Failing = service, failing
+		d.Heard(start, w)
+	}
+	tell(1, 40*time.Millisecond, 0)
+	tell(2, time.Millisecond, 1)
+	if got := d.Peers(start, agentIP(1)); got != (flow.Peers{}) {
+		t.Fatalf("%+v of two servers", got)
+	}
+	tell(3, 50*time.Millisecond, 0.1)
+	tell(5, 5*time.Millisecond, 0)
+	now := start + time.Second
+	if got, want := d.Peers(now, agentIP(2)), (flow.Peers{ServiceTime: 40 * time.Millisecond, Failing: 0.1}); got != want {
+		t.Fatalf("got %+v, want %+v", got, want)
+	}
+	if got := d.Peers(now, agentIP(5)); got != (flow.Peers{}) {
+		t.Fatalf("%+v of a service with one server", got)
+	}
+}
--- a/flow/keeper.go
+++ b/flow/keeper.go
@@ -93,6 +93,8 @@
 	// work is what the server has to do for the flow, since when, and began when it began to work on the request.
 	work         work
 	since, began time.Duration
+	// late says that the running request counts as failed since it has run for so long.
+	late bool
 	// asked says that the client has sent a request, and owed that the server was given a packet of the flow that
 	// asks for an answer and has said nothing since.
 	asked, owed bool
@@ -220,14 +222,25 @@
 	return Word{
 		Accepting: k.Accepting(now),
 		Busy:      uint32(k.load.busy()), Slots: uint32(k.load.slots), Flows: uint32(k.load.flows),
+		ServiceTime: k.load.mean, Failing: k.load.outcomes.failing,
 	}
 }
 
+// HeardPeers takes in what a balancer says of the other servers of the service.
+func (k *Keeper) HeardPeers(now time.Duration, peers Peers) {
+	k.load.outcomes.heard(now, peers)
+}
+
+// Suspect reports whether the server fails more of its requests than its peers.
+func (k *Keeper) Suspect() bool {
+	return k.load.outcomes.suspect
+}
+
 // FromNode decides on a packet that a balancer or another agent has sent.
 func (k *Keeper) FromNode(now time.Duration, p *Packet, raw []byte, request Request) Verdict {
 	switch {
 	case request.Service != k.service && request.Purpose == Open:
-		return k.pass(p, request, nil, "server of another service")
+		return k.pass(request, nil, "server of another service")
 	case request.Service != k.service:
 		return k.deny(request, "server of another service")
 	case request.Purpose == Open:
@@ -248,29 +261,38 @@
 		return refuse(request, "route is not in the configuration in force")
 	}
 	if !k.Accepting(now) && !k.server.tryAgain(now) {
-		return k.pass(p, request, route, "server takes no new flows")
+		return k.pass(request, route, "server takes no new flows")
 	}
 	k.load.release(now)
-	if !k.takes(now, &request, patience(route)) {
-		return k.pass(p, request, route, "no free slot")
+	if !k.takes(now, &request, route) {
+		return k.pass(request, route, "no free slot")
 	}
 	k.take(now, p, request)
 	return Verdict{Decision: Decision{Action: ToServer}}
 }
 
 // takes reports whether a flow is taken here. A server with a free slot takes it at once; of servers that have
-// none, the one that expects to answer soonest, which a request that is passed on names.
-func (k *Keeper) takes(now time.Duration, request *Request, limit time.Duration) bool {
-	wait := k.load.expects(limit)
+// none, the one with the best offer, which a request that is passed on names. One that fails more than its peers is
+// tried now and then with a flow that may be repeated, and otherwise makes an offer for the case that all others are
+// full.
+func (k *Keeper) takes(now time.Duration, request *Request, route *registry.Route) bool {
+	limit := patience(route)
+	offer := Offer{Agent: k.config.Address.IP, Wait: k.load.expects(limit), Suspect: k.load.outcomes.suspect}
 	switch {
-	case !k.load.full():
-		return wait <= limit || k.load.retry(now)
 	case request.Final:
-		return wait <= limit
-	case request.Best == (IP{}) || wait < request.BestWait:
-		request.Best, request.BestWait = k.config.Address.IP, wait
+		return offer.Wait <= limit
+	case k.load.full():
+	case offer.Suspect:
+		if route != nil && route.Repeatable && k.load.outcomes.try(now) {
+			return true
+		}
+	case offer.Wait <= limit || k.load.retry(now):
+		return true
+	}
+	if offer.better(&request.Best, limit) {
+		request.Best = offer
 	}
-	return len(request.Remaining) == 0 && request.Best == k.config.Address.IP && wait <= limit
+	return len(request.Remaining) == 0 && request.Best == offer && offer.Wait <= limit
 }
 
 // take notes that the server is given an opening packet.
@@ -290,23 +312,24 @@
 	return request
 }
 
-// pass sends an opening packet to the next agent. After the last one the flow goes to the one that expects to
-// answer soonest, or is refused if that is too late.
-func (k *Keeper) pass(p *Packet, request Request, route *registry.Route, reason string) Verdict {
+// pass sends an opening packet to the next agent. After the last one the flow goes to the one with the best offer, or
+// is refused if that is too late.
+func (k *Keeper) pass(request Request, route *registry.Route, reason string) Verdict {
+	best := request.Best.Agent
 	switch {
 	case len(request.Remaining) > 0:
 		v := Verdict{Decision: forward(request, reason)}
-		if request.Best == (IP{}) || request.Best == k.config.Address.IP {
+		if best == (IP{}) || best == k.config.Address.IP {
 			v.Note, v.Balancer = NoteWord, request.Balancer
 		}
 		return v
-	case request.Final || request.Best == (IP{}):
+	case request.Final || best == (IP{}):
 		return refuse(request, reason+", and nobody else does")
-	case request.BestWait > patience(route):
+	case !request.Best.within(patience(route)):
 		return refuse(request, "no server can answer in time")
 	}
 	request.Final = true
-	request.Remaining = []IP{request.Best}
+	request.Remaining = []IP{best}
 	return Verdict{Decision: forward(request, reason)}
 }
 
@@ -428,6 +451,9 @@
 		// The packet that closes the flow may overtake the answer.
 		k.load.answer(now, h)
 	}
+	if p.Kind == Resetting {
+		k.load.reset(now, h)
+	}
 	if p.Kind == Resetting || p.Kind == Closing {
 		k.end(h)
 	}
@@ -448,7 +474,7 @@
 	k.flows.Remove(p.Key)
 	switch {
 	case p.Kind == Opening:
-		return k.pass(p, request, k.routes[p.Key.Service], "server refused the flow")
+		return k.pass(request, k.routes[p.Key.Service], "server refused the flow")
 	case request.Purpose == Open:
 		return Verdict{Decision: Decision{Reason: "server does not hold the flow, and nobody sent the packet"}}
 	}
--- a/flow/load.go
+++ b/flow/load.go
@@ -26,6 +26,8 @@
 	measured time.Duration
 	// tried is when the server was last tried although it seemed too slow.
 	tried time.Duration
+	// outcomes judges what became of the requests.
+	outcomes outcomes
 	// now is the latest time that was passed in.
 	now time.Duration
 }
@@ -49,6 +51,8 @@
 const (
 	// sampleWeight is the least weight of one sample in the mean service time.
 	sampleWeight = 0.05
+	// leastOfPeers is the part of the service time of its peers that a request is taken to need at least.
+	leastOfPeers = 0.5
 	// forgetAfter is the time after which a mean counts for less than a third beside a new sample.
 	forgetAfter = time.Second
 )
@@ -66,7 +70,7 @@
 // expects returns how long a new request is expected to wait and to be worked on. patience serves as the measure
 // as long as none was taken, as right after a start, when servers are cold.
 func (l *load) expects(patience time.Duration) time.Duration {
-	service := l.mean
+	service := max(l.mean, time.Duration(leastOfPeers*float64(l.outcomes.peers.ServiceTime)))
 	if l.samples == 0 {
 		service = time.Duration(unknownShare * float64(patience))
 	}
@@ -113,7 +117,7 @@
 	l.now = now
 	h.asked = true
 	if h.work == requested {
-		if slices.Index(l.requests, h) < l.slots {
+		if l.runs(h) {
 			h.began = now
 		}
 		return
@@ -121,19 +125,33 @@
 	if h.work == expected {
 		l.expected--
 	}
-	h.work, h.since, h.began = requested, now, now
+	h.work, h.since, h.began, h.late = requested, now, now, false
 	l.requests = append(l.requests, h)
 }
 
 // answer notes that the server began to answer the request of a flow.
 func (l *load) answer(now time.Duration, h *held) {
 	l.now = now
-	if h.work == requested && slices.Index(l.requests, h) < l.slots {
+	if l.runs(h) && !h.late && l.outcomes.answered(now, now-h.began) {
 		l.measure(now, now-h.began)
 	}
 	l.end(h)
 }
 
+// runs reports whether the server works on the request of a flow.
+func (l *load) runs(h *held) bool {
+	return h.work == requested && slices.Index(l.requests, h) < l.slots
+}
+
+// reset notes that the server has reset a flow.
+func (l *load) reset(now time.Duration, h *held) {
+	l.now = now
+	if l.runs(h) && !h.late {
+		l.outcomes.failed(now)
+	}
+	l.end(h)
+}
+
 // end notes that nothing is to be done for a flow any more. The next request that waits gets its slot.
 func (l *load) end(h *held) {
 	switch h.work {
@@ -156,6 +174,16 @@
 	}
 }
 
+// look notes the requests that have run for so long that they seem to have failed.
+func (l *load) look(now time.Duration) {
+	for _, h := range l.requests[:min(len(l.requests), l.slots)] {
+		if !h.late && l.outcomes.late(now-h.began) {
+			h.late = true
+			l.outcomes.failed(now)
+		}
+	}
+}
+
 // measure takes the time of a request into the mean. The first samples weigh alike; later ones weigh more the rarer
 // they are.
 func (l *load) measure(now, took time.Duration) {
--- a/flow/server.go
+++ b/flow/server.go
@@ -96,6 +96,7 @@
 	for i := range k.probes {
 		k.probes[i].looks++
 	}
+	k.load.look(now)
 	return k.server.look(now)
 }
 
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -29,6 +29,7 @@
 	balancers map[flow.IP]time.Duration
 	content   *registry.Content
 	accepting bool
+	suspect   bool
 	swept     time.Duration
 	checker   checker
 	// askedAt is when the server was given the opening packets that it has not answered.
@@ -109,6 +110,15 @@
 	}
 }
 
+// noteSuspect logs when the server begins or ceases to fail more of its requests than its peers.
+func (l *loop) noteSuspect(now time.Duration) {
+	if is := l.keeper.Suspect(); is != l.suspect {
+		l.suspect = is
+		word := l.keeper.Word(now)
+		l.config.Event("suspect", "now", is, "failing", word.Failing, "service_time", word.ServiceTime)
+	}
+}
+
 func (l *loop) handle(batch *flowloop.Batch) {
 	now := l.config.Clock.Now()
 	l.adopt(now)
@@ -141,6 +151,7 @@
 		l.carried(now, from, packet)
 	case nodev1.Kind_KIND_HEARTBEAT:
 		l.balancers[from] = now
+		l.keeper.HeardPeers(now, nodelink.Peers(&l.header))
 		l.observe(now, from)
 		probe := l.header.Probe
 		l.tell(now, from, nodev1.Kind_KIND_ANSWER, probe)
--- a/internal/flowagent/tick.go
+++ b/internal/flowagent/tick.go
@@ -20,6 +20,7 @@
 	now := l.config.Clock.Now()
 	l.adopt(now)
 	l.noteAccepting(now)
+	l.noteSuspect(now)
 	l.look(now)
 	if l.keeper.Suspicious(now) {
 		l.checker.ask(ctx, now)
--- a/internal/flowbalancer/nodes.go
+++ b/internal/flowbalancer/nodes.go
@@ -152,6 +152,7 @@
 		nodelink.Clear(&l.out)
 		l.out.Kind = nodev1.Kind_KIND_HEARTBEAT
 		l.out.Probe = l.probe
+		nodelink.PutPeers(&l.out, l.director.Peers(now, to))
 		l.putView(now)
 		l.send(to, nil)
 		l.balancer.counts.heartbeats.Add(1)
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -64,7 +64,8 @@
 	h.Service = r.Service
 	h.ConfigVersion = r.Version
 	h.Search = r.Search
-	h.Best, h.BestWaitUs, h.Final = pack(r.Best), uint32(min(r.BestWait, maxWait).Microseconds()), r.Final
+	h.Best, h.BestWaitUs, h.BestSuspect = pack(r.Best.Agent), uint32(min(r.Best.Wait, maxWait).Microseconds()), r.Best.Suspect
+	h.Final = r.Final
 	h.Changed = r.Changed
 	h.Balancer = pack(r.Balancer)
 	h.Remaining = h.Remaining[:0]
@@ -79,8 +80,7 @@
 		Service:   h.Service,
 		Version:   h.ConfigVersion,
 		Search:    h.Search,
-		Best:      unpack(h.Best),
-		BestWait:  time.Duration(h.BestWaitUs) * time.Microsecond,
+		Best:      flow.Offer{Agent: unpack(h.Best), Wait: time.Duration(h.BestWaitUs) * time.Microsecond, Suspect: h.BestSuspect},
 		Final:     h.Final,
 		Changed:   h.Changed,
 		Balancer:  unpack(h.Balancer),
@@ -118,6 +118,7 @@
 func PutWord(h *nodev1.Header, w flow.Word) {
 	h.Process, h.Accepting = w.Process, w.Accepting
 	h.Busy, h.Slots, h.Flows = w.Busy, w.Slots, w.Flows
+	h.ServiceTimeUs, h.Failing = uint32(w.ServiceTime.Microseconds()), float32(w.Failing)
 }
 
 // Word returns the word of the agent at an address, received now.
@@ -125,9 +126,20 @@
 	return flow.Word{
 		From: from, Process: h.Process, Accepting: h.Accepting,
 		Busy: h.Busy, Slots: h.Slots, Flows: h.Flows, View: Freshness(h, now),
+		ServiceTime: time.Duration(h.ServiceTimeUs) * time.Microsecond, Failing: float64(h.Failing),
 	}
 }
 
+// PutPeers makes h carry what the servers of a service have in common.
+func PutPeers(h *nodev1.Header, p flow.Peers) {
+	h.ServiceTimeUs, h.Failing = uint32(p.ServiceTime.Microseconds()), float32(p.Failing)
+}
+
+// Peers returns what h says that the servers of a service have in common.
+func Peers(h *nodev1.Header) flow.Peers {
+	return flow.Peers{ServiceTime: time.Duration(h.ServiceTimeUs) * time.Microsecond, Failing: float64(h.Failing)}
+}
+
 // PutFreshness makes h carry the freshness of a view. Times travel as ages.
 func PutFreshness(h *nodev1.Header, now time.Duration, f registry.Freshness) {
 	h.Revision, h.Changed, h.Reader = f.Revision, f.Changed, f.Reader
