Tell runs of agents and entries apart without clocks that may step

A balancer ignored an agent that restarted after the time of day had stepped back, since its identity was lower than before, and went by an older server at an address that was used again if its clock was ahead. Runs of an agent now have no order; only the run before the present one is ignored. Of several entries at one address the one counts that the store created last.

Failed first: TestAgentWhoseClockHasSteppedBackIsHeard, TestEntryThatTheStoreCreatedLastHoldsAnAddress.

--- a/flow/agents.go
+++ b/flow/agents.go
@@ -15,7 +15,7 @@
 // Word is what an agent says of its server and of itself.
 type Word struct {
 	From IP
-	// Process is the start of the agent, which tells its runs apart.
+	// Process tells the runs of the agent apart.
 	Process uint64
 	// Accepting says that the agent takes new flows.
 	Accepting bool
@@ -45,6 +45,8 @@
 	// heard is when the agent last said anything, and waiting when it was first asked since.
 	heard, waiting time.Duration
 	word           Word
+	// previous is the run of the agent before that of its word. What it said may still be on its way.
+	previous uint64
 	// away says that the agent has announced its stop.
 	away bool
 	// sent counts the new flows given to the agent since its last word.
@@ -136,7 +138,7 @@
 	for i := range upstreams {
 		u := &upstreams[i]
 		ip := IP(u.Address.Addr().As4())
-		if known := latest[ip]; known == nil || known.Incarnation < u.Incarnation {
+		if known := latest[ip]; known == nil || u.Newer(known) {
 			latest[ip] = u
 		}
 	}
@@ -218,10 +220,22 @@
 	return ip
 }
 
+// runs reports whether a message comes from the present run of the agent. Runs have no order, since they are named
+// after a clock that may step.
+func (a *agent) runs(process uint64) bool {
+	if process == a.previous {
+		return false
+	}
+	if process != a.word.Process {
+		a.previous = a.word.Process
+	}
+	return true
+}
+
 // Heard takes in what an agent says.
 func (d *Director) Heard(now time.Duration, w Word) {
 	a := d.agents[w.From]
-	if a == nil || w.Process < a.word.Process {
+	if a == nil || !a.runs(w.Process) {
 		return
 	}
 	a.heard = now
@@ -234,7 +248,7 @@
 // Leaving notes that an agent stops.
 func (d *Director) Leaving(now time.Duration, from IP, process uint64) {
 	a := d.agents[from]
-	if a == nil || process < a.word.Process {
+	if a == nil || !a.runs(process) {
 		return
 	}
 	a.word.Process = process
--- a/flow/director_test.go
+++ b/flow/director_test.go
@@ -480,3 +480,38 @@
 		t.Fatalf("%+v of a service with one server", got)
 	}
 }
+
+// TestAgentWhoseClockHasSteppedBackIsHeard lets an agent restart with a lower identity than before.
+func TestAgentWhoseClockHasSteppedBackIsHeard(t *testing.T) {
+	d := newDirector(upstreamOf(1, "orders"), upstreamOf(3, "orders"))
+	before := word(1, 0, 0)
+	before.Process = 900
+	hear(d, start, before, word(3, 0, 0))
+	d.Leaving(start, agentIP(1), 900)
+	after := before
+	after.Process = 400
+	now := start + time.Second
+	hear(d, now, after, word(3, 0, 5))
+	if got := d.FromClient(now, opening(1), nil); got.To != agentIP(1) {
+		t.Fatalf("the flow goes to %v", got.To)
+	}
+	refusing := before
+	refusing.Accepting = false
+	hear(d, now, refusing)
+	if got := d.FromClient(now, opening(2), nil); got.To != agentIP(1) {
+		t.Fatalf("a late message of the earlier run counts: the flow goes to %v", got.To)
+	}
+}
+
+// TestEntryThatTheStoreCreatedLastHoldsAnAddress lets the clock of a server that took over an address be behind.
+func TestEntryThatTheStoreCreatedLastHoldsAnAddress(t *testing.T) {
+	old, next := upstreamOf(1, "photos"), upstreamOf(1, "orders")
+	old.ID, old.Incarnation, old.Created = "z", 900, 5
+	next.Incarnation, next.Created = 400, 8
+	d := newDirector(next, old)
+	wantForward(t, d.FromClient(start, opening(1), nil), flow.Open)
+	k := newKeeper(viewAt(start, 5, next, old))
+	if !k.Accepting(start) || k.Word(start).Slots != 4 {
+		t.Fatal("the agent goes by the entry of another server")
+	}
+}
--- a/flow/keeper.go
+++ b/flow/keeper.go
@@ -170,7 +170,7 @@
 		if u.Service != k.config.Service || EndpointOf(u.Address) != k.config.Address {
 			continue
 		}
-		if k.entry == nil || k.entry.Incarnation < u.Incarnation {
+		if k.entry == nil || u.Newer(k.entry) {
 			k.entry = u
 		}
 	}
--- a/internal/nodelink/view.go
+++ b/internal/nodelink/view.go
@@ -43,7 +43,7 @@
 func putUpstream(now time.Duration, u *registry.Upstream, lapsed bool) *nodev1.Upstream {
 	return &nodev1.Upstream{
 		Id: u.ID, Service: u.Service, Ip: pack(flow.IP(u.Address.Addr().As4())), Port: uint32(u.Address.Port()),
-		Place: u.Place, Slots: uint32(u.Slots), Draining: u.Draining, Incarnation: u.Incarnation, Lapsed: lapsed,
+		Place: u.Place, Slots: uint32(u.Slots), Draining: u.Draining, Incarnation: u.Incarnation, Created: u.Created, Lapsed: lapsed,
 		ColdMs: uint64(max(0, u.WarmAt-now).Milliseconds()),
 	}
 }
@@ -84,7 +84,7 @@
 func upstream(now time.Duration, m *nodev1.Upstream) registry.Upstream {
 	u := registry.Upstream{
 		ID: m.Id, Service: m.Service, Address: addrPort(m.Ip, m.Port), Place: m.Place, Slots: int(m.Slots),
-		Draining: m.Draining, Incarnation: m.Incarnation,
+		Draining: m.Draining, Incarnation: m.Incarnation, Created: m.Created,
 	}
 	if m.ColdMs > 0 {
 		u.WarmAt = now + time.Duration(m.ColdMs)*time.Millisecond
--- a/registry/types.go
+++ b/registry/types.go
@@ -46,8 +46,18 @@
 	Draining bool
 	// WarmAt is when the server is expected to have warmed up.
 	WarmAt time.Duration
-	// Incarnation tells the runs of a server apart; a later run has a higher one.
+	// Incarnation tells the runs of a server apart. It comes from the clock of the server's VM, which may step.
 	Incarnation uint64
+	// Created is the store's revision at which the entry came into being.
+	Created uint64
+}
+
+// Newer reports whether an entry came into being after another one, as when an address is used again.
+func (u *Upstream) Newer(other *Upstream) bool {
+	if u.Created != other.Created {
+		return u.Created > other.Created
+	}
+	return u.Incarnation > other.Incarnation
 }
 
 // same reports whether two entries differ in nothing that needs to be passed on. The time at which a server
