--- a/cmd/bramleyctl/main.go
+++ b/cmd/bramleyctl/main.go
@@ -36,6 +36,7 @@
 	commander.Register(&diffCommand{term: term}, "trees of settings")
 	commander.Register(newExplainCommand(term), "trees of settings")
 	commander.Register(newStatusCommand(term), "running processes")
+	commander.Register(&flowCommand{term: term}, "logs")
 	commander.Register(&replayCommand{term: term}, "traces")
 	commander.Register(&keygenCommand{term: term}, "secrets")
 }
--- a/cmd/bramleyctl/validate.go
+++ b/cmd/bramleyctl/validate.go
@@ -7,11 +7,15 @@
 	"fmt"
 
 	"github.com/google/subcommands"
+
+	"github.com/bramleyrack/bramleyrack/platform"
 )
 
 type validateCommand struct {
 	term   terminal
 	output output
+	// platform says that the files are those that the users' platform hands to a process.
+	platform bool
 }
 
 // validation is the result for one file.
@@ -35,13 +39,17 @@
 func (*validateCommand) Synopsis() string { return "check trees of settings and report every finding" }
 
 func (*validateCommand) Usage() string {
-	return `validate [-o text|json] FILE...
+	return `validate [--platform] [-o text|json] FILE...
   Checks each tree of settings ("-" is standard input) and reports every finding with its file, line,
-  column, path in the tree and reason. Exits with 1 if there is any.
+  column, path in the tree and reason. With --platform the files are the settings that the users' platform
+  hands to a process. Exits with 1 if there is any finding.
 `
 }
 
-func (c *validateCommand) SetFlags(f *flag.FlagSet) { c.output.setFlags(f) }
+func (c *validateCommand) SetFlags(f *flag.FlagSet) {
+	c.output.setFlags(f)
+	f.BoolVar(&c.platform, "platform", false, "check files of settings from the users' platform")
+}
 
 func (c *validateCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if err := c.output.check(); err != nil {
@@ -53,7 +61,7 @@
 	results := make([]validation, 0, f.NArg())
 	good := true
 	for _, name := range f.Args() {
-		v := validate(name)
+		v := c.validate(name)
 		good = good && v.Valid
 		results = append(results, v)
 	}
@@ -61,7 +69,10 @@
 	return exitStatus(good)
 }
 
-func validate(name string) validation {
+func (c *validateCommand) validate(name string) validation {
+	if c.platform {
+		return validatePlatform(name)
+	}
 	v := validation{File: name}
 	_, tree, err := readTree(name)
 	if err != nil {
@@ -76,6 +87,22 @@
 	return v
 }
 
+// validatePlatform checks the settings that the users' platform hands to a process.
+func validatePlatform(name string) validation {
+	v := validation{File: name}
+	data, err := readFile(name)
+	if err != nil {
+		v.fail(err)
+		return v
+	}
+	if _, err := platform.ParseSettings(data); err != nil {
+		v.fail(inFile(name, err))
+		return v
+	}
+	v.Valid = true
+	return v
+}
+
 func (v *validation) fail(err error) {
 	v.Error = err.Error()
 	var found *fileError
@@ -93,6 +120,10 @@
 		return
 	}
 	for _, v := range results {
+		if v.Valid && c.platform {
+			fmt.Fprintf(c.term.out, "%s: valid\n", v.File)
+			continue
+		}
 		if v.Valid {
 			fmt.Fprintf(c.term.out, "%s: valid: %d services, %d upstreams\n", v.File, v.Services, v.Servers)
 			continue
--- a/flow/agents.go
+++ b/flow/agents.go
@@ -53,6 +53,8 @@
 	sent uint32
 	// next is when the next heartbeat is due.
 	next time.Duration
+	// reported is whether the agent was last told of as one in doubt.
+	reported bool
 }
 
 // asked notes that the agent was sent something that it answers.
@@ -245,6 +247,27 @@
 	a.sent = 0
 }
 
+// Doubt is a change of what a balancer believes of an agent.
+type Doubt struct {
+	Agent IP
+	// Doubtful says that the agent has left something without an answer for a while, and SinceHeard how long it has
+	// said nothing.
+	Doubtful   bool
+	SinceHeard time.Duration
+}
+
+// Doubts returns which agents have come into doubt, or out of it, since the last call.
+func (d *Director) Doubts(now time.Duration) []Doubt {
+	var changes []Doubt
+	for _, a := range d.order {
+		if is := a.doubtful(now, d.config.DoubtAfter); is != a.reported {
+			a.reported = is
+			changes = append(changes, Doubt{Agent: a.ip, Doubtful: is, SinceHeard: now - a.heard})
+		}
+	}
+	return changes
+}
+
 // Leaving notes that an agent stops.
 func (d *Director) Leaving(now time.Duration, from IP, process uint64) {
 	a := d.agents[from]
--- a/flow/director_test.go
+++ b/flow/director_test.go
@@ -515,3 +515,23 @@
 		t.Fatal("the agent goes by the entry of another server")
 	}
 }
+
+func TestChangesOfDoubtAreTold(t *testing.T) {
+	d := newDirector(upstreamOf(1, "orders"), upstreamOf(3, "orders"))
+	hear(d, start, word(1, 0, 0), word(3, 0, 0))
+	if got := d.Doubts(start); len(got) != 0 {
+		t.Fatalf("got %v", got)
+	}
+	silent := d.FromClient(start, opening(1), nil).To
+	now := start + time.Second
+	if got := d.Doubts(now); len(got) != 1 || got[0] != (flow.Doubt{Agent: silent, Doubtful: true, SinceHeard: time.Second}) {
+		t.Fatalf("got %+v", got)
+	}
+	if got := d.Doubts(now); len(got) != 0 {
+		t.Fatalf("told twice: %v", got)
+	}
+	hear(d, now, word(1, 0, 0), word(3, 0, 0))
+	if got := d.Doubts(now); len(got) != 1 || got[0].Doubtful {
+		t.Fatalf("got %+v", got)
+	}
+}
--- a/internal/flowbalancer/nodes.go
+++ b/internal/flowbalancer/nodes.go
@@ -114,6 +114,9 @@
 	l.resume(now)
 	l.hedge(now)
 	l.heartbeats(now)
+	for _, doubt := range l.director.Doubts(now) {
+		l.config.Event("agent_doubtful", "agent", doubt.Agent, "now", doubt.Doubtful, "since_heard", doubt.SinceHeard)
+	}
 	if now-l.swept >= sweepInterval {
 		l.sweep(now)
 	}
