--- a/flow/keeper_test.go
+++ b/flow/keeper_test.go
@@ -277,6 +277,24 @@
 	}
 }
 
+// TestOneShortRequestFillsNoQueue lets a server that has just started answer its first request very soon.
+func TestOneShortRequestFillsNoQueue(t *testing.T) {
+	k := newKeeper(orderView(5))
+	accept(t, k, start, 0)
+	ask(k, start, 0)
+	now := start + 5*time.Millisecond
+	answer(k, now, 0)
+	taken := 0
+	for n := 1; n < 100; n++ {
+		if k.FromNode(now, opening(n), nil, request(flow.Open)).Action == flow.ToServer {
+			taken++
+		}
+	}
+	if taken > 20 {
+		t.Fatalf("took %d flows at once with 4 slots", taken)
+	}
+}
+
 // peersTell lets a balancer tell an agent of its peers for as long as they must be known.
 func peersTell(k *flow.Keeper, peers flow.Peers) (now time.Duration) {
 	k.HeardPeers(start, peers)
--- a/flow/load.go
+++ b/flow/load.go
@@ -51,6 +51,10 @@
 const (
 	// sampleWeight is the least weight of one sample in the mean service time.
 	sampleWeight = 0.05
+	// fewSamples is how many requests must have been measured for their mean to count alone; before that, a guess
+	// counts as guessSamples more.
+	fewSamples   = 20
+	guessSamples = 2
 	// leastOfPeers is the part of the service time of its peers that a request is taken to need at least.
 	leastOfPeers = 0.5
 	// forgetAfter is the time after which a mean counts for less than a third beside a new sample.
@@ -67,17 +71,24 @@
 	return l.busy() >= l.slots
 }
 
-// expects returns how long a new request is expected to wait and to be worked on. patience serves as the measure
-// as long as none was taken, as right after a start, when servers are cold.
+// expects returns how long a new request is expected to wait and to be worked on.
 func (l *load) expects(patience time.Duration) time.Duration {
-	service := max(l.mean, time.Duration(leastOfPeers*float64(l.outcomes.peers.ServiceTime)))
-	if l.samples == 0 {
-		service = time.Duration(unknownShare * float64(patience))
-	}
+	service := max(l.service(patience), time.Duration(leastOfPeers*float64(l.outcomes.peers.ServiceTime)))
 	turns := float64(max(0, l.busy()+1-l.slots)) / float64(l.slots)
 	return service + time.Duration(turns*float64(service))
 }
 
+// service returns how long the server is expected to work on a request. Before many were measured, as right after a
+// start, when servers are cold, the patience of the route serves as a few more.
+func (l *load) service(patience time.Duration) time.Duration {
+	if l.samples >= fewSamples {
+		return l.mean
+	}
+	n := float64(l.samples)
+	guess := unknownShare * float64(patience)
+	return time.Duration((n*float64(l.mean) + guessSamples*guess) / (n + guessSamples))
+}
+
 // retry reports whether an idle server is to be tried that seems too slow.
 func (l *load) retry(now time.Duration) bool {
 	if l.busy() > 0 || now-l.tried < l.config.RetryInterval {
--- a/internal/flowstory/flowstory.go
+++ b/internal/flowstory/flowstory.go
@@ -5,6 +5,7 @@
 	"bufio"
 	"cmp"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -43,6 +44,7 @@
 	levelKey = "level"
 	opKey    = "op"
 	flowKey  = "flow"
+	opStart  = "start"
 	// maxLine bounds one line, in bytes.
 	maxLine = 1 << 20
 )
@@ -50,7 +52,7 @@
 // beliefs are the operations that change what a process goes by. The last of each before the end of a flow belongs
 // to its story.
 var beliefs = map[string]bool{
-	"start": true, "stopping": true, "reload": true, "resumed": true,
+	opStart: true, "stopping": true, "reload": true, "resumed": true,
 	"view_in_force": true, "routes_in_force": true,
 	"store_lost": true, "store_regained": true, "store_history_lost": true,
 	"accepting": true, "suspect": true, "server_down": true, "server_silent": true,
@@ -162,6 +164,10 @@
 }
 
 func (c *Collector) add(l Line) {
+	if l.Op == opStart {
+		// A new run remembers nothing.
+		maps.DeleteFunc(c.latest, func(key beliefKey, _ Line) bool { return key.process == l.Process })
+	}
 	if beliefs[l.Op] {
 		c.latest[beliefKey{l.Process, l.Op}] = l
 		return
