Send fewer heartbeats between places, and ask every agent at the start

Agents of other places are asked once a second now: they are offered flows only when the own place is full, and an opening packet without a report puts them in doubt as before. At its start a balancer asked 10 agents and then 100 a second, so that a search of 62 proved nothing for half a second; it may ask 50 at once now (TestEveryAgentIsAskedAtTheStart failed first).

--- a/flow/director.go
+++ b/flow/director.go
@@ -23,9 +23,10 @@
 	// servers have one; each costs a pass. MinElsewhere of them are in other places, if there are any, for the case
 	// that the own place is full.
 	MaxAlternatives, MinElsewhere int
-	// HeartbeatInterval is the time between two heartbeats to an agent, and RetryInterval that to one that
-	// does not answer. Short ones find dead agents sooner.
-	HeartbeatInterval, RetryInterval time.Duration
+	// HeartbeatInterval is the time between two heartbeats to an agent, FarInterval that to one in another place,
+	// and RetryInterval that to one that does not answer. Short ones find dead agents sooner; traffic between places is
+	// dear.
+	HeartbeatInterval, FarInterval, RetryInterval time.Duration
 	// MaxHeartbeats bounds the heartbeats in one second to all agents together.
 	MaxHeartbeats int
 	// DoubtAfter is how long an agent may leave a heartbeat without an answer until new flows avoid it.
@@ -60,6 +61,7 @@
 		MaxAlternatives:   7,
 		MinElsewhere:      3,
 		HeartbeatInterval: 300 * time.Millisecond,
+		FarInterval:       time.Second,
 		RetryInterval:     100 * time.Millisecond,
 		MaxHeartbeats:     100,
 		DoubtAfter:        100 * time.Millisecond,
@@ -212,6 +214,7 @@
 		hints:    newHints(config.MaxFlows, config.IdleTimeout),
 		openings: newOpenings(config),
 		searches: newSearches(config),
+		budget:   heartbeatBurst * float64(config.MaxHeartbeats),
 		started:  now,
 		ticked:   now,
 	}
--- a/flow/heartbeats.go
+++ b/flow/heartbeats.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// heartbeatBurst is the part of the heartbeats of one second that may be sent at once, as after a start or a change.
+const heartbeatBurst = 0.5
+
 // Heartbeat returns the next agent that is due for a heartbeat, and false when there is none.
 func (d *Director) Heartbeat(now time.Duration) (IP, bool) {
 	d.refill(now)
@@ -15,8 +18,11 @@
 			continue
 		}
 		interval := d.config.HeartbeatInterval
-		if a.doubtful(now, d.config.DoubtAfter) {
+		switch {
+		case a.doubtful(now, d.config.DoubtAfter):
 			interval = d.config.RetryInterval
+		case a.place != d.config.Place:
+			interval = d.config.FarInterval
 		}
 		a.next = now + interval
 		a.asked(now)
@@ -29,7 +35,7 @@
 // refill adds the heartbeats that the time since the last call allows.
 func (d *Director) refill(now time.Duration) {
 	most := float64(d.config.MaxHeartbeats)
-	d.budget = min(d.budget+(now-d.ticked).Seconds()*most, most/10)
+	d.budget = min(d.budget+(now-d.ticked).Seconds()*most, most*heartbeatBurst)
 	d.ticked = now
 }
 
