Compare servers per service, and look at few agents at a time

At the size of two years a balancer knows 58,000 agents: forming the medians of all services every 200 ms would take some percent of a core, and looking at every agent for doubts and heartbeats each 20 ms another. Medians are formed for the service of the agent that is asked; doubts are looked for every 100 ms, and one look for heartbeats visits 2,000 agents.

--- a/flow/agents.go
+++ b/flow/agents.go
@@ -93,6 +93,9 @@
 	// candidates are the upstreams as new flows see them, and holders as the search for a flow does: there, one
 	// that drains is as likely an owner as any.
 	candidates, holders []placement.Candidate
+	// peers is what the servers have in common, as of compared.
+	peers    Peers
+	compared time.Duration
 }
 
 // ServiceHash returns the number that stands for a service between processes.
@@ -144,7 +147,7 @@
 			latest[ip] = u
 		}
 	}
-	d.services = map[string]*service{}
+	d.services, d.byHash = map[string]*service{}, map[uint64]*service{}
 	for ip, a := range d.agents {
 		a.present = latest[ip] != nil
 	}
@@ -176,7 +179,7 @@
 	s := d.services[name]
 	if s == nil {
 		s = &service{name: name, hash: ServiceHash(name)}
-		d.services[name] = s
+		d.services[name], d.byHash[s.hash] = s, s
 	}
 	return s
 }
--- a/flow/director.go
+++ b/flow/director.go
@@ -186,6 +186,7 @@
 	config   DirectorConfig
 	view     *registry.View
 	services map[string]*service
+	byHash   map[uint64]*service
 	routes   map[Endpoint]*route
 	agents   map[IP]*agent
 	order    []*agent
@@ -199,9 +200,6 @@
 	budget    float64
 	ticked    time.Duration
 	started   time.Duration
-	// peers is what the servers of each service have in common, as of peersAt.
-	peers   map[uint64]Peers
-	peersAt time.Duration
 }
 
 // NewDirector returns a Director without a view, which drops every packet.
--- a/flow/director_test.go
+++ b/flow/director_test.go
@@ -566,3 +566,27 @@
 		t.Fatalf("got %+v", got)
 	}
 }
+
+// BenchmarkAdopt puts a view in force that differs in one server, at the size of two years.
+func BenchmarkAdopt(b *testing.B) {
+	const services, servers = 5800, 10
+	var upstreams []registry.Upstream
+	c := &registry.Configuration{Version: 1}
+	for s := range services {
+		name := fmt.Sprint("service", s)
+		c.Routes = append(c.Routes, routeTo(flow.Endpoint{IP: flow.IP{198, 18, byte(s >> 8), byte(s)}, Port: 443}, name))
+		for n := range servers {
+			u := upstreamOf(1, name)
+			u.ID = fmt.Sprint("s", s, "-", n)
+			u.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(n), byte(s >> 8), byte(s)}), simPort)
+			upstreams = append(upstreams, u)
+		}
+	}
+	d := flow.NewDirector(flow.DefaultDirectorConfig("here"), start)
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		view := viewAt(start, uint64(n+1), upstreams...)
+		view.Configuration = c
+		d.Adopt(start, view)
+	}
+}
--- a/flow/heartbeats.go
+++ b/flow/heartbeats.go
@@ -5,10 +5,13 @@
 // heartbeatBurst is the part of the heartbeats of one second that may be sent at once, as after a start or a change.
 const heartbeatBurst = 0.5
 
+// maxLooked bounds the agents that one call looks at, so that a large fleet costs little while none is due.
+const maxLooked = 2000
+
 // Heartbeat returns the next agent that is due for a heartbeat, and false when there is none.
 func (d *Director) Heartbeat(now time.Duration) (IP, bool) {
 	d.refill(now)
-	for range d.order {
+	for range min(len(d.order), maxLooked) {
 		if d.budget < 1 {
 			return IP{}, false
 		}
--- a/internal/flowbalancer/flowbalancer.go
+++ b/internal/flowbalancer/flowbalancer.go
@@ -56,6 +56,8 @@
 	tickInterval = 20 * time.Millisecond
 	// sweepInterval is the time between two searches for silent flows.
 	sweepInterval = time.Second
+	// doubtInterval is the time between two looks for agents that do not answer, for the log.
+	doubtInterval = 100 * time.Millisecond
 	// quietFor is how long no packet of a client must come before a stopping balancer ends.
 	quietFor = 400 * time.Millisecond
 	// readBuffer is the receive buffer of each socket, in bytes.
--- a/internal/flowbalancer/loop.go
+++ b/internal/flowbalancer/loop.go
@@ -24,8 +24,9 @@
 	out       nodev1.Header
 	addresses map[flow.IP]*net.UDPAddr
 	content   *registry.Content
-	swept     time.Duration
-	probe     uint64
+	// swept and doubted are when silent flows and agents in doubt were last looked for.
+	swept, doubted time.Duration
+	probe          uint64
 	// received is when the last packet of a client came.
 	received time.Duration
 	// sentAt is when the opening packets that wait for a report were sent.
--- a/internal/flowbalancer/nodes.go
+++ b/internal/flowbalancer/nodes.go
@@ -114,8 +114,8 @@
 	l.resume(now)
 	l.hedge(now)
 	l.heartbeats(now)
-	for _, doubt := range l.director.Doubts(now) {
-		l.config.Event("agent_doubtful", "agent", doubt.Agent, "now", doubt.Doubtful, "since_heard", doubt.SinceHeard)
+	if now-l.doubted >= doubtInterval {
+		l.logDoubts(now)
 	}
 	if now-l.swept >= sweepInterval {
 		l.sweep(now)
@@ -162,6 +162,14 @@
 	}
 }
 
+// logDoubts logs which agents have come into doubt, or out of it.
+func (l *loop) logDoubts(now time.Duration) {
+	l.doubted = now
+	for _, doubt := range l.director.Doubts(now) {
+		l.config.Event("agent_doubtful", "agent", doubt.Agent, "now", doubt.Doubtful, "since_heard", doubt.SinceHeard)
+	}
+}
+
 func (l *loop) sweep(now time.Duration) {
 	l.swept = now
 	l.director.Sweep(now)
