--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"expvar"
+	"io"
 	"log"
 	"net/http"
 	"net/http/httptest"
@@ -147,3 +148,25 @@
 		t.Fatalf("got %v", got)
 	}
 }
+
+// BenchmarkFlowEvent logs a line like those of a new flow, through the asynchronous writer.
+func BenchmarkFlowEvent(b *testing.B) {
+	flush := LogAsync(io.Discard)
+	b.Cleanup(func() { flush(); LogTo(os.Stderr) })
+	SetRate("bench_placed", 1<<30)
+	b.ReportAllocs()
+	for b.Loop() {
+		Event("bench_placed", "flow", "100.64.0.1:1025>198.18.0.1:443", "copy", 0, "agent", "10.0.0.1", "alternatives", 7,
+			"version", 3, "view_age", 20*time.Millisecond, "reason", "")
+	}
+}
+
+// BenchmarkSuppressedEvent logs more lines than an operation may.
+func BenchmarkSuppressedEvent(b *testing.B) {
+	flush := LogAsync(io.Discard)
+	b.Cleanup(func() { flush(); LogTo(os.Stderr) })
+	b.ReportAllocs()
+	for b.Loop() {
+		Event("bench_suppressed", "flow", "100.64.0.1:1025>198.18.0.1:443", "copy", 0, "agent", "10.0.0.1")
+	}
+}
