--- a/flow/heartbeats.go
+++ b/flow/heartbeats.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// heartbeatBurst is the part of the heartbeats of one second that may be sent at once, as after a start or a change.
-const heartbeatBurst = 0.5
+// heartbeatBurst is how many heartbeats may be sent at once, as after a start or a change.
+const heartbeatBurst = 50
 
 // maxLooked bounds the agents that one call looks at, so that a large fleet costs little while none is due.
 const maxLooked = 2000
@@ -38,7 +38,7 @@
 // refill adds the heartbeats that the time since the last call allows.
 func (d *Director) refill(now time.Duration) {
 	most := float64(d.config.MaxHeartbeats)
-	d.budget = min(d.budget+(now-d.ticked).Seconds()*most, most*heartbeatBurst)
+	d.budget = min(d.budget+(now-d.ticked).Seconds()*most, heartbeatBurst)
 	d.ticked = now
 }
 
