Search open flows at the former services of their route

A balancer without a hint searched in chains that mixed agents of both services under the service of the first agent. The owner denied its own flow as one of another service, and the balancer reset it while its server still served.

Change: an agent checks whether it holds a flow before it compares services. The registry remembers the services that each address directed new flows to, for the maximum age of a flow, and passes them to new processes; its freshness states since when it knows all routes. A search asks the services in force and the former ones, each in chains of its own, and unresponsive agents one by one. While a process does not know all routes of that period, it also asks the agents of all other services before a reset, within a bound on these messages.

Ruled out: a home agent for each flow (a message per flow opened, and lost with that agent), and announcements by owners after a change of route (49 million flows at the target size).

The test of the agent failed on the old code ("server belongs to another service").

--- a/cmd/bramley-flow-balancer/main.go
+++ b/cmd/bramley-flow-balancer/main.go
@@ -52,6 +52,8 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	director := flow.DefaultDirectorConfig(p.Settings.Place)
+	director.MaxFlowAge = p.Settings.MaxFlowAge
 	b, err := flowbalancer.New(flowbalancer.Config{
 		View:             p.View,
 		Clock:            p.Clock,
@@ -59,7 +61,7 @@
 		ClientAddress:    p.Settings.ClientAddress,
 		PeerAddress:      p.Settings.PeerAddress,
 		ProcessID:        p.ProcessID,
-		Director:         flow.DefaultDirectorConfig(p.Settings.Place),
+		Director:         director,
 		MinLinger:        c.minLinger,
 		MaxLinger:        c.maxLinger,
 		Event:            telemetry.Event,
--- a/flow/agents.go
+++ b/flow/agents.go
@@ -109,6 +109,13 @@
 	services []*service
 	weights  []uint32
 	total    uint32
+	// former are the services to which earlier configurations directed the new flows. Open flows stay with them.
+	former []*service
+}
+
+// holders returns the services whose upstreams may hold a flow to the route's address.
+func (r *route) holders() []*service {
+	return append(slices.Clone(r.services), r.former...)
 }
 
 // pick returns the service for a flow. It depends only on the key, so all copies of an opening packet go to the
@@ -135,7 +142,7 @@
 		return
 	}
 	d.setUpstreams(now, view.Upstreams)
-	d.setRoutes(view.Configuration)
+	d.setRoutes(view.Content)
 	d.pruneAgents(now)
 }
 
@@ -187,8 +194,9 @@
 	return s
 }
 
-func (d *Director) setRoutes(c *registry.Configuration) {
+func (d *Director) setRoutes(content *registry.Content) {
 	d.routes = map[Endpoint]*route{}
+	c := content.Configuration
 	if c == nil {
 		return
 	}
@@ -203,6 +211,12 @@
 			d.routes[EndpointOf(c.Routes[i].Address)] = r
 		}
 	}
+	for _, share := range content.Former {
+		s := d.service(share.Service)
+		if r := d.routes[EndpointOf(share.Address)]; r != nil && !slices.Contains(r.services, s) {
+			r.former = append(r.former, s)
+		}
+	}
 }
 
 // pruneAgents removes the agents that the view does not name, once the hints of their flows have expired as well.
--- a/flow/director.go
+++ b/flow/director.go
@@ -49,6 +49,12 @@
 	ResumeTimeout time.Duration
 	// MaxSearches bounds the concurrent searches.
 	MaxSearches int
+	// MaxFlowAge is the age above which a flow need not be found again. While the routes of that period are not all
+	// known, any server may hold a flow.
+	MaxFlowAge time.Duration
+	// MaxWideMessages bounds the messages per second of searches that ask the agents of all services. A high bound
+	// resets lost flows sooner after the loss of every process; a low one protects a large fleet from its searches.
+	MaxWideMessages int
 }
 
 // DefaultDirectorConfig returns the default configuration of a balancer in a place.
@@ -74,6 +80,8 @@
 		SearchTimeout:     150 * time.Millisecond,
 		ResumeTimeout:     500 * time.Millisecond,
 		MaxSearches:       4096,
+		MaxFlowAge:        time.Minute,
+		MaxWideMessages:   4000,
 	}
 }
 
@@ -200,7 +208,10 @@
 	heartbeatCursor int
 	heartbeatTokens float64
 	lastRefill      time.Duration
-	started         time.Duration
+	// wideTokens is the number of messages that searches of all services may send now, as of wideRefill.
+	wideTokens float64
+	wideRefill time.Duration
+	started    time.Duration
 }
 
 // NewDirector returns a Director without a view, which drops every packet.
@@ -216,6 +227,8 @@
 		heartbeatTokens: heartbeatBurst,
 		started:         now,
 		lastRefill:      now,
+		wideTokens:      float64(config.MaxWideMessages),
+		wideRefill:      now,
 	}
 }
 
--- /dev/null
+++ b/flow/moved_route_test.go
@@ -0,0 +1,161 @@
+package flow_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/bramleyrack/bramleyrack/flow"
+	"github.com/bramleyrack/bramleyrack/registry"
+)
+
+// movedView returns a view in which the route of orders was moved to the service "photos", and which knows the routes
+// of the given period.
+func movedView(version uint64, routesKnown time.Duration, former []registry.FormerShare, upstreams ...registry.Upstream) *registry.View {
+	view := viewAt(start, version, upstreams...)
+	view.Configuration.Routes[0] = routeTo(orders, "photos")
+	view.Former = former
+	view.RoutesKnownSince = start - routesKnown
+	return view
+}
+
+var ordersMoved = []registry.FormerShare{{Address: orders.AddrPort(), Service: "orders", Until: start - time.Second}}
+
+func TestAgentDeliversItsFlowWhateverServiceTheRequestNames(t *testing.T) {
+	tracker := newTracker(orderView(5))
+	acceptFlow(t, tracker, start, 1)
+	r := request(flow.PurposeSearch)
+	r.Service = flow.ServiceHash("photos")
+	wantAction(t, tracker.FromNode(start, dataPacket(1), nil, r), flow.ToServer, flow.NoteHeld)
+	r.Purpose = flow.PurposeDeliver
+	wantAction(t, tracker.FromNode(start, dataPacket(1), nil, r), flow.ToServer, flow.NoNote)
+}
+
+// TestRestartedAgentDeniesFlowsOfAnotherService covers an address that a server of another service uses again. Its new
+// agent knows no flows, and must not ask the server.
+func TestRestartedAgentDeniesFlowsOfAnotherService(t *testing.T) {
+	tracker := newTracker(orderView(5))
+	r := request(flow.PurposeSearch)
+	r.Service = flow.ServiceHash("photos")
+	wantAction(t, tracker.FromNode(start, dataPacket(1), nil, r), flow.Drop, flow.NoteDenied)
+}
+
+// requestsByAgent returns the request with which a decision asks each agent.
+func requestsByAgent(d flow.Decision) map[flow.IP]flow.Request {
+	requests := map[flow.IP]flow.Request{}
+	for _, branch := range append([]flow.Branch{{To: d.To, Request: d.Request}}, d.Branches...) {
+		for _, ip := range append([]flow.IP{branch.To}, branch.Request.Remaining...) {
+			requests[ip] = branch.Request
+		}
+	}
+	return requests
+}
+
+func TestFlowIsSearchedAtFormerServiceOfItsRoute(t *testing.T) {
+	d := flow.NewDirector(flow.DefaultDirectorConfig("here"), start)
+	servers := []registry.Upstream{upstreamOf(1, "orders"), upstreamOf(2, "orders"), upstreamOf(3, "photos"), upstreamOf(4, "archive")}
+	d.SetView(start, movedView(5, time.Minute, ordersMoved, servers...))
+	got := d.FromClient(start, dataPacket(1), nil)
+	wantForward(t, got, flow.PurposeSearch)
+	requests := requestsByAgent(got)
+	if len(requests) != 3 {
+		t.Fatalf("asked %v, want the agents of both services", requests)
+	}
+	for n, service := range map[int]string{1: "orders", 2: "orders", 3: "photos"} {
+		if requests[agentIP(n)].Service != flow.ServiceHash(service) {
+			t.Errorf("agent %d was asked for another service than its own", n)
+		}
+	}
+	denial := flow.Denial{Key: opening(1).Key, SearchID: got.Request.SearchID}
+	if _, p, _ := d.HandleDenial(start, denial); p != nil {
+		t.Fatal("search ended before the former service's agents denied the flow")
+	}
+	if reset, p, _ := d.HandleDenial(start, denial); p == nil || reset.Action != flow.Reset {
+		t.Fatalf("got %v, want a reset after all denials", reset.Action)
+	}
+}
+
+func TestFlowIsSearchedEverywhereWhileFormerRoutesAreUnknown(t *testing.T) {
+	d := flow.NewDirector(flow.DefaultDirectorConfig("here"), start)
+	servers := []registry.Upstream{upstreamOf(1, "orders"), upstreamOf(3, "photos"), upstreamOf(4, "archive")}
+	d.SetView(start, movedView(5, time.Second, nil, servers...))
+	got := d.FromClient(start, dataPacket(1), nil)
+	if asked := agentsAsked(got); !slices.Equal(asked, []flow.IP{agentIP(3)}) {
+		t.Fatalf("asked %v first, want the agent of the service in force", asked)
+	}
+	denial := flow.Denial{Key: opening(1).Key, SearchID: got.Request.SearchID}
+	wide, _, _ := d.HandleDenial(start, denial)
+	wantForward(t, wide, flow.PurposeSearch)
+	if asked := agentsAsked(wide); len(asked) != 2 {
+		t.Fatalf("asked %v next, want the agents of all other services", asked)
+	}
+	if _, p, _ := d.HandleDenial(start, denial); p != nil {
+		t.Fatal("search ended before all agents denied the flow")
+	}
+	if reset, _, _ := d.HandleDenial(start, denial); reset.Action != flow.Reset {
+		t.Fatalf("got %v, want a reset after all denials", reset.Action)
+	}
+}
+
+// TestSearchesOfEverythingAreBounded covers many flows that are lost at once in a fleet that can't search all of its
+// agents for each of them. No flow is reset without proof.
+func TestSearchesOfEverythingAreBounded(t *testing.T) {
+	config := flow.DefaultDirectorConfig("here")
+	config.MaxWideMessages = 100
+	d := flow.NewDirector(config, start)
+	servers := []registry.Upstream{upstreamOf(1, "photos")}
+	for n := range 60 {
+		servers = append(servers, upstreamOf(n+2, "archive"))
+	}
+	d.SetView(start, movedView(5, time.Second, nil, servers...))
+	wide := 0
+	for n := range 50 {
+		got := d.FromClient(start, dataPacket(n), nil)
+		next, _, _ := d.HandleDenial(start, flow.Denial{Key: dataPacket(n).Key, SearchID: got.Request.SearchID})
+		if next.Action == flow.Reset {
+			t.Fatalf("flow %d was reset without proof", n)
+		}
+		wide += len(requestsByAgent(next)) - 1
+	}
+	if wide > config.MaxWideMessages {
+		t.Errorf("%d agents were asked in no time, want at most %d", wide, config.MaxWideMessages)
+	}
+}
+
+// BenchmarkSearch reports the messages of a search for a lost flow, by the size of the fleet and whether the routes of
+// the recent past are known. A quarter of the servers belongs to the service in force and a quarter to the former one.
+func BenchmarkSearch(b *testing.B) {
+	for _, servers := range []int{10, 63, 200} {
+		for name, maxFlowAge := range map[string]time.Duration{"known": 0, "unknown": 1000 * time.Hour} {
+			b.Run(fmt.Sprintf("%d/routes %s", servers, name), func(b *testing.B) {
+				var upstreams []registry.Upstream
+				for n := range servers {
+					upstreams = append(upstreams, upstreamOf(n+1, []string{"orders", "photos", "archive", "archive"}[n%4]))
+				}
+				config := flow.DefaultDirectorConfig("here")
+				config.MaxFlowAge = maxFlowAge
+				d := flow.NewDirector(config, start)
+				d.SetView(start, movedView(5, time.Second, ordersMoved, upstreams...))
+				messages := 0
+				for n := 0; b.Loop(); n++ {
+					messages += searchMessages(d, start+time.Duration(n)*time.Second, dataPacket(n%1000))
+				}
+				b.ReportMetric(float64(messages)/float64(b.N), "messages/search")
+			})
+		}
+	}
+}
+
+// searchMessages searches for a flow that no agent holds, and returns the number of messages to agents.
+func searchMessages(d *flow.Director, now time.Duration, p *flow.Packet) (messages int) {
+	got := d.FromClient(now, p, nil)
+	for got.Action == flow.Forward {
+		messages += len(requestsByAgent(got))
+		id := got.Request.SearchID
+		for range 1 + len(got.Branches) {
+			got, _, _ = d.HandleDenial(now, flow.Denial{Key: p.Key, SearchID: id})
+		}
+	}
+	return messages
+}
--- a/flow/search.go
+++ b/flow/search.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -12,8 +13,9 @@
 // maxWaiting bounds the packets of one flow that wait for a search; a sender has at most 16 packets in flight.
 const maxWaiting = 16
 
-// search is a search for the owner of a flow. Its first round asks the highest-ranked agents one after the other,
-// and its second round asks all others in several parallel chains.
+// search is a search for the owner of a flow. Its first round asks the highest-ranked agents of each service that may
+// hold the flow one after the other, its second round asks the others in several parallel chains. If the routes of the
+// recent past are not all known, a wide round asks the agents of all services.
 type search struct {
 	number  uint64
 	started time.Duration
@@ -21,6 +23,11 @@
 	raw     []byte
 	// remaining holds the agents of the second round.
 	remaining []IP
+	// asked holds the services whose agents were asked, and excluded is an agent that denied the flow before.
+	asked    []*service
+	excluded IP
+	// wide is set once the agents of all services were asked.
+	wide bool
 	// chains is the number of chains that have not reported a denial yet.
 	chains int
 	// changed is the revision of the last change in the view when the search began. outdated is set if an agent
@@ -72,63 +79,130 @@
 		}
 		return Decision{Reason: "a search for the owner of the flow is in progress"}
 	}
-	list := d.searchOrder(now, r, p.Key, excluded)
-	switch {
-	case len(list) == 0 && d.missingMeansRemoved(now):
-		return resetFlow(p, "no server holds the flow")
-	case len(list) == 0:
-		return Decision{Reason: "no agent to search for the flow"}
-	}
 	d.searches.lastNumber++
-	s := &search{number: d.searches.lastNumber, started: now, packet: *p, raw: slices.Clone(raw), remaining: list, changed: d.view.Changed}
+	s := &search{
+		number: d.searches.lastNumber, started: now, packet: *p, raw: slices.Clone(raw), changed: d.view.Changed,
+		asked: r.holders(), excluded: excluded,
+	}
+	first, rest := d.searchOrder(now, s.asked, p.Key, excluded)
+	if len(first)+len(rest) == 0 {
+		return d.searchWidely(now, s)
+	}
 	d.searches.lru.Add(p.Key, s)
 	if repeated {
 		// The first search found no owner in time, perhaps because an agent does not answer. Ask all agents at
 		// once.
-		return d.startChains(s, len(list), 1)
+		return d.startChains(now, s, append(first, rest...), 1, "earlier search found no owner in time")
 	}
-	return d.startChains(s, d.config.ChainLength, d.config.ChainLength)
+	s.remaining = rest
+	return d.startChains(now, s, first, d.config.ChainLength, "owner of the flow is not known")
 }
 
-// startChains starts chains of the given length over the next agents of a search.
-func (d *Director) startChains(s *search, agents, length int) Decision {
-	agents = min(agents, len(s.remaining))
-	round := s.remaining[:agents]
-	s.remaining = s.remaining[agents:]
+// startChains asks agents in parallel chains of at most the given length. All agents of a chain belong to one service,
+// and an unresponsive agent is a chain of its own, since the agents behind it might not be reached.
+func (d *Director) startChains(now time.Duration, s *search, agents []IP, length int, reason string) Decision {
 	var branches []Branch
-	for chain := range slices.Chunk(round, length) {
-		branches = append(branches, Branch{To: chain[0], Request: Request{
+	for len(agents) > 0 {
+		n := 1
+		first := d.agents[agents[0]]
+		for n < min(length, len(agents)) && d.mayFollow(now, first, d.agents[agents[n]]) {
+			n++
+		}
+		branches = append(branches, Branch{To: agents[0], Request: Request{
 			Purpose:   PurposeSearch,
-			Service:   d.agents[chain[0]].service,
+			Service:   first.service,
 			Version:   d.view.Version(),
-			Remaining: chain[1:],
+			Remaining: agents[1:n],
 			SearchID:  s.number,
 			Changed:   d.view.Changed,
 		}})
+		agents = agents[n:]
 	}
 	s.chains = len(branches)
-	return Decision{Action: Forward, To: branches[0].To, Request: branches[0].Request, Branches: branches[1:]}
+	return Decision{Action: Forward, To: branches[0].To, Request: branches[0].Request, Branches: branches[1:], Reason: reason}
+}
+
+// mayFollow reports whether an agent may be asked in the same chain after the first one.
+func (d *Director) mayFollow(now time.Duration, first, next *agent) bool {
+	limit := d.config.UnresponsiveAfter
+	return next.service == first.service && !first.unresponsive(now, limit) && !next.unresponsive(now, limit)
 }
 
-// searchOrder returns the agents whose servers may hold a flow, in the order in which to ask them. Unresponsive
-// ones come last.
-func (d *Director) searchOrder(now time.Duration, r *route, key Key, excluded IP) []IP {
-	var list []IP
+// searchOrder returns the agents of some services in the order in which to ask them for a flow: first the
+// highest-ranked ones of each service, then the rest. Unresponsive ones come last.
+func (d *Director) searchOrder(now time.Duration, services []*service, key Key, excluded IP) (first, rest []IP) {
 	var unresponsiveAgents []IP
-	for _, s := range r.services {
+	for _, s := range services {
 		d.rankBuf = placement.Rank(d.rankBuf[:0], key.Hash(), d.config.Place, s.holders)
+		asked := 0
 		for _, number := range d.rankBuf {
 			ip := ipFromNumber(number)
 			switch {
 			case ip == excluded:
 			case d.agents[ip].unresponsive(now, d.config.UnresponsiveAfter):
 				unresponsiveAgents = append(unresponsiveAgents, ip)
+			case asked < d.config.ChainLength:
+				first = append(first, ip)
+				asked++
 			default:
-				list = append(list, ip)
+				rest = append(rest, ip)
 			}
 		}
 	}
-	return append(list, unresponsiveAgents...)
+	rest = append(rest, unresponsiveAgents...)
+	if len(first) == 0 {
+		return rest, nil
+	}
+	return first, rest
+}
+
+// searchWidely continues or ends a search that no agent of the asked services has ended. Former routes of which this
+// process does not know may have directed the flow to any other service.
+func (d *Director) searchWidely(now time.Duration, s *search) Decision {
+	if !s.wide && !d.historyComplete(now) {
+		first, rest := d.searchOrder(now, d.servicesExcept(s.asked), s.packet.Key, s.excluded)
+		if agents := append(first, rest...); d.takeWideTokens(now, len(agents)) {
+			s.wide = true
+			if len(agents) > 0 {
+				d.searches.lru.Add(s.packet.Key, s)
+				return d.startChains(now, s, agents, d.config.ChainLength, "former routes are not all known")
+			}
+		}
+	}
+	d.searches.lru.Remove(s.packet.Key)
+	if d.provesLoss(now, s) {
+		return resetFlow(&s.packet, "no server holds the flow")
+	}
+	d.searches.inconclusive = append(d.searches.inconclusive, s)
+	return Decision{Reason: "no server is known to hold the flow, but the search is inconclusive"}
+}
+
+// historyComplete reports whether the view holds every route of the last MaxFlowAge.
+func (d *Director) historyComplete(now time.Duration) bool {
+	return now-d.view.RoutesKnownSince >= d.config.MaxFlowAge
+}
+
+// servicesExcept returns the services that are not in a list, in the order of their names.
+func (d *Director) servicesExcept(list []*service) []*service {
+	var others []*service
+	for _, name := range slices.Sorted(maps.Keys(d.services)) {
+		if s := d.services[name]; !slices.ContainsFunc(list, func(asked *service) bool { return asked.hash == s.hash }) {
+			others = append(others, s)
+		}
+	}
+	return others
+}
+
+// takeWideTokens takes the tokens for a number of messages from the bucket that limits wide searches, if it has enough.
+func (d *Director) takeWideTokens(now time.Duration, messages int) bool {
+	limit := float64(d.config.MaxWideMessages)
+	d.wideTokens = min(limit, d.wideTokens+(now-d.wideRefill).Seconds()*limit)
+	d.wideRefill = now
+	if d.wideTokens < float64(messages) {
+		return false
+	}
+	d.wideTokens -= float64(messages)
+	return true
 }
 
 // Denial is the report of the last agent in a chain that none of the chain's agents holds the flow.
@@ -152,20 +226,17 @@
 	case s.chains > 0:
 		return Decision{}, nil, nil
 	case len(s.remaining) > 0:
-		return d.startChains(s, len(s.remaining), d.config.ChainLength), &s.packet, s.raw
+		rest := s.remaining
+		s.remaining = nil
+		return d.startChains(now, s, rest, d.config.ChainLength, "highest-ranked agents do not hold the flow"), &s.packet, s.raw
 	}
-	d.searches.lru.Remove(denial.Key)
-	if d.provesLoss(now, s) {
-		return resetFlow(&s.packet, "no server holds the flow"), &s.packet, s.raw
-	}
-	d.searches.inconclusive = append(d.searches.inconclusive, s)
-	return Decision{Reason: "no server is known to hold the flow, but the search is inconclusive"}, &s.packet, s.raw
+	return d.searchWidely(now, s), &s.packet, s.raw
 }
 
-// provesLoss reports whether the denials of a search prove that its flow is lost, which requires that the view
-// named all servers that may hold it.
+// provesLoss reports whether the denials of a search prove that its flow is lost, which requires that all servers that
+// may hold it were asked.
 func (d *Director) provesLoss(now time.Duration, s *search) bool {
-	return !s.outdated && s.changed == d.view.Changed && d.missingMeansRemoved(now)
+	return (s.wide || d.historyComplete(now)) && !s.outdated && s.changed == d.view.Changed && d.missingMeansRemoved(now)
 }
 
 // NextResumedSearch returns the next decision on an inconclusive search. The search starts again once the view has
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -241,10 +241,11 @@
 
 // FromNode decides on a packet from a balancer or another agent.
 func (t *Tracker) FromNode(now time.Duration, p *Packet, raw []byte, request Request) Verdict {
+	otherService := request.Service != t.service
 	switch {
-	case request.Service != t.service && request.Purpose == PurposeOpen:
+	case otherService && request.Purpose == PurposeOpen:
 		return t.pass(request, nil, "server belongs to another service")
-	case request.Service != t.service:
+	case otherService && !t.holds(p.Key):
 		return t.deny(request, "server belongs to another service")
 	case request.Purpose == PurposeOpen:
 		return t.openFlow(now, p, request)
@@ -252,6 +253,12 @@
 	return t.fromOpenFlow(now, p, raw, request)
 }
 
+// holds reports whether the server is known to hold a flow.
+func (t *Tracker) holds(key Key) bool {
+	f, ok := t.flows.Peek(key)
+	return ok && f.state == open
+}
+
 // openFlow decides on the opening packet of a flow. The newer one of the configurations of balancer and agent
 // applies.
 func (t *Tracker) openFlow(now time.Duration, p *Packet, request Request) Verdict {
--- a/internal/flowbalancer/loop.go
+++ b/internal/flowbalancer/loop.go
@@ -168,7 +168,8 @@
 	case d.Action == flow.Forward && d.Request.Purpose == flow.PurposeSearch:
 		l.balancer.counts.searched.Add(1)
 		l.config.Event("flow_searched", "flow", p.Key, "first", d.To, "more", len(d.Request.Remaining),
-			"search", d.Request.SearchID, "chains", 1+len(d.Branches), "version", d.Request.Version, "view_age", age)
+			"search", d.Request.SearchID, "chains", 1+len(d.Branches), "version", d.Request.Version, "view_age", age,
+			"routes_known", now-view.RoutesKnownSince, "reason", d.Reason)
 	case d.Action == flow.Reset:
 		l.config.Event("flow_reset", "flow", p.Key, "seq", d.Seq, "reason", d.Reason, "version", view.Version(), "view_age", age)
 	case d.Action == flow.Drop:
--- a/internal/nodecodec/delta.go
+++ b/internal/nodecodec/delta.go
@@ -13,14 +13,21 @@
 func EncodeDelta(now time.Duration, d registry.Delta) *nodev1.View {
 	m := &nodev1.View{
 		From: d.From, Revision: d.Revision, Changed: d.Changed, Reader: d.Reader,
-		AgeMs:        uint64(max(0, now-d.Confirmed).Milliseconds()),
-		ContinuousMs: uint64(max(0, now-d.ContinuousSince).Milliseconds()),
-		Interrupted:  d.Interrupted,
-		Removed:      d.Removed,
+		AgeMs:         uint64(max(0, now-d.Confirmed).Milliseconds()),
+		ContinuousMs:  uint64(max(0, now-d.ContinuousSince).Milliseconds()),
+		Interrupted:   d.Interrupted,
+		RoutesKnownMs: uint64(max(0, now-d.RoutesKnownSince).Milliseconds()),
+		Removed:       d.Removed,
 	}
 	if d.Configuration != nil {
 		m.Configuration = encodeConfiguration(d.Configuration)
 	}
+	for _, s := range d.Former {
+		m.Former = append(m.Former, &nodev1.FormerShare{
+			Ip: packIP(flow.IP(s.Address.Addr().As4())), Port: uint32(s.Address.Port()), Service: s.Service,
+			EndedMs: uint64(max(0, now-s.Until).Milliseconds()),
+		})
+	}
 	for i := range d.Upstreams {
 		m.Upstreams = append(m.Upstreams, encodeUpstream(now, &d.Upstreams[i], d.Lapsed[i]))
 	}
@@ -56,12 +63,18 @@
 			Revision: m.Revision, Changed: m.Changed, Reader: m.Reader,
 			Confirmed:       now - time.Duration(m.AgeMs)*time.Millisecond,
 			ContinuousSince: now - time.Duration(m.ContinuousMs)*time.Millisecond, Interrupted: m.Interrupted,
+			RoutesKnownSince: now - time.Duration(m.RoutesKnownMs)*time.Millisecond,
 		},
 		Removed: m.Removed,
 	}
 	if m.Configuration != nil {
 		d.Configuration = decodeConfiguration(m.Configuration)
 	}
+	for _, s := range m.Former {
+		d.Former = append(d.Former, registry.FormerShare{
+			Address: addrPort(s.Ip, s.Port), Service: s.Service, Until: now - time.Duration(s.EndedMs)*time.Millisecond,
+		})
+	}
 	for _, u := range m.Upstreams {
 		d.Upstreams = append(d.Upstreams, decodeUpstream(now, u))
 		d.Lapsed = append(d.Lapsed, u.Lapsed)
--- a/internal/nodecodec/nodecodec.go
+++ b/internal/nodecodec/nodecodec.go
@@ -148,6 +148,7 @@
 	h.Revision, h.Changed, h.Reader = f.Revision, f.Changed, f.Reader
 	h.AgeMs = uint32(max(0, now-f.Confirmed).Milliseconds())
 	h.ContinuousMs, h.Interrupted = uint64(max(0, now-f.ContinuousSince).Milliseconds()), f.Interrupted
+	h.RoutesKnownMs = uint64(max(0, now-f.RoutesKnownSince).Milliseconds())
 }
 
 // Freshness returns the freshness of a view in h.
@@ -156,5 +157,6 @@
 		Revision: h.Revision, Changed: h.Changed, Reader: h.Reader,
 		Confirmed:       now - time.Duration(h.AgeMs)*time.Millisecond,
 		ContinuousSince: now - time.Duration(h.ContinuousMs)*time.Millisecond, Interrupted: h.Interrupted,
+		RoutesKnownSince: now - time.Duration(h.RoutesKnownMs)*time.Millisecond,
 	}
 }
--- a/internal/nodecodec/nodecodec_test.go
+++ b/internal/nodecodec/nodecodec_test.go
@@ -64,7 +64,7 @@
 		Service: flow.EndpointOf(netip.MustParseAddrPort("198.18.0.1:443")),
 	}
 	status := flow.AgentStatus{From: flow.IP{10, 0, 0, 1}, Process: 9, Accepting: true, Busy: 3, Slots: 5, Flows: 70, ServiceTime: 43 * time.Millisecond, FailureRate: 0.25}
-	freshness := registry.Freshness{Revision: 8, Changed: 7, Confirmed: now - 250*time.Millisecond, ContinuousSince: now - time.Minute, Interrupted: true, Reader: 5}
+	freshness := registry.Freshness{Revision: 8, Changed: 7, Confirmed: now - 250*time.Millisecond, ContinuousSince: now - time.Minute, Interrupted: true, Reader: 5, RoutesKnownSince: now - 20*time.Second}
 	status.View = freshness
 	var sent, received nodev1.Header
 	nodecodec.PutKey(&sent, key)
@@ -87,7 +87,8 @@
 func TestDeltaRoundTrip(t *testing.T) {
 	want := registry.Delta{
 		From:      3,
-		Freshness: registry.Freshness{Revision: 8, Changed: 7, Confirmed: now - time.Second, ContinuousSince: now - time.Minute, Reader: 5},
+		Freshness: registry.Freshness{Revision: 8, Changed: 7, Confirmed: now - time.Second, ContinuousSince: now - time.Minute, Reader: 5, RoutesKnownSince: now - 30*time.Second},
+		Former:    []registry.FormerShare{{Address: netip.MustParseAddrPort("198.18.0.1:443"), Service: "b", Until: now - 10*time.Second}},
 		Configuration: &registry.Configuration{Version: 12, IdleTimeout: 15 * time.Second, Routes: []registry.Route{{
 			Address: netip.MustParseAddrPort("198.18.0.1:443"), Shares: []registry.Share{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}},
 			Repeatable: true, Target: 200 * time.Millisecond, Priority: 2,
--- a/internal/storeview/loop.go
+++ b/internal/storeview/loop.go
@@ -32,7 +32,10 @@
 	// first read of the store then need not wait for a seed.
 	skipSeeds bool
 	// hintedPeer is a peer that has newer changes. The zero value means none.
-	hintedPeer       netip.AddrPort
+	hintedPeer netip.AddrPort
+	// fetchAll is set if the next fetch must return the whole state, because the peer knows former routes that
+	// this process lacks.
+	fetchAll         bool
 	lastSeedFetch    time.Duration
 	nextSeed         int
 	publishedContent *registry.Content
@@ -104,6 +107,9 @@
 	}
 	l.fetching = true
 	revision := l.registry.Freshness().Revision
+	if l.fetchAll {
+		l.fetchAll, revision = false, 0
+	}
 	l.spawn(func() {
 		callCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
 		defer cancel()
@@ -175,6 +181,9 @@
 func (l *loop) observe(observed *observation) {
 	l.noteConfirmation(observed.freshness)
 	before := l.registry.Freshness()
+	if l.registry.LacksHistoryOf(observed.freshness) {
+		l.hintedPeer, l.fetchAll = observed.peer, true
+	}
 	if l.registry.Observe(observed.freshness) {
 		l.hintedPeer = observed.peer
 		return
--- a/registry/delta.go
+++ b/registry/delta.go
@@ -9,8 +9,9 @@
 type Delta struct {
 	From uint64
 	Freshness
-	// Configuration is nil if it did not change.
+	// Configuration is nil if it did not change. Otherwise Former holds all former shares.
 	Configuration *Configuration
+	Former        []FormerShare
 	Upstreams     []Upstream
 	// Lapsed runs parallel to Upstreams. It is set while an entry is missing in the store but kept.
 	Lapsed  []bool
@@ -23,9 +24,10 @@
 	if revision < r.completeSince || revision > r.freshness.Revision {
 		revision = 0
 	}
-	d := Delta{From: revision, Freshness: r.freshness}
+	d := Delta{From: revision, Freshness: r.Freshness()}
 	if r.configurationChanged > revision {
 		d.Configuration = r.configuration
+		d.Former = r.history.list()
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.upstreams)) {
 		if e := r.upstreams[id]; e.changed > revision {
@@ -100,15 +102,22 @@
 // Merge applies a delta of a peer and reports whether anything changed. It ignores a delta that starts
 // after the revision of the registry or ends before it.
 func (r *Registry) Merge(d Delta) bool {
-	if d.Revision == 0 || d.Revision < r.freshness.Revision || d.From > r.freshness.Revision {
+	if d.Revision == 0 || d.From > r.freshness.Revision {
 		return false
 	}
+	before := r.content
+	if d.Revision < r.freshness.Revision {
+		// The peer may still know former routes that this registry lacks.
+		r.mergeHistory(d, r.configuration != nil)
+		return before == nil || r.content == nil
+	}
 	if d.From == 0 {
 		// A whole state does not show entries that were added and removed in between.
 		r.completeSince = d.Revision
 	}
-	before := r.content
-	r.adoptConfiguration(d.Configuration, d.Changed)
+	hadConfiguration := r.configuration != nil
+	r.adoptConfiguration(d.Configuration, d.Changed, d.Confirmed)
+	r.mergeHistory(d, hadConfiguration)
 	present := make(map[string]bool, len(d.Upstreams))
 	for i := range d.Upstreams {
 		present[d.Upstreams[i].ID] = true
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -23,6 +23,9 @@
 	PeerGracePeriod time.Duration
 	// RemovedRetention is how long removed servers are remembered, so that peers can learn of the removal.
 	RemovedRetention time.Duration
+	// RouteRetention is how long the former services of an address are remembered. Flows that are older need not
+	// be found again.
+	RouteRetention time.Duration
 }
 
 // DefaultConfig returns limits for a store whose servers register again within two seconds.
@@ -33,6 +36,7 @@
 		LapsedRetention:  2200 * time.Millisecond,
 		PeerGracePeriod:  300 * time.Millisecond,
 		RemovedRetention: time.Minute,
+		RouteRetention:   time.Minute,
 	}
 }
 
@@ -61,6 +65,7 @@
 	completeSince        uint64
 	configuration        *Configuration
 	configurationChanged uint64
+	history              routeHistory
 	upstreams            map[string]*entry
 	removed              map[string]removal
 	// content is nil after a change, until View rebuilds it.
@@ -71,13 +76,15 @@
 
 // New returns an empty Registry.
 func New(config Config) *Registry {
-	return &Registry{config: config, upstreams: map[string]*entry{}, removed: map[string]removal{}}
+	return &Registry{config: config, upstreams: map[string]*entry{}, removed: map[string]removal{}, history: newRouteHistory()}
 }
 
 // Freshness returns how recently and by whom the registry was confirmed. The revision is zero if the
 // registry is empty.
 func (r *Registry) Freshness() Freshness {
-	return r.freshness
+	f := r.freshness
+	f.RoutesKnownSince = r.history.since
+	return f
 }
 
 // View returns a snapshot of the registry, or nil if the registry is empty.
@@ -88,11 +95,11 @@
 	if r.content == nil {
 		r.content = r.buildContent()
 	}
-	return &View{Freshness: r.freshness, Content: r.content}
+	return &View{Freshness: r.Freshness(), Content: r.content}
 }
 
 func (r *Registry) buildContent() *Content {
-	c := &Content{Configuration: r.configuration, Upstreams: make([]Upstream, 0, len(r.upstreams))}
+	c := &Content{Configuration: r.configuration, Former: r.history.list(), Upstreams: make([]Upstream, 0, len(r.upstreams))}
 	for _, e := range r.upstreams {
 		c.Upstreams = append(c.Upstreams, e.Upstream)
 	}
@@ -120,7 +127,11 @@
 	}
 	r.confirm(s.Revision, s.Confirmed)
 	before := r.content
-	r.adoptConfiguration(s.Configuration, s.Revision)
+	if r.configuration.version() != s.Configuration.version() {
+		// Other configurations may have been in force between the known one and the one that was read.
+		r.history.since = s.Confirmed
+	}
+	r.adoptConfiguration(s.Configuration, s.Revision, s.Confirmed)
 	present := make(map[string]bool, len(s.Upstreams))
 	for i := range s.Upstreams {
 		present[s.Upstreams[i].ID] = true
@@ -143,7 +154,10 @@
 	}
 	r.confirm(c.Revision, c.Confirmed)
 	before := r.content
-	r.adoptConfiguration(c.Configuration, c.Revision)
+	for _, superseded := range c.Superseded {
+		r.adoptConfiguration(superseded, c.Revision, c.Confirmed)
+	}
+	r.adoptConfiguration(c.Configuration, c.Revision, c.Confirmed)
 	for i := range c.Upstreams {
 		r.putUpstream(&c.Upstreams[i], c.Revision)
 	}
@@ -167,10 +181,13 @@
 	f.Reader = r.config.Self
 }
 
-func (r *Registry) adoptConfiguration(c *Configuration, revision uint64) {
+// adoptConfiguration puts a configuration into force that was confirmed at the given time, unless it is older than the
+// current one.
+func (r *Registry) adoptConfiguration(c *Configuration, revision uint64, at time.Duration) {
 	if c == nil || r.configuration != nil && c.Version <= r.configuration.Version {
 		return
 	}
+	r.history.replace(r.configuration, c, at)
 	r.configuration = c
 	r.configurationChanged = revision
 	r.markChanged(revision)
@@ -229,8 +246,8 @@
 	}
 }
 
-// Expire removes lapsed entries that were not registered again, and drops old removals. It reports
-// whether an entry was removed. Time is measured by confirmations of the store, so that nothing expires
+// Expire removes lapsed entries that were not registered again, and drops old removals and former routes. It
+// reports whether the content changed. Time is measured by confirmations of the store, so that nothing expires
 // while the store is unavailable.
 func (r *Registry) Expire() bool {
 	expired := false
@@ -240,6 +257,10 @@
 			expired = true
 		}
 	}
+	if r.history.expire(r.freshness.Confirmed - r.config.RouteRetention) {
+		r.content = nil
+		expired = true
+	}
 	for id, removed := range r.removed {
 		if r.freshness.Confirmed-removed.removedAt > r.config.RemovedRetention {
 			delete(r.removed, id)
--- a/registry/types.go
+++ b/registry/types.go
@@ -33,6 +33,14 @@
 	IdleTimeout time.Duration
 }
 
+// version returns the version, or zero if there is no configuration.
+func (c *Configuration) version() uint64 {
+	if c == nil {
+		return 0
+	}
+	return c.Version
+}
+
 // Upstream is a registered server.
 type Upstream struct {
 	// ID is the name under which the server registered. A restarted server may use the same ID.
@@ -89,8 +97,10 @@
 type Changes struct {
 	After, Revision uint64
 	Confirmed       time.Duration
-	// Configuration is nil if it did not change.
+	// Configuration is the latest one, or nil if it did not change. Superseded holds those that it replaced
+	// after revision After, in order.
 	Configuration *Configuration
+	Superseded    []*Configuration
 	Upstreams     []Upstream
 	// Removed holds the IDs of the servers that are no longer registered.
 	Removed []string
@@ -108,6 +118,8 @@
 	Interrupted     bool
 	// Reader identifies the process that read the confirmation from the store.
 	Reader uint64
+	// RoutesKnownSince is the start of the period whose routes are all known, either in force or as former ones.
+	RoutesKnownSince time.Duration
 }
 
 // MissingMeansRemoved reports whether a missing entry can be treated as removed. Shortly after an
@@ -133,16 +145,15 @@
 type Content struct {
 	// Configuration is nil before the first one.
 	Configuration *Configuration
+	// Former holds the services that addresses directed new flows to before.
+	Former []FormerShare
 	// Upstreams are sorted by ID.
 	Upstreams []Upstream
 }
 
 // Version returns the version of the configuration, or zero if there is none yet.
 func (c *Content) Version() uint64 {
-	if c.Configuration == nil {
-		return 0
-	}
-	return c.Configuration.Version
+	return c.Configuration.version()
 }
 
 // View is an immutable snapshot of a Registry.
