Limit searches to a share of the balancer's link

A search that found no owner in time was repeated with one copy of the packet to each of 46 agents; the copies filled the link, so the answers to all searches and heartbeats came late or not at all, and every packet repeated its search. From 38 s on their views aged without end, while balancers on 200 Mbit/s links worked.

Change: searches may fill a quarter of the link, whose rate comes from the settings. A repeated search asks all agents at once only while that allows it, and in chains otherwise; a search for which there is no capacity is left to the client's next copy.

Ruled out: processor time (0.009 cores of 0.192), the store (a quarter of the balancers had fresh views).

TestSearchStormLeavesLinkCapacity fails on the earlier code (no bound).

--- a/cmd/bramley-flow-balancer/main.go
+++ b/cmd/bramley-flow-balancer/main.go
@@ -54,6 +54,9 @@
 	}
 	director := flow.DefaultDirectorConfig(p.Settings.Place)
 	director.MaxFlowAge = p.Settings.MaxFlowAge
+	if p.Settings.LinkRate > 0 {
+		director.MaxSearchBytes = flow.SearchBytes(p.Settings.LinkRate)
+	}
 	b, err := flowbalancer.New(flowbalancer.Config{
 		View:             p.View,
 		Clock:            p.Clock,
--- a/flow/director.go
+++ b/flow/director.go
@@ -52,6 +52,10 @@
 	// MaxFlowAge is the age above which a flow need not be found again. While the routes of that period are not all
 	// known, any server may hold a flow.
 	MaxFlowAge time.Duration
+	// MaxSearchBytes bounds the bytes per second that searches send from this balancer, as a fraction of its link. A
+	// high bound finds more owners at once after a mass restart; above the capacity of the link, searches would
+	// delay each other and everything else.
+	MaxSearchBytes int
 	// MaxWideMessages bounds the messages per second of searches that ask the agents of all services. A high bound
 	// resets lost flows sooner after the loss of every process; a low one protects a large fleet from its searches.
 	MaxWideMessages int
@@ -81,10 +85,19 @@
 		ResumeTimeout:     500 * time.Millisecond,
 		MaxSearches:       4096,
 		MaxFlowAge:        time.Minute,
+		MaxSearchBytes:    SearchBytes(100e6),
 		MaxWideMessages:   4000,
 	}
 }
 
+// searchShare is the fraction of a link that searches may fill.
+const searchShare = 0.25
+
+// SearchBytes returns the bytes per second that searches may send on a link with the given rate in bits per second.
+func SearchBytes(bitsPerSecond float64) int {
+	return int(searchShare * bitsPerSecond / 8)
+}
+
 // Purpose is what an agent must do with a forwarded packet.
 type Purpose uint8
 
@@ -208,10 +221,9 @@
 	heartbeatCursor int
 	heartbeatTokens float64
 	lastRefill      time.Duration
-	// wideTokens is the number of messages that searches of all services may send now, as of wideRefill.
-	wideTokens float64
-	wideRefill time.Duration
-	started    time.Duration
+	// searchBytes limits the bytes that searches send, and wideMessages the messages of searches of all services.
+	searchBytes, wideMessages tokenBucket
+	started                   time.Duration
 }
 
 // NewDirector returns a Director without a view, which drops every packet.
@@ -227,8 +239,8 @@
 		heartbeatTokens: heartbeatBurst,
 		started:         now,
 		lastRefill:      now,
-		wideTokens:      float64(config.MaxWideMessages),
-		wideRefill:      now,
+		searchBytes:     newTokenBucket(now, config.MaxSearchBytes),
+		wideMessages:    newTokenBucket(now, config.MaxWideMessages),
 	}
 }
 
--- a/flow/moved_route_test.go
+++ b/flow/moved_route_test.go
@@ -123,6 +123,39 @@
 	}
 }
 
+// TestSearchStormLeavesLinkCapacity covers a balancer on a slow link after a mass restart: 2,000 flows without a hint
+// retransmit every 200 ms, and no agent answers. Searches must stay within their share of the link, or the messages
+// that end them are lost too.
+func TestSearchStormLeavesLinkCapacity(t *testing.T) {
+	const linkRate, packetSize = 10e6, 900
+	config := flow.DefaultDirectorConfig("here")
+	config.MaxSearchBytes = flow.SearchBytes(linkRate)
+	d := flow.NewDirector(config, start)
+	var servers []registry.Upstream
+	for n := range 46 {
+		servers = append(servers, upstreamOf(n+1, "orders"))
+	}
+	d.SetView(start, viewAt(start, 5, servers...))
+	raw := make([]byte, packetSize)
+	sent := 0
+	now := start
+	for range 20 {
+		now += 200 * time.Millisecond
+		for n := range 2000 {
+			if got := d.FromClient(now, dataPacket(n), raw); got.Action == flow.Forward {
+				sent += (1 + len(got.Branches)) * packetSize
+			}
+		}
+	}
+	allowed := int((now - start + time.Second).Seconds() * linkRate / 8 / 4)
+	if sent > allowed {
+		t.Errorf("searches sent %d bytes in %v, want at most %d, a quarter of the link", sent, now-start, allowed)
+	}
+	if sent < allowed/2 {
+		t.Errorf("searches sent only %d of %d bytes that the link allows", sent, allowed)
+	}
+}
+
 // BenchmarkSearch reports the messages of a search for a lost flow, by the size of the fleet and whether the routes of
 // the recent past are known. A quarter of the servers belongs to the service in force and a quarter to the former one.
 func BenchmarkSearch(b *testing.B) {
--- a/flow/search.go
+++ b/flow/search.go
@@ -91,41 +91,64 @@
 	d.searches.lru.Add(p.Key, s)
 	if repeated {
 		// The first search found no owner in time, perhaps because an agent does not answer. Ask all agents at
-		// once.
-		return d.startChains(now, s, append(first, rest...), 1, "earlier search found no owner in time")
+		// once, if the link allows that.
+		all := append(first, rest...)
+		if chains := d.chains(all, 1); d.takeSearchBytes(now, s, chains) {
+			return d.sendChains(s, chains, "earlier search found no owner in time")
+		}
+		first, rest = all, nil
 	}
 	s.remaining = rest
-	return d.startChains(now, s, first, d.config.ChainLength, "owner of the flow is not known")
+	return d.startChains(now, s, first, "owner of the flow is not known")
 }
 
-// startChains asks agents in parallel chains of at most the given length. All agents of a chain belong to one service,
-// and an unresponsive agent is a chain of its own, since the agents behind it might not be reached.
-func (d *Director) startChains(now time.Duration, s *search, agents []IP, length int, reason string) Decision {
-	var branches []Branch
+// startChains asks agents in parallel chains. If the link has no capacity left for searches, the search ends and the
+// client's next copy of the packet starts another one.
+func (d *Director) startChains(now time.Duration, s *search, agents []IP, reason string) Decision {
+	chains := d.chains(agents, d.config.ChainLength)
+	if !d.takeSearchBytes(now, s, chains) {
+		d.searches.lru.Remove(s.packet.Key)
+		return Decision{Reason: "too many searches for the link"}
+	}
+	return d.sendChains(s, chains, reason)
+}
+
+// chains divides agents into chains of at most the given length. All agents of a chain belong to one service.
+func (d *Director) chains(agents []IP, length int) [][]IP {
+	var chains [][]IP
 	for len(agents) > 0 {
 		n := 1
-		first := d.agents[agents[0]]
-		for n < min(length, len(agents)) && d.mayFollow(now, first, d.agents[agents[n]]) {
+		for n < min(length, len(agents)) && d.agents[agents[n]].service == d.agents[agents[0]].service {
 			n++
 		}
-		branches = append(branches, Branch{To: agents[0], Request: Request{
+		chains = append(chains, agents[:n])
+		agents = agents[n:]
+	}
+	return chains
+}
+
+func (d *Director) sendChains(s *search, chains [][]IP, reason string) Decision {
+	var branches []Branch
+	for _, chain := range chains {
+		branches = append(branches, Branch{To: chain[0], Request: Request{
 			Purpose:   PurposeSearch,
-			Service:   first.service,
+			Service:   d.agents[chain[0]].service,
 			Version:   d.view.Version(),
-			Remaining: agents[1:n],
+			Remaining: chain[1:],
 			SearchID:  s.number,
 			Changed:   d.view.Changed,
 		}})
-		agents = agents[n:]
 	}
 	s.chains = len(branches)
 	return Decision{Action: Forward, To: branches[0].To, Request: branches[0].Request, Branches: branches[1:], Reason: reason}
 }
 
-// mayFollow reports whether an agent may be asked in the same chain after the first one.
-func (d *Director) mayFollow(now time.Duration, first, next *agent) bool {
-	limit := d.config.UnresponsiveAfter
-	return next.service == first.service && !first.unresponsive(now, limit) && !next.unresponsive(now, limit)
+// searchOverhead is the approximate number of bytes that a datagram takes in addition to the packet that it carries.
+const searchOverhead = 120
+
+// takeSearchBytes reports whether the link has capacity for a copy of the search's packet to each chain.
+func (d *Director) takeSearchBytes(now time.Duration, s *search, chains [][]IP) bool {
+	return d.searchBytes.take(now, len(chains)*(searchOverhead+len(s.raw)))
 }
 
 // searchOrder returns the agents of some services in the order in which to ask them for a flow: first the
@@ -161,11 +184,11 @@
 func (d *Director) searchWidely(now time.Duration, s *search) Decision {
 	if !s.wide && !d.historyComplete(now) {
 		first, rest := d.searchOrder(now, d.servicesExcept(s.asked), s.packet.Key, s.excluded)
-		if agents := append(first, rest...); d.takeWideTokens(now, len(agents)) {
+		if agents := append(first, rest...); d.wideMessages.take(now, len(agents)) {
 			s.wide = true
 			if len(agents) > 0 {
 				d.searches.lru.Add(s.packet.Key, s)
-				return d.startChains(now, s, agents, d.config.ChainLength, "former routes are not all known")
+				return d.startChains(now, s, agents, "former routes are not all known")
 			}
 		}
 	}
@@ -193,18 +216,6 @@
 	return others
 }
 
-// takeWideTokens takes the tokens for a number of messages from the bucket that limits wide searches, if it has enough.
-func (d *Director) takeWideTokens(now time.Duration, messages int) bool {
-	limit := float64(d.config.MaxWideMessages)
-	d.wideTokens = min(limit, d.wideTokens+(now-d.wideRefill).Seconds()*limit)
-	d.wideRefill = now
-	if d.wideTokens < float64(messages) {
-		return false
-	}
-	d.wideTokens -= float64(messages)
-	return true
-}
-
 // Denial is the report of the last agent in a chain that none of the chain's agents holds the flow.
 type Denial struct {
 	Key      Key
@@ -228,7 +239,7 @@
 	case len(s.remaining) > 0:
 		rest := s.remaining
 		s.remaining = nil
-		return d.startChains(now, s, rest, d.config.ChainLength, "highest-ranked agents do not hold the flow"), &s.packet, s.raw
+		return d.startChains(now, s, rest, "highest-ranked agents do not hold the flow"), &s.packet, s.raw
 	}
 	return d.searchWidely(now, s), &s.packet, s.raw
 }
