--- a/flow/agents.go
+++ b/flow/agents.go
@@ -203,6 +203,9 @@
 	for i := range c.Routes {
 		r := &route{}
 		for _, share := range c.Routes[i].Shares {
+			if share.Weight == 0 {
+				continue
+			}
 			r.services = append(r.services, d.service(share.Service))
 			r.weights = append(r.weights, share.Weight)
 			r.total += share.Weight
