Start a search again by itself when no agent answers in time

Change: a search that has no result after 150 ms starts again and asks each agent directly, within the limit for the link, and once more after 300 ms; packets that wait for it stay queued.

The search now keeps the service under which it listed an agent. TestSearchKeepsTheServiceOfItsAgents and TestSearchThatAnAgentDoesNotAnswerStartsAgain fail on the earlier code.

--- a/flow/director.go
+++ b/flow/director.go
@@ -43,7 +43,7 @@
 	// ChainLength is how many agents a packet of a search visits one after the other. Short chains finish sooner;
 	// long ones send fewer messages, because the agents behind the owner are not asked.
 	ChainLength int
-	// SearchTimeout is how long the packets of a flow wait for the search for its owner.
+	// SearchTimeout is how long the packets of a flow wait for the first search for its owner.
 	SearchTimeout time.Duration
 	// ResumeTimeout is how long an inconclusive search may wait for a complete view.
 	ResumeTimeout time.Duration
--- a/flow/director_test.go
+++ b/flow/director_test.go
@@ -401,6 +401,31 @@
 	}
 }
 
+// TestSearchThatAnAgentDoesNotAnswerStartsAgain covers an agent that dies while it has a packet of a search. The client
+// of a lost flow sends its next copy up to 1.6 s later.
+func TestSearchThatAnAgentDoesNotAnswerStartsAgain(t *testing.T) {
+	d := newDirector(manyUpstreams(20)...)
+	first := d.FromClient(start, dataPacket(1), nil)
+	if _, p, _ := d.NextResumedSearch(start + 140*time.Millisecond); p != nil {
+		t.Fatal("search started again before its timeout")
+	}
+	got, p, _ := d.NextResumedSearch(start + 160*time.Millisecond)
+	if p == nil || len(agentsAsked(got)) != 20 || got.Request.SearchID == first.Request.SearchID {
+		t.Fatalf("got %v to %d agents, want a new search that asks all 20 directly", got.Action, len(agentsAsked(got)))
+	}
+	now := start + 160*time.Millisecond
+	searches := 2
+	for range 500 {
+		now += 20 * time.Millisecond
+		if _, p, _ := d.NextResumedSearch(now); p != nil {
+			searches++
+		}
+	}
+	if searches != 3 {
+		t.Errorf("the flow was searched %d times without a new packet of its client, want 3", searches)
+	}
+}
+
 func TestFlowIsSearchedIfOwnersAddressWasReused(t *testing.T) {
 	d := newDirector(upstreamOf(1, "orders"), upstreamOf(3, "orders"))
 	reportHeld(d, start, opening(1).Key, 1)
--- a/flow/moved_route_test.go
+++ b/flow/moved_route_test.go
@@ -98,6 +98,29 @@
 	}
 }
 
+// TestSearchKeepsTheServiceOfItsAgents covers an address that a server of another service uses again during a search.
+// The second round must not ask its agent for a flow of the new service.
+func TestSearchKeepsTheServiceOfItsAgents(t *testing.T) {
+	d := flow.NewDirector(flow.DefaultDirectorConfig("here"), start)
+	var servers []registry.Upstream
+	for n := range 12 {
+		servers = append(servers, upstreamOf(n, "orders"))
+	}
+	d.SetView(start, viewAt(start, 5, servers...))
+	got := d.FromClient(start, dataPacket(1), nil)
+	for i := range servers {
+		servers[i] = upstreamOf(i, "archive")
+	}
+	d.SetView(start, viewAt(start, 6, servers...))
+	rest, _, _ := d.HandleDenial(start, flow.Denial{Key: dataPacket(1).Key, SearchID: got.Request.SearchID})
+	wantForward(t, rest, flow.PurposeSearch)
+	for ip, request := range requestsByAgent(rest) {
+		if request.Service != flow.ServiceHash("orders") {
+			t.Errorf("agent %v was asked for a flow of its new service", ip)
+		}
+	}
+}
+
 // TestSearchesOfEverythingAreBounded covers many flows that are lost at once in a fleet that can't search all of its
 // agents for each of them. No flow is reset without proof.
 func TestSearchesOfEverythingAreBounded(t *testing.T) {
--- a/flow/search.go
+++ b/flow/search.go
@@ -19,10 +19,12 @@
 type search struct {
 	number  uint64
 	started time.Duration
+	// attempt counts the earlier searches for the flow that found no owner in time.
+	attempt int
 	packet  Packet
 	raw     []byte
 	// remaining holds the agents of the second round.
-	remaining []IP
+	remaining []holder
 	// asked holds the services whose agents were asked, and excluded is an agent that denied the flow before.
 	asked    []*service
 	excluded IP
@@ -38,6 +40,13 @@
 	waiting []QueuedPacket
 }
 
+// holder is an agent that may hold a flow as one of the given service. Its address may belong to another service by the
+// time that it is asked.
+type holder struct {
+	ip      IP
+	service uint64
+}
+
 // QueuedPacket is a packet that waited for the search for the owner of its flow.
 type QueuedPacket struct {
 	Packet Packet
@@ -49,6 +58,8 @@
 	// lastNumber is the number of the search that was started last.
 	lastNumber uint64
 	lru        *simplelru.LRU[Key, *search]
+	// running holds the searches until their timeout, by attempt and in the order of their start.
+	running [maxAttempts][]*search
 	// inconclusive holds the searches that all agents have denied although a server that the view did not name may
 	// hold the flow, the earliest first.
 	inconclusive []*search
@@ -73,7 +84,7 @@
 		return d.refuse(now, p, "no route")
 	}
 	previous, repeated := d.searches.lru.Get(p.Key)
-	if repeated && now-previous.started < d.config.SearchTimeout {
+	if repeated && now-previous.started < d.searchTimeout(previous) {
 		if len(previous.waiting) < maxWaiting {
 			previous.waiting = append(previous.waiting, QueuedPacket{Packet: *p, Raw: slices.Clone(raw)})
 		}
@@ -84,28 +95,34 @@
 		number: d.searches.lastNumber, started: now, packet: *p, raw: slices.Clone(raw), changed: d.view.Changed,
 		asked: r.holders(), excluded: excluded,
 	}
+	if repeated {
+		s.attempt, s.waiting = previous.attempt+1, previous.waiting
+	}
+	if s.attempt < maxAttempts {
+		d.searches.running[s.attempt] = append(d.searches.running[s.attempt], s)
+	}
 	first, rest := d.searchOrder(now, s.asked, p.Key, excluded)
 	if len(first)+len(rest) == 0 {
 		return d.searchWidely(now, s)
 	}
 	d.searches.lru.Add(p.Key, s)
-	if repeated {
-		// The first search found no owner in time, perhaps because an agent does not answer. Ask all agents at
-		// once, if the link allows that.
-		all := append(first, rest...)
-		if chains := d.chains(all, 1); d.takeSearchBytes(now, s, chains) {
-			return d.sendChains(s, chains, "earlier search found no owner in time")
-		}
-		first, rest = all, nil
+	if s.attempt > 0 {
+		return d.startChains(now, s, append(first, rest...), "earlier search found no owner in time")
 	}
 	s.remaining = rest
 	return d.startChains(now, s, first, "owner of the flow is not known")
 }
 
-// startChains asks agents in parallel chains. If the link has no capacity left for searches, the search ends and the
-// client's next copy of the packet starts another one.
-func (d *Director) startChains(now time.Duration, s *search, agents []IP, reason string) Decision {
-	chains := d.chains(agents, d.config.ChainLength)
+// startChains asks agents in parallel chains. If an earlier search found no owner in time, perhaps because an agent of
+// a chain does not answer, it asks each agent directly while the link allows that. If the link has no capacity left for
+// searches, the search ends, and the client's next copy of the packet starts another one.
+func (d *Director) startChains(now time.Duration, s *search, agents []holder, reason string) Decision {
+	if s.attempt > 0 {
+		if chains := divide(agents, 1); d.takeSearchBytes(now, s, chains) {
+			return d.sendChains(s, chains, reason)
+		}
+	}
+	chains := divide(agents, d.config.ChainLength)
 	if !d.takeSearchBytes(now, s, chains) {
 		d.searches.lru.Remove(s.packet.Key)
 		return Decision{Reason: "too many searches for the link"}
@@ -113,28 +130,34 @@
 	return d.sendChains(s, chains, reason)
 }
 
-// chains divides agents into chains of at most the given length. All agents of a chain belong to one service.
-func (d *Director) chains(agents []IP, length int) [][]IP {
-	var chains [][]IP
-	for len(agents) > 0 {
-		n := 1
-		for n < min(length, len(agents)) && d.agents[agents[n]].service == d.agents[agents[0]].service {
-			n++
+// chain is a list of agents of one service that are asked one after the other.
+type chain struct {
+	service uint64
+	agents  []IP
+}
+
+// divide divides agents into chains of at most the given length.
+func divide(agents []holder, length int) []chain {
+	var chains []chain
+	for _, a := range agents {
+		last := len(chains) - 1
+		if last < 0 || chains[last].service != a.service || len(chains[last].agents) >= length {
+			chains = append(chains, chain{service: a.service})
+			last++
 		}
-		chains = append(chains, agents[:n])
-		agents = agents[n:]
+		chains[last].agents = append(chains[last].agents, a.ip)
 	}
 	return chains
 }
 
-func (d *Director) sendChains(s *search, chains [][]IP, reason string) Decision {
+func (d *Director) sendChains(s *search, chains []chain, reason string) Decision {
 	var branches []Branch
-	for _, chain := range chains {
-		branches = append(branches, Branch{To: chain[0], Request: Request{
+	for _, c := range chains {
+		branches = append(branches, Branch{To: c.agents[0], Request: Request{
 			Purpose:   PurposeSearch,
-			Service:   d.agents[chain[0]].service,
+			Service:   c.service,
 			Version:   d.view.Version(),
-			Remaining: chain[1:],
+			Remaining: c.agents[1:],
 			SearchID:  s.number,
 			Changed:   d.view.Changed,
 		}})
@@ -147,28 +170,28 @@
 const searchOverhead = 120
 
 // takeSearchBytes reports whether the link has capacity for a copy of the search's packet to each chain.
-func (d *Director) takeSearchBytes(now time.Duration, s *search, chains [][]IP) bool {
+func (d *Director) takeSearchBytes(now time.Duration, s *search, chains []chain) bool {
 	return d.searchBytes.take(now, len(chains)*(searchOverhead+len(s.raw)))
 }
 
 // searchOrder returns the agents of some services in the order in which to ask them for a flow: first the
 // highest-ranked ones of each service, then the rest. Unresponsive ones come last.
-func (d *Director) searchOrder(now time.Duration, services []*service, key Key, excluded IP) (first, rest []IP) {
-	var unresponsiveAgents []IP
+func (d *Director) searchOrder(now time.Duration, services []*service, key Key, excluded IP) (first, rest []holder) {
+	var unresponsiveAgents []holder
 	for _, s := range services {
 		d.rankBuf = placement.Rank(d.rankBuf[:0], key.Hash(), d.config.Place, s.holders)
 		asked := 0
 		for _, number := range d.rankBuf {
-			ip := ipFromNumber(number)
+			a := holder{ip: ipFromNumber(number), service: s.hash}
 			switch {
-			case ip == excluded:
-			case d.agents[ip].unresponsive(now, d.config.UnresponsiveAfter):
-				unresponsiveAgents = append(unresponsiveAgents, ip)
+			case a.ip == excluded:
+			case d.agents[a.ip].unresponsive(now, d.config.UnresponsiveAfter):
+				unresponsiveAgents = append(unresponsiveAgents, a)
 			case asked < d.config.ChainLength:
-				first = append(first, ip)
+				first = append(first, a)
 				asked++
 			default:
-				rest = append(rest, ip)
+				rest = append(rest, a)
 			}
 		}
 	}
@@ -250,9 +273,16 @@
 	return (s.wide || d.historyComplete(now)) && !s.outdated && s.changed == d.view.Changed && d.missingMeansRemoved(now)
 }
 
-// NextResumedSearch returns the next decision on an inconclusive search. The search starts again once the view has
-// changed, and the flow is reset once the view is known to be complete. The packet is nil if there is no decision.
+// maxAttempts bounds how often the search for one packet is started. After that, the client's next copy starts it.
+const maxAttempts = 3
+
+// NextResumedSearch returns the next decision on a search that found no owner in time, which starts again, or on an
+// inconclusive search. That one starts again once the view has changed, and the flow is reset once the view is known to
+// be complete. The packet is nil if there is no decision.
 func (d *Director) NextResumedSearch(now time.Duration) (Decision, *Packet, []byte) {
+	if s := d.overdueSearch(now); s != nil {
+		return d.search(now, &s.packet, s.raw, s.excluded), &s.packet, s.raw
+	}
 	for i := 0; i < len(d.searches.inconclusive); i++ {
 		s := d.searches.inconclusive[i]
 		expired := now-s.started > d.config.ResumeTimeout
@@ -273,6 +303,27 @@
 	return Decision{}, nil, nil
 }
 
+// searchTimeout returns how long a search may take. Each attempt gets twice the time of the one before, since a slow
+// answer is as likely as a lost one.
+func (d *Director) searchTimeout(s *search) time.Duration {
+	return d.config.SearchTimeout << min(s.attempt, maxAttempts)
+}
+
+// overdueSearch removes and returns the next search that found no owner in time and may start again, or nil.
+func (d *Director) overdueSearch(now time.Duration) *search {
+	for attempt := range d.searches.running {
+		running := &d.searches.running[attempt]
+		for len(*running) > 0 && now-(*running)[0].started >= d.searchTimeout((*running)[0]) {
+			s := (*running)[0]
+			*running = (*running)[1:]
+			if current, _ := d.searches.lru.Peek(s.packet.Key); current == s && attempt+1 < maxAttempts {
+				return s
+			}
+		}
+	}
+	return nil
+}
+
 // finishSearch ends the search for a flow and returns the packets that waited for it.
 func (d *Director) finishSearch(key Key) []QueuedPacket {
 	s, ok := d.searches.lru.Peek(key)
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -440,6 +440,7 @@
 		}
 		sim.apply(b, *p, d)
 	}
+	sim.resume(b)
 	for {
 		ip, ok := b.director.Heartbeat(sim.now)
 		if !ok {
