Agents announce themselves to silent balancers

Change: an agent remembers the balancers that sent it heartbeats for a minute, and sends its status to those that have become silent. A balancer without a view fetches it from that agent. The number of announcements, 20 a second for each silent balancer, does not depend on the number of agents.

Ruled out: more seeds (the settings name at most three, all balancers here); a longer retry of the store (it was down).

--- a/cmd/bramley-flow-agent/main.go
+++ b/cmd/bramley-flow-agent/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -53,6 +54,7 @@
 		Server:           p.Settings.Server,
 		ClientPort:       p.Settings.ClientPort,
 		ProcessID:        p.ProcessID,
+		Rand:             rand.New(rand.NewSource(int64(p.ProcessID))),
 		Tracker:          flow.DefaultTrackerConfig(p.Settings.Service, flow.EndpointOf(p.Settings.Server)),
 		Event:            telemetry.Event,
 		RecordAnswerTime: telemetry.NewHistogram("flow_accepted_us").Record,
--- a/internal/flowagent/counters.go
+++ b/internal/flowagent/counters.go
@@ -14,6 +14,7 @@
 	actions       [flow.Reset + 1]atomic.Uint64
 	held          atomic.Uint64
 	refused       atomic.Uint64
+	announced     atomic.Uint64
 	lost          atomic.Uint64
 	writeFailures atomic.Uint64
 	flows         atomic.Int64
@@ -29,6 +30,7 @@
 		"malformed":      c.malformed.Load(),
 		"held":           c.held.Load(),
 		"refused":        c.refused.Load(),
+		"announced":      c.announced.Load(),
 		"lost":           c.lost.Load(),
 		"write_failures": c.writeFailures.Load(),
 		"flows":          uint64(c.flows.Load()),
--- a/internal/flowagent/flowagent.go
+++ b/internal/flowagent/flowagent.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -46,6 +47,7 @@
 	// ProcessID identifies this run of the process to its peers: the time of its start, in nanoseconds since 1970.
 	ProcessID uint64
 	Tracker   flow.TrackerConfig
+	Rand      *rand.Rand
 	// Event logs an event with alternating keys and values.
 	Event func(op string, kv ...any)
 	// RecordAnswerTime records how long the server took to answer an opening packet.
@@ -60,8 +62,6 @@
 	// lingerTime is how long a stopping agent continues to forward packets in flight after it has notified its
 	// balancers.
 	lingerTime = 30 * time.Millisecond
-	// balancerTTL is how long after its last heartbeat a balancer is still notified of changes.
-	balancerTTL = 5 * time.Second
 	// receiveBuffer is the size of each socket's receive buffer in bytes.
 	receiveBuffer = 1 << 20
 	// processCheckTimeout bounds a check that the server process is running.
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -25,14 +25,14 @@
 	inHeader, outHeader          nodev1.Header
 	remainingBuf                 []flow.IP
 	addresses                    map[flow.IP]*net.UDPAddr
-	// balancers maps each balancer to the time of its last heartbeat.
-	balancers map[flow.IP]time.Duration
-	content   *registry.Content
+	balancers                    *flow.Balancers
+	content                      *registry.Content
 	// accepting and suspect are the values that were last logged.
 	accepting bool
 	suspect   bool
-	lastSweep time.Duration
-	checker   processChecker
+	// lastSweep is when idle flows were last removed, and lastAnnounce when silent balancers were last looked for.
+	lastSweep, lastAnnounce time.Duration
+	checker                 processChecker
 	// openingSentAt maps each flow whose opening packet the server has not answered to the time when it was forwarded.
 	openingSentAt map[flow.Key]time.Duration
 }
@@ -48,7 +48,7 @@
 		toServer:      udp.NewWriter(packetreader.BatchSize, nodecodec.MaxPacket),
 		serverAddr:    sockAddr(server.IP, server.Port),
 		addresses:     map[flow.IP]*net.UDPAddr{},
-		balancers:     map[flow.IP]time.Duration{},
+		balancers:     flow.NewBalancers(flow.DefaultBalancersConfig(), a.config.Rand),
 		checker:       newProcessChecker(a.config.Server),
 		openingSentAt: map[flow.Key]time.Duration{},
 	}
@@ -87,7 +87,7 @@
 	now := l.config.Clock.Now()
 	l.agent.leaving.Store(true)
 	l.broadcastStatus(now, nodev1.Kind_KIND_LEAVE)
-	l.config.Event("stopping", "balancers", len(l.balancers), "flows", l.agent.counts.flows.Load())
+	l.config.Event("stopping", "balancers", len(l.balancers.Active(now)), "flows", l.agent.counts.flows.Load())
 	return time.After(lingerTime)
 }
 
@@ -151,7 +151,7 @@
 	case nodev1.Kind_KIND_CARRY:
 		l.handleClientPacket(now, from, packet)
 	case nodev1.Kind_KIND_HEARTBEAT:
-		l.balancers[from] = now
+		l.balancers.Heard(now, from)
 		l.tracker.SetPeers(now, nodecodec.PeerStats(&l.inHeader))
 		l.observeFreshness(now, from)
 		probe := l.inHeader.Probe
@@ -309,17 +309,28 @@
 	l.send(to, nil)
 }
 
-// broadcastStatus sends the agent's status to every balancer that has sent a heartbeat within balancerTTL.
+// broadcastStatus sends the agent's status to every active balancer.
 func (l *loop) broadcastStatus(now time.Duration, kind nodev1.Kind) {
-	for balancer, heard := range l.balancers {
-		if now-heard > balancerTTL {
-			delete(l.balancers, balancer)
-			continue
-		}
+	for _, balancer := range l.balancers.Active(now) {
 		l.sendStatus(now, balancer, kind, 0)
 	}
 }
 
+// announce sends the agent's status to balancers that have become silent. One that has restarted without a view fetches
+// it from this process.
+func (l *loop) announce(now time.Duration) {
+	elapsed := now - l.lastAnnounce
+	l.lastAnnounce = now
+	if l.content == nil {
+		return
+	}
+	for _, balancer := range l.balancers.ToAnnounce(now, elapsed, len(l.content.Upstreams)) {
+		l.sendStatus(now, balancer, nodev1.Kind_KIND_ANSWER, 0)
+		l.agent.counts.announced.Add(1)
+		l.config.Event("announced", "balancer", balancer, "version", l.tracker.Version())
+	}
+}
+
 // send queues a datagram of outHeader and an optional packet for the process at an address.
 func (l *loop) send(to flow.IP, packet []byte) {
 	l.reserve(l.toNodes, l.agent.nodes)
--- a/internal/flowagent/tick.go
+++ b/internal/flowagent/tick.go
@@ -21,6 +21,7 @@
 	l.logAccepting(now)
 	l.logSuspect(now)
 	l.checkServer(now)
+	l.announce(now)
 	if l.tracker.NeedsProcessCheck(now) {
 		l.checker.start(ctx, now)
 	}
@@ -57,6 +58,7 @@
 func (l *loop) sweep(now time.Duration) {
 	l.lastSweep = now
 	l.tracker.Sweep(now)
+	l.balancers.Expire(now)
 	status := l.tracker.Status(now)
 	l.agent.counts.flows.Store(int64(status.Flows))
 	l.agent.counts.busy.Store(int64(status.Busy))
