Log the search and its proof with each reset of a lost flow

A reset after a search states the number of the search and whether the servers of the route's services or of all services denied the flow, so that its log lines can be joined. Tests of flow, bramleyctl and the soak pass.

--- a/flow/search.go
+++ b/flow/search.go
@@ -217,7 +217,7 @@
 	}
 	d.searches.lru.Remove(s.packet.Key)
 	if d.provesLoss(now, s) {
-		return resetFlow(&s.packet, "no server holds the flow")
+		return s.reset()
 	}
 	d.searches.inconclusive = append(d.searches.inconclusive, s)
 	return Decision{Reason: "no server is known to hold the flow, but the search is inconclusive"}
@@ -276,6 +276,17 @@
 // maxAttempts bounds how often the search for one packet is started. After that, the client's next copy starts it.
 const maxAttempts = 3
 
+// reset returns the reset of a flow that a search has proved to be lost.
+func (s *search) reset() Decision {
+	reason := "no server of the route's present and former services holds the flow"
+	if s.wide {
+		reason = "no server of any service holds the flow"
+	}
+	d := resetFlow(&s.packet, reason)
+	d.Request.SearchID = s.number
+	return d
+}
+
 // NextResumedSearch returns the next decision on a search that found no owner in time, which starts again, or on an
 // inconclusive search. That one starts again once the view has changed, and the flow is reset once the view is known to
 // be complete. The packet is nil if there is no decision.
@@ -295,7 +306,7 @@
 		switch {
 		case expired || d.hints.get(now, s.packet.Key) != nil:
 		case proved:
-			return resetFlow(&s.packet, "no server holds the flow"), &s.packet, s.raw
+			return s.reset(), &s.packet, s.raw
 		default:
 			return d.search(now, &s.packet, s.raw, IP{}), &s.packet, s.raw
 		}
