Keep flows whose requests can't be repeated while their VM may be suspended

Change: a missing entry no longer ends a flow whose route is not repeatable, for 10 s after the agent's last status, unless the server was draining. An agent whose server is silent no longer resets such flows either before the server is known not to run. Repeatable flows are reset as before, since their clients get an answer sooner from another server.

Ruled out: keeping repeatable flows too (their clients would wait longer for the same answer).

--- a/flow/agents.go
+++ b/flow/agents.go
@@ -109,6 +109,8 @@
 	services []*service
 	weights  []uint32
 	total    uint32
+	// repeatable is set if running a request of the route twice does no harm.
+	repeatable bool
 	// former are the services to which earlier configurations directed the new flows. Open flows stay with them.
 	former []*service
 }
@@ -201,7 +203,7 @@
 		return
 	}
 	for i := range c.Routes {
-		r := &route{}
+		r := &route{repeatable: c.Routes[i].Repeatable}
 		for _, share := range c.Routes[i].Shares {
 			if share.Weight == 0 {
 				continue
--- a/flow/director.go
+++ b/flow/director.go
@@ -49,6 +49,10 @@
 	ResumeTimeout time.Duration
 	// MaxSearches bounds the concurrent searches.
 	MaxSearches int
+	// SilenceTolerance is how long after its last status an agent may be merely suspended or cut off although the
+	// store does not list its server any more. For that time the flows of routes that are not repeatable are kept,
+	// since their clients could not repeat a running request. A long time lets clients of a server that is gone wait.
+	SilenceTolerance time.Duration
 	// MaxFlowAge is the age above which a flow need not be found again. While the routes of that period are not all
 	// known, any server may hold a flow.
 	MaxFlowAge time.Duration
@@ -84,6 +88,7 @@
 		SearchTimeout:     150 * time.Millisecond,
 		ResumeTimeout:     500 * time.Millisecond,
 		MaxSearches:       4096,
+		SilenceTolerance:  10 * time.Second,
 		MaxFlowAge:        time.Minute,
 		MaxSearchBytes:    SearchBytes(100e6),
 		MaxWideMessages:   4000,
@@ -298,7 +303,7 @@
 // forwardToOwner forwards a packet of a flow that has a hint.
 func (d *Director) forwardToOwner(now time.Duration, p *Packet, raw []byte, h *hint) Decision {
 	a := d.agents[h.owner]
-	if a == nil || d.ownerGone(now, a, h) {
+	if a == nil || d.ownerGone(now, p.Key, a, h) {
 		// A hint does not prove that the flow is lost with its owner: another server may have taken a copy of the
 		// opening packet.
 		d.hints.remove(p.Key)
@@ -321,19 +326,33 @@
 // ownerGone reports whether the owner of a flow is known to be gone: its address now belongs to another service, or
 // its agent is silent and the store either does not list the server any more or has listed a later run of it for
 // long enough.
-func (d *Director) ownerGone(now time.Duration, a *agent, h *hint) bool {
+func (d *Director) ownerGone(now time.Duration, key Key, a *agent, h *hint) bool {
 	replaced := h.created+d.config.MaxViewLag < a.runSince
 	switch {
 	case a.service != h.service:
 		return replaced
 	case now-a.lastHeard <= d.config.StatusTTL:
 		return false
+	case !a.present && !d.repeatable(key) && d.maybeSuspended(now, a):
+		return false
 	case !a.present:
 		return d.missingMeansRemoved(now)
 	}
 	return replaced
 }
 
+// repeatable reports whether the requests of a flow may run twice.
+func (d *Director) repeatable(key Key) bool {
+	r := d.routes[key.Service]
+	return r != nil && r.repeatable
+}
+
+// maybeSuspended reports whether an agent whose server is missing in the store may continue: the server was not
+// draining, so it may have been removed only because its VM was suspended or cut off.
+func (d *Director) maybeSuspended(now time.Duration, a *agent) bool {
+	return !a.present && !a.draining && a.lastHeard > 0 && now-a.lastHeard <= d.config.SilenceTolerance
+}
+
 // missingMeansRemoved reports whether a missing entry proves that its server is gone. Shortly after the view was
 // first read, this requires that every agent has sent its status and that none knows of an earlier interruption of
 // the store.
--- a/flow/director_test.go
+++ b/flow/director_test.go
@@ -439,6 +439,49 @@
 	}
 }
 
+// TestFlowOfSuspendedVMIsKept covers a VM that is suspended for longer than the store keeps the entry of its server.
+// The server continues its requests afterwards, so a flow whose client can't repeat its request must not be reset.
+func TestFlowOfSuspendedVMIsKept(t *testing.T) {
+	for _, c := range []struct {
+		name                 string
+		repeatable, draining bool
+		hint                 bool
+		silence              time.Duration
+		want                 flow.Action
+	}{
+		{"with a hint", false, false, true, 4 * time.Second, flow.Forward},
+		{"without a hint", false, false, false, 4 * time.Second, flow.Drop},
+		{"repeatable", true, false, true, 4 * time.Second, flow.Reset},
+		{"drained before", false, true, true, 4 * time.Second, flow.Reset},
+		{"silent for too long", false, false, true, 12 * time.Second, flow.Reset},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := flow.NewDirector(flow.DefaultDirectorConfig("here"), start)
+			other, owner := upstreamOf(1, "orders"), upstreamOf(3, "orders")
+			owner.Draining = c.draining
+			views := []*registry.View{viewAt(start, 5, other, owner), viewAt(start+c.silence, 6, other)}
+			for _, view := range views {
+				view.Configuration.Routes[0].Repeatable = c.repeatable
+			}
+			d.SetView(start, views[0])
+			receive(d, start, statusOf(1, 0, 0), statusOf(3, 0, 0))
+			if c.hint {
+				reportHeld(d, start, opening(1).Key, 3)
+			}
+			now := start + c.silence
+			d.SetView(now, views[1])
+			receive(d, now, statusOf(1, 0, 0))
+			got := d.FromClient(now, dataPacket(1), nil)
+			if got.Action == flow.Forward && got.Request.Purpose == flow.PurposeSearch {
+				got, _, _ = d.HandleDenial(now, flow.Denial{Key: dataPacket(1).Key, SearchID: got.Request.SearchID})
+			}
+			if got.Action != c.want {
+				t.Fatalf("got %v, want %v: %s", got.Action, c.want, got.Reason)
+			}
+		})
+	}
+}
+
 func TestHeartbeatRateIsLimitedInLargeFleet(t *testing.T) {
 	config := flow.DefaultDirectorConfig("here")
 	var upstreams []registry.Upstream
--- a/flow/search.go
+++ b/flow/search.go
@@ -270,7 +270,19 @@
 // provesLoss reports whether the denials of a search prove that its flow is lost, which requires that all servers that
 // may hold it were asked.
 func (d *Director) provesLoss(now time.Duration, s *search) bool {
-	return (s.wide || d.historyComplete(now)) && !s.outdated && s.changed == d.view.Changed && d.missingMeansRemoved(now)
+	return (s.wide || d.historyComplete(now)) && !s.outdated && s.changed == d.view.Changed && d.missingMeansRemoved(now) &&
+		(d.repeatable(s.packet.Key) || !d.suspendedHolder(now, s))
+}
+
+// suspendedHolder reports whether a server that may hold the flow of a search could not be asked because its agent may
+// be suspended.
+func (d *Director) suspendedHolder(now time.Duration, s *search) bool {
+	for _, a := range d.sortedAgents {
+		if d.maybeSuspended(now, a) && slices.ContainsFunc(s.asked, func(asked *service) bool { return asked.hash == a.service }) {
+			return true
+		}
+	}
+	return false
 }
 
 // maxAttempts bounds how often the search for one packet is started. After that, the client's next copy starts it.
--- a/flow/server_health.go
+++ b/flow/server_health.go
@@ -101,12 +101,12 @@
 	return t.server.check(now)
 }
 
-// EndStalled ends the open flows to which a silent server owes an answer. It returns them with the sequence number
-// that each reset must carry.
+// EndStalled ends the open flows of repeatable routes to which a silent server owes an answer. It returns them with the
+// sequence number that each reset must carry.
 func (t *Tracker) EndStalled() map[Key]uint32 {
 	stalled := map[Key]uint32{}
 	for _, key := range t.flows.Keys() {
-		if f, _ := t.flows.Peek(key); f.state == open && f.confirmed && f.answerOwed {
+		if f, _ := t.flows.Peek(key); f.state == open && f.confirmed && f.answerOwed && t.repeatable(key) {
 			stalled[key] = f.clientAck
 			t.end(f)
 		}
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -390,13 +390,20 @@
 	case silent && (!known || !f.confirmed):
 		t.flows.Remove(p.Key)
 		return t.deny(request, "server does not answer")
-	case silent && f.state == open && p.requiresAnswer():
+	case silent && f.state == open && p.requiresAnswer() && t.repeatable(p.Key):
 		t.end(f)
 		return Verdict{Decision: resetFlow(p, "server does not answer")}
 	}
 	return t.deliver(now, p, raw, request)
 }
 
+// repeatable reports whether the requests of a flow may run twice. A silent server may still answer, so only such flows
+// are reset before it is known to be gone.
+func (t *Tracker) repeatable(key Key) bool {
+	route := t.routes[key.Service]
+	return route != nil && route.Repeatable
+}
+
 // deliver forwards to the server a packet of a flow that the server may hold.
 func (t *Tracker) deliver(now time.Duration, p *Packet, raw []byte, request Request) Verdict {
 	f := t.track(now, p, searchDelivered)
