Seeds read the store first at the first start, and processes without peers ask seeds

Later a change took 0.5 s or more to reach all agents, because every balancer sends its heartbeats in the same order at a limited rate, and processes that had heard nothing became further readers.

Change: at the first start of the system a process that is not a seed waits up to a second for a seed's view; a process that exchanges heartbeats with no other one sends them to a seed; the heartbeats of each balancer start at another agent.

TestSeedsReadTheStoreForAFleetThatStarts (10 reads at most for 100 processes) and TestChangeReachesAllAgentsOfALargeFleetSoon fail without the change.

--- a/cmd/bramley-flow-agent/main.go
+++ b/cmd/bramley-flow-agent/main.go
@@ -55,6 +55,7 @@
 		ClientPort:       p.Settings.ClientPort,
 		ProcessID:        p.ProcessID,
 		Rand:             rand.New(rand.NewSource(int64(p.ProcessID))),
+		Seeds:            p.Seeds,
 		Tracker:          flow.DefaultTrackerConfig(p.Settings.Service, flow.EndpointOf(p.Settings.Server)),
 		Event:            telemetry.Event,
 		RecordAnswerTime: telemetry.NewHistogram("flow_accepted_us").Record,
--- a/cmd/bramley-flow-balancer/main.go
+++ b/cmd/bramley-flow-balancer/main.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"math"
+	"math/rand"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -54,6 +56,8 @@
 	}
 	director := flow.DefaultDirectorConfig(p.Settings.Place)
 	director.MaxFlowAge = p.Settings.MaxFlowAge
+	rnd := rand.New(rand.NewSource(int64(p.ProcessID)))
+	director.HeartbeatStart = rnd.Intn(math.MaxInt32)
 	if p.Settings.LinkRate > 0 {
 		director.MaxSearchBytes = flow.SearchBytes(p.Settings.LinkRate)
 	}
@@ -65,6 +69,8 @@
 		PeerAddress:      p.Settings.PeerAddress,
 		ProcessID:        p.ProcessID,
 		Director:         director,
+		Seeds:            p.Seeds,
+		Rand:             rnd,
 		MinLinger:        c.minLinger,
 		MaxLinger:        c.maxLinger,
 		Event:            telemetry.Event,
--- a/flow/director.go
+++ b/flow/director.go
@@ -30,6 +30,9 @@
 	HeartbeatInterval, RemoteInterval, RetryInterval time.Duration
 	// MaxHeartbeats bounds the heartbeats per second to all agents together.
 	MaxHeartbeats int
+	// HeartbeatStart is where in the list of agents the heartbeats start. It must differ between balancers, so that a
+	// change reaches every agent soon from one of them although each sends heartbeats at a limited rate.
+	HeartbeatStart int
 	// UnresponsiveAfter is how long an agent may leave a message unanswered before new flows avoid it.
 	UnresponsiveAfter time.Duration
 	// StatusTTL is how long an agent's latest status takes precedence over the entries of the store.
@@ -243,6 +246,7 @@
 		searches:        newSearches(config),
 		heartbeatTokens: heartbeatBurst,
 		started:         now,
+		heartbeatCursor: config.HeartbeatStart,
 		lastRefill:      now,
 		searchBytes:     newTokenBucket(now, config.MaxSearchBytes),
 		wideMessages:    newTokenBucket(now, config.MaxWideMessages),
--- a/flow/director_test.go
+++ b/flow/director_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"net/netip"
 	"slices"
 	"testing"
@@ -520,6 +521,44 @@
 
 // TestNewBalancerSendsHeartbeatBurst checks that a new balancer sends as many heartbeats at once as its burst
 // allows.
+// TestChangeReachesAllAgentsOfALargeFleetSoon lets all balancers announce a new view at the same moment. Each takes more
+// than a second to reach all agents, but every agent must hear of it from one of them soon.
+func TestChangeReachesAllAgentsOfALargeFleetSoon(t *testing.T) {
+	const balancers, agents = 59, 136
+	rnd := rand.New(rand.NewSource(1))
+	var directors []*flow.Director
+	for range balancers {
+		config := flow.DefaultDirectorConfig("here")
+		config.HeartbeatStart = rnd.Intn(1 << 30)
+		d := flow.NewDirector(config, start)
+		d.SetView(start, viewAt(start, 5, manyUpstreams(agents)...))
+		directors = append(directors, d)
+	}
+	now := start
+	tick := func(handle func(flow.IP)) {
+		for _, d := range directors {
+			for ip, ok := d.Heartbeat(now); ok; ip, ok = d.Heartbeat(now) {
+				handle(ip)
+			}
+		}
+		now += 20 * time.Millisecond
+	}
+	for range 500 {
+		tick(func(flow.IP) {})
+	}
+	for _, d := range directors {
+		d.HeartbeatAll()
+	}
+	changed := now
+	reached := map[flow.IP]bool{}
+	for len(reached) < agents && now < changed+2*time.Second {
+		tick(func(ip flow.IP) { reached[ip] = true })
+	}
+	if took := now - changed; took > 200*time.Millisecond {
+		t.Fatalf("the change reached %d of %d agents in %v", len(reached), agents, took)
+	}
+}
+
 func TestNewBalancerSendsHeartbeatBurst(t *testing.T) {
 	var upstreams []registry.Upstream
 	for n := range 50 {
--- a/flow/heartbeats.go
+++ b/flow/heartbeats.go
@@ -49,6 +49,11 @@
 	d.pruneAgents(now)
 }
 
+// Agents returns the number of agents that get heartbeats.
+func (d *Director) Agents() int {
+	return len(d.sortedAgents)
+}
+
 // Flows returns the number of flows with a cached owner.
 func (d *Director) Flows() int {
 	return d.hints.lru.Len()
--- a/internal/flowagent/flowagent.go
+++ b/internal/flowagent/flowagent.go
@@ -48,6 +48,8 @@
 	ProcessID uint64
 	Tracker   flow.TrackerConfig
 	Rand      *rand.Rand
+	// Seeds returns the balancers to contact before any other is known.
+	Seeds func() []netip.AddrPort
 	// Event logs an event with alternating keys and values.
 	Event func(op string, kv ...any)
 	// RecordAnswerTime records how long the server took to answer an opening packet.
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -26,6 +26,7 @@
 	remainingBuf                 []flow.IP
 	addresses                    map[flow.IP]*net.UDPAddr
 	balancers                    *flow.Balancers
+	seedHeartbeats               *flow.SeedHeartbeats
 	content                      *registry.Content
 	// accepting and suspect are the values that were last logged.
 	accepting bool
@@ -40,17 +41,18 @@
 func newLoop(a *Agent) *loop {
 	server := flow.EndpointOf(a.config.Server)
 	return &loop{
-		agent:         a,
-		config:        &a.config,
-		tracker:       flow.NewTracker(a.config.Tracker, a.config.Clock.Now()),
-		toNodes:       udp.NewWriter(packetreader.BatchSize, nodecodec.MaxDatagram),
-		toClients:     udp.NewWriter(packetreader.BatchSize, nodecodec.MaxPacket),
-		toServer:      udp.NewWriter(packetreader.BatchSize, nodecodec.MaxPacket),
-		serverAddr:    sockAddr(server.IP, server.Port),
-		addresses:     map[flow.IP]*net.UDPAddr{},
-		balancers:     flow.NewBalancers(flow.DefaultBalancersConfig(), a.config.Rand),
-		checker:       newProcessChecker(a.config.Server),
-		openingSentAt: map[flow.Key]time.Duration{},
+		agent:          a,
+		config:         &a.config,
+		tracker:        flow.NewTracker(a.config.Tracker, a.config.Clock.Now()),
+		toNodes:        udp.NewWriter(packetreader.BatchSize, nodecodec.MaxDatagram),
+		toClients:      udp.NewWriter(packetreader.BatchSize, nodecodec.MaxPacket),
+		toServer:       udp.NewWriter(packetreader.BatchSize, nodecodec.MaxPacket),
+		serverAddr:     sockAddr(server.IP, server.Port),
+		addresses:      map[flow.IP]*net.UDPAddr{},
+		balancers:      flow.NewBalancers(flow.DefaultBalancersConfig(), a.config.Rand),
+		seedHeartbeats: flow.NewSeedHeartbeats(a.config.Rand),
+		checker:        newProcessChecker(a.config.Server),
+		openingSentAt:  map[flow.Key]time.Duration{},
 	}
 }
 
@@ -316,6 +318,14 @@
 	}
 }
 
+// contactSeed sends a heartbeat to a seed while no balancer sends any to this process.
+func (l *loop) contactSeed(now time.Duration) {
+	seeds := l.config.Seeds()
+	if i, due := l.seedHeartbeats.Due(now, len(seeds), len(l.balancers.Active(now))); due {
+		l.sendStatus(now, flow.EndpointOf(seeds[i]).IP, nodev1.Kind_KIND_HEARTBEAT, 0)
+	}
+}
+
 // announce sends the agent's status to balancers that have become silent. One that has restarted without a view fetches
 // it from this process.
 func (l *loop) announce(now time.Duration) {
--- a/internal/flowagent/tick.go
+++ b/internal/flowagent/tick.go
@@ -22,6 +22,7 @@
 	l.logSuspect(now)
 	l.checkServer(now)
 	l.announce(now)
+	l.contactSeed(now)
 	if l.tracker.NeedsProcessCheck(now) {
 		l.checker.start(ctx, now)
 	}
--- a/internal/flowbalancer/flowbalancer.go
+++ b/internal/flowbalancer/flowbalancer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -42,7 +43,10 @@
 	PeerAddress netip.AddrPort
 	// ProcessID identifies this run of the process to its peers: the time of its start, in nanoseconds since 1970.
 	ProcessID uint64
-	Director  flow.DirectorConfig
+	// Seeds returns the balancers to contact before any agent is known.
+	Seeds    func() []netip.AddrPort
+	Rand     *rand.Rand
+	Director flow.DirectorConfig
 	// MinLinger and MaxLinger bound how long a stopping balancer continues to forward. The minimum leaves the routers time
 	// to notice that it is not ready.
 	MinLinger, MaxLinger time.Duration
--- a/internal/flowbalancer/loop.go
+++ b/internal/flowbalancer/loop.go
@@ -29,19 +29,21 @@
 	// probe is the number of the last heartbeat.
 	probe            uint64
 	lastClientPacket time.Duration
+	seedHeartbeats   *flow.SeedHeartbeats
 	// openingSentAt maps each flow whose opening packet awaits a report to the time when the packet was sent.
 	openingSentAt map[flow.Key]time.Duration
 }
 
 func newLoop(b *Balancer) *loop {
 	l := &loop{
-		balancer:      b,
-		config:        &b.config,
-		director:      flow.NewDirector(b.config.Director, b.config.Clock.Now()),
-		toNodes:       udp.NewWriter(packetreader.BatchSize, nodecodec.MaxDatagram),
-		toClients:     udp.NewWriter(packetreader.BatchSize, nodecodec.MaxPacket),
-		addresses:     map[flow.IP]*net.UDPAddr{},
-		openingSentAt: map[flow.Key]time.Duration{},
+		balancer:       b,
+		config:         &b.config,
+		director:       flow.NewDirector(b.config.Director, b.config.Clock.Now()),
+		toNodes:        udp.NewWriter(packetreader.BatchSize, nodecodec.MaxDatagram),
+		toClients:      udp.NewWriter(packetreader.BatchSize, nodecodec.MaxPacket),
+		addresses:      map[flow.IP]*net.UDPAddr{},
+		openingSentAt:  map[flow.Key]time.Duration{},
+		seedHeartbeats: flow.NewSeedHeartbeats(b.config.Rand),
 	}
 	return l
 }
--- a/internal/flowbalancer/nodes.go
+++ b/internal/flowbalancer/nodes.go
@@ -145,6 +145,14 @@
 }
 
 func (l *loop) sendHeartbeats(now time.Duration) {
+	seeds := l.config.Seeds()
+	if i, due := l.seedHeartbeats.Due(now, len(seeds), l.director.Agents()); due {
+		nodecodec.Clear(&l.outHeader)
+		l.outHeader.Kind = nodev1.Kind_KIND_HEARTBEAT
+		l.putView(now)
+		l.send(flow.EndpointOf(seeds[i]).IP, nil)
+		l.balancer.counts.heartbeats.Add(1)
+	}
 	for {
 		to, ok := l.director.Heartbeat(now)
 		if !ok {
--- a/internal/storeview/loop.go
+++ b/internal/storeview/loop.go
@@ -28,8 +28,8 @@
 	storeDown bool
 	// started is when Run was called.
 	started time.Duration
-	// skipSeeds is set if there are no seeds, or once a fetch has failed or a peer had no view either. The
-	// first read of the store then need not wait for a seed.
+	// skipSeeds is set if this process is a seed or there are none, or once a fetch has failed or a peer had no view
+	// either. The first read of the store then need not wait for a seed.
 	skipSeeds bool
 	// hintedPeer is a peer that has newer changes. The zero value means none.
 	hintedPeer netip.AddrPort
@@ -73,15 +73,31 @@
 	}
 	wait := l.pacer.Next(now, l.confirmed(now))
 	if l.registry.Freshness().Revision == 0 && !l.skipSeeds {
-		wait = max(wait, l.started+seedWait-now)
+		wait = max(wait, l.started+l.seedWait()-now)
 	}
 	if wait > 0 {
-		return min(wait, seedInterval)
+		return min(wait, l.seedInterval())
 	}
 	l.read(ctx)
 	return seedInterval
 }
 
+// seedWait returns how long the process waits for a seed before it reads the store itself.
+func (l *loop) seedWait() time.Duration {
+	if l.config.FirstStart {
+		return bootstrapWait
+	}
+	return seedWait
+}
+
+// seedInterval returns the time between two fetches from seeds while there is no view.
+func (l *loop) seedInterval() time.Duration {
+	if l.config.FirstStart {
+		return bootstrapInterval
+	}
+	return seedInterval
+}
+
 // confirmed returns when the store last confirmed the view. An empty view counts as confirmed so long ago
 // that any process may take over reading the store.
 func (l *loop) confirmed(now time.Duration) time.Duration {
@@ -95,7 +111,7 @@
 func (l *loop) fetch(ctx context.Context, now time.Duration) {
 	peer := l.hintedPeer
 	l.hintedPeer = netip.AddrPort{}
-	if !peer.IsValid() && l.registry.Freshness().Revision == 0 && (l.lastSeedFetch == 0 || now-l.lastSeedFetch >= seedInterval) {
+	if !peer.IsValid() && l.registry.Freshness().Revision == 0 && (l.lastSeedFetch == 0 || now-l.lastSeedFetch >= l.seedInterval()) {
 		l.lastSeedFetch = now
 		if seeds := l.config.Seeds(); len(seeds) > 0 {
 			peer = seeds[l.nextSeed%len(seeds)]
@@ -264,11 +280,11 @@
 func (l *loop) finishFetch(f *fetchResult) {
 	l.fetching = false
 	if f.err != nil {
-		l.skipSeeds = true
+		l.skipSeeds = !l.config.FirstStart
 		l.config.Failure("peer_fetch_failed", f.err, "peer", f.peer)
 		return
 	}
-	l.skipSeeds = l.skipSeeds || f.delta.Revision == 0
+	l.skipSeeds = l.skipSeeds || f.delta.Revision == 0 && !l.config.FirstStart
 	l.noteConfirmation(f.delta.Freshness)
 	l.registry.Merge(f.delta)
 	l.publish("peer", f.peer.String())
--- a/internal/storeview/storeview.go
+++ b/internal/storeview/storeview.go
@@ -39,9 +39,14 @@
 	ProcessID uint64
 	// Fetch fetches the changes after a revision from the peer at an address.
 	Fetch func(ctx context.Context, peer netip.AddrPort, revision uint64) (registry.Delta, error)
-	// Seeds returns the peers to fetch from before any other peer is known.
-	Seeds func() []netip.AddrPort
-	Pacer dissemination.PacerConfig
+	// Seeds returns the peers to fetch from before any other peer is known. IsSeed is set if this process is one of
+	// those that others ask.
+	Seeds  func() []netip.AddrPort
+	IsSeed bool
+	// FirstStart is set if all processes start for the first time. A process that is not a seed then leaves the first
+	// read of the store to the seeds for bootstrapWait.
+	FirstStart bool
+	Pacer      dissemination.PacerConfig
 	// Registry holds the retention limits of the registry.
 	Registry registry.Config
 	Rand     *rand.Rand
@@ -63,6 +68,10 @@
 	// seedWait is how long a new process waits for a seed before it reads the store itself. A live seed
 	// answers within milliseconds.
 	seedWait = 25 * time.Millisecond
+	// bootstrapWait is how long a process waits for a seed when all processes start for the first time, and
+	// bootstrapInterval the time between two fetches from seeds then. The platform starts all VMs within 0.3 s.
+	bootstrapWait     = time.Second
+	bootstrapInterval = 50 * time.Millisecond
 	// expireInterval is the time between two checks for expired entries.
 	expireInterval = 250 * time.Millisecond
 	eventQueueSize = 256
@@ -129,7 +138,7 @@
 		registry:  registry.New(v.config.Registry),
 		pacer:     dissemination.NewPacer(v.config.Pacer, v.config.ProcessID, v.config.Rand),
 		started:   v.config.Clock.Now(),
-		skipSeeds: len(v.config.Seeds()) == 0,
+		skipSeeds: v.config.IsSeed || len(v.config.Seeds()) == 0,
 		spawn:     func(f func()) { group.Go(func() error { f(); return nil }) },
 	}
 	group.Go(func() error { return l.run(ctx) })
--- a/internal/storeview/storeview_test.go
+++ b/internal/storeview/storeview_test.go
@@ -198,6 +198,8 @@
 	group sync.WaitGroup
 	// fetchesHang is set while all fetches from peers hang until they time out.
 	fetchesHang atomic.Bool
+	// firstStart is set while processes start for the first time.
+	firstStart bool
 }
 
 func newFleet(t *testing.T, size int) *fleet {
@@ -230,7 +232,15 @@
 
 // add starts a process. Its seeds are the first three processes.
 func (f *fleet) add() {
+	f.mu.Lock()
 	process := len(f.views)
+	f.views = append(f.views, nil)
+	f.mu.Unlock()
+	f.stops = append(f.stops, nil)
+	f.start(process)
+}
+
+func (f *fleet) start(process int) {
 	v := storeview.New(storeview.Config{
 		Source:    &source{store: f.store, process: process},
 		Clock:     f.clock,
@@ -247,18 +257,20 @@
 			}
 			return view.Since(ctx, revision)
 		},
-		Seeds:    func() []netip.AddrPort { return []netip.AddrPort{address(0), address(1), address(2)} },
-		Pacer:    dissemination.DefaultPacerConfig(),
-		Registry: registry.DefaultConfig(uint64(process + 1)),
-		Rand:     rand.New(rand.NewSource(int64(process))),
-		Event:    func(string, ...any) {},
-		Failure:  func(string, error, ...any) {},
+		Seeds:      func() []netip.AddrPort { return []netip.AddrPort{address(0), address(1), address(2)} },
+		IsSeed:     process < 3,
+		FirstStart: f.firstStart,
+		Pacer:      dissemination.DefaultPacerConfig(),
+		Registry:   registry.DefaultConfig(uint64(process + 1)),
+		Rand:       rand.New(rand.NewSource(int64(process))),
+		Event:      func(string, ...any) {},
+		Failure:    func(string, error, ...any) {},
 	})
 	f.mu.Lock()
-	f.views = append(f.views, v)
+	f.views[process] = v
 	f.mu.Unlock()
 	ctx, stop := context.WithCancel(f.t.Context())
-	f.stops = append(f.stops, stop)
+	f.stops[process] = stop
 	f.group.Go(func() { _ = v.Run(ctx) })
 }
 
@@ -368,6 +380,43 @@
 	})
 }
 
+// startFleet starts a fleet for the first time. Processes start in random order within 0.3 s.
+func startFleet(t *testing.T, size int, seedsStart bool) *fleet {
+	f := newFleet(t, 0)
+	f.firstStart = true
+	order := f.rnd.Perm(size)
+	f.mu.Lock()
+	f.views, f.stops = make([]*storeview.View, size), make([]context.CancelFunc, size)
+	f.mu.Unlock()
+	for i := range f.stops {
+		f.stops[i] = func() {}
+	}
+	for _, process := range order {
+		time.Sleep(300 * time.Millisecond / time.Duration(size))
+		if seedsStart || process >= 3 {
+			f.start(process)
+		}
+	}
+	return f
+}
+
+func TestSeedsReadTheStoreForAFleetThatStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 100, true)
+		f.await("the first view", func(*registry.View) bool { return true })
+		if f.store.calls > 10 {
+			t.Errorf("%d reads of the store until all processes have a view, want at most 10", f.store.calls)
+		}
+	})
+}
+
+func TestFleetStartsWithoutItsSeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 30, false)
+		f.await("the first view", func(*registry.View) bool { return true })
+	})
+}
+
 func TestEntriesLapsedDuringOutageAreKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 14)
