--- a/dissemination/pacer.go
+++ b/dissemination/pacer.go
@@ -21,6 +21,9 @@
 	// A larger spread makes several concurrent readers less likely; a smaller one replaces a dead reader
 	// sooner.
 	TakeoverAgeSpread time.Duration
+	// OutpacedAfter is how long a reader continues while other processes confirm their views only by another
+	// reader. It must exceed the time in which its own confirmations reach its peers and return.
+	OutpacedAfter time.Duration
 	// Backoff is the mean delay after a failed read. It doubles with each failure up to MaxBackoff,
 	// which limits how late a process notices the end of an outage.
 	Backoff, MaxBackoff time.Duration
@@ -34,6 +37,7 @@
 		MinReadInterval:   150 * time.Millisecond,
 		MinTakeoverAge:    850 * time.Millisecond,
 		TakeoverAgeSpread: time.Second,
+		OutpacedAfter:     2 * time.Second,
 		Backoff:           250 * time.Millisecond,
 		MaxBackoff:        time.Second,
 	}
@@ -52,6 +56,8 @@
 	takeoverAge  time.Duration
 	earliestRead time.Duration
 	backoff      time.Duration
+	// ownSeen is when a peer last stated that its view was confirmed by this process, or when it became the reader.
+	ownSeen time.Duration
 }
 
 // NewPacer returns the Pacer of the process with the identity self.
@@ -87,7 +93,9 @@
 // Succeeded records a successful read. confirmed is when the view was last confirmed before the read.
 // The process becomes the reader unless another process has confirmed the view in the meantime.
 func (p *Pacer) Succeeded(now, confirmed time.Duration) {
-	p.isReader = p.isReader || now-confirmed >= p.config.MinTakeoverAge
+	if !p.isReader && now-confirmed >= p.config.MinTakeoverAge {
+		p.isReader, p.ownSeen = true, now
+	}
 	p.backoff = 0
 	p.earliestRead = now + p.config.MinReadInterval
 	p.drawTakeoverAge()
@@ -102,10 +110,16 @@
 	p.drawTakeoverAge()
 }
 
-// PeerConfirmed records that the process with the identity reader confirmed the view at the given
-// time. If both are readers, the one with the higher identity stops.
+// PeerConfirmed records that, according to a peer, the process with the identity reader confirmed the view at the given
+// time. If both are readers, the one with the higher identity stops. So does one whose own confirmations no peer uses,
+// because those of another reader are always more recent.
 func (p *Pacer) PeerConfirmed(now, confirmed time.Duration, reader uint64) {
-	if p.isReader && reader < p.self && now-confirmed < p.config.MinTakeoverAge {
+	if reader == p.self {
+		p.ownSeen = now
+		return
+	}
+	outpaced := now-p.ownSeen > p.config.OutpacedAfter
+	if p.isReader && (reader < p.self || outpaced) && now-confirmed < p.config.MinTakeoverAge {
 		p.isReader = false
 		p.drawTakeoverAge()
 	}
--- a/dissemination/pacer_test.go
+++ b/dissemination/pacer_test.go
@@ -195,3 +195,31 @@
 		t.Errorf("%d reads in 10 s of an outage, want at most %d", f.reads, limit)
 	}
 }
+
+// TestReaderWhoseConfirmationsNobodyUsesStops covers two readers whose watches return at the same changes. Peers keep
+// the confirmation of the one whose calls start later, so the other one, although it has the lower identity, never
+// reaches it.
+func TestReaderWhoseConfirmationsNobodyUsesStops(t *testing.T) {
+	config := dissemination.DefaultPacerConfig()
+	newReader := func(self uint64) *dissemination.Pacer {
+		p := dissemination.NewPacer(config, self, rand.New(rand.NewSource(int64(self))))
+		p.Succeeded(time.Hour, 0)
+		return p
+	}
+	low, high := newReader(1), newReader(2)
+	now := time.Hour
+	for range 60 {
+		now += 50 * time.Millisecond
+		low.PeerConfirmed(now, now-20*time.Millisecond, 2)
+		high.PeerConfirmed(now, now-20*time.Millisecond, 2)
+		if now-time.Hour < time.Second && !low.IsReader() {
+			t.Fatal("a reader stopped before its confirmations could have spread")
+		}
+	}
+	if low.IsReader() {
+		t.Error("the reader whose confirmations nobody uses did not stop")
+	}
+	if !high.IsReader() {
+		t.Error("no reader is left")
+	}
+}
--- a/internal/flowagent/flowagent.go
+++ b/internal/flowagent/flowagent.go
@@ -44,7 +44,7 @@
 	OutboundAddress, Server netip.AddrPort
 	// ClientPort is the port to which packets for a client are sent, at the client's IP address.
 	ClientPort uint16
-	// ProcessID identifies this run of the process to its peers: the time of its start, in nanoseconds since 1970.
+	// ProcessID identifies this run of the process to its peers.
 	ProcessID uint64
 	Tracker   flow.TrackerConfig
 	Rand      *rand.Rand
--- a/internal/flowbalancer/flowbalancer.go
+++ b/internal/flowbalancer/flowbalancer.go
@@ -41,7 +41,7 @@
 	// PeerAddress is the address on which the process receives datagrams from agents and balancers. All processes use the
 	// same port.
 	PeerAddress netip.AddrPort
-	// ProcessID identifies this run of the process to its peers: the time of its start, in nanoseconds since 1970.
+	// ProcessID identifies this run of the process to its peers.
 	ProcessID uint64
 	// Seeds returns the balancers to contact before any agent is known.
 	Seeds    func() []netip.AddrPort
--- a/internal/storeview/loop.go
+++ b/internal/storeview/loop.go
@@ -209,11 +209,8 @@
 	}
 }
 
-// noteConfirmation reports a confirmation by another process to the pacer.
+// noteConfirmation reports to the pacer by whom the view of a peer was confirmed.
 func (l *loop) noteConfirmation(f registry.Freshness) {
-	if f.Reader == l.config.ProcessID {
-		return
-	}
 	wasReading := l.pacer.IsReader()
 	l.pacer.PeerConfirmed(l.config.Clock.Now(), f.Confirmed, f.Reader)
 	if wasReading && !l.pacer.IsReader() {
