--- a/flow/load.go
+++ b/flow/load.go
@@ -28,7 +28,7 @@
 	// lastTrial is when the server was last given a flow as a trial although it appeared to be too slow.
 	lastTrial time.Duration
 	outcomes  outcomes
-	// now is the latest time that was passed in.
+	// now is the latest time that was passed to advance.
 	now time.Duration
 }
 
@@ -61,6 +61,11 @@
 	meanDecay = time.Second
 )
 
+// advance sets the time of the changes that follow, for example of a flow that is evicted. Call it before each of them.
+func (l *load) advance(now time.Duration) {
+	l.now = now
+}
+
 // busy returns the number of requests that are running, waiting or expected.
 func (l *load) busy() int {
 	return len(l.requests) + l.expected
@@ -110,7 +115,6 @@
 
 // releaseExpired cancels the reservations of flows whose first request did not arrive in time.
 func (l *load) releaseExpired(now time.Duration) {
-	l.now = now
 	for len(l.reserved) > 0 {
 		f := l.reserved[0]
 		if f.work == expected && now-f.workSince <= l.config.ReservationTimeout {
@@ -126,7 +130,6 @@
 // start records a packet of a request. The server begins to process a request when it has received all of it and
 // has a free slot.
 func (l *load) start(now time.Duration, f *trackedFlow) {
-	l.now = now
 	f.hasRequested = true
 	if f.work == requested {
 		if l.isRunning(f) {
@@ -143,7 +146,6 @@
 
 // answer records that the server has begun to answer the request of a flow.
 func (l *load) answer(now time.Duration, f *trackedFlow) {
-	l.now = now
 	if l.isRunning(f) && !f.late && l.outcomes.answered(now, now-f.processingSince) {
 		l.recordServiceTime(now, now-f.processingSince)
 	}
@@ -157,7 +159,6 @@
 
 // reset records that the server has reset a flow.
 func (l *load) reset(now time.Duration, f *trackedFlow) {
-	l.now = now
 	if l.isRunning(f) && !f.late {
 		l.outcomes.failed(now)
 	}
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -212,15 +212,17 @@
 
 // Accepting reports whether the server takes new flows.
 func (t *Tracker) Accepting(now time.Duration) bool {
-	switch {
-	case t.gone || t.entry != nil && t.entry.Draining:
-		return false
-	}
-	return t.server.healthy()
+	return !t.leaving() && t.server.healthy()
+}
+
+// leaving reports whether the server is draining or has left. It gets no new flows, not even as a trial.
+func (t *Tracker) leaving() bool {
+	return t.gone || t.entry != nil && t.entry.Draining
 }
 
 // Status returns the status of the server for the agent's messages to balancers.
 func (t *Tracker) Status(now time.Duration) AgentStatus {
+	t.load.advance(now)
 	t.load.releaseExpired(now)
 	return AgentStatus{
 		Accepting: t.Accepting(now),
@@ -241,6 +243,7 @@
 
 // FromNode decides on a packet from a balancer or another agent.
 func (t *Tracker) FromNode(now time.Duration, p *Packet, raw []byte, request Request) Verdict {
+	t.load.advance(now)
 	otherService := request.Service != t.service
 	switch {
 	case otherService && request.Purpose == PurposeOpen:
@@ -271,7 +274,7 @@
 	case route == nil:
 		return refuse(request, "no route in the configuration in force")
 	}
-	if !t.Accepting(now) && !t.server.allowTrial(now) {
+	if !t.Accepting(now) && (t.leaving() || !t.server.allowTrial(now)) {
 		return t.pass(request, route, "server accepts no new flows")
 	}
 	t.load.releaseExpired(now)
@@ -383,10 +386,11 @@
 // fromOpenFlow decides on a packet of a flow that its client considers open.
 func (t *Tracker) fromOpenFlow(now time.Duration, p *Packet, raw []byte, request Request) Verdict {
 	f, known := t.flows.Peek(p.Key)
+	if !known && now-t.started > t.config.IdleTimeout {
+		return t.deny(request, "server does not hold the flow")
+	}
 	silent := !t.server.responsive() && !t.server.allowTrial(now)
 	switch {
-	case !known && now-t.started > t.config.IdleTimeout:
-		return t.deny(request, "server does not hold the flow")
 	case silent && (!known || !f.confirmed):
 		t.flows.Remove(p.Key)
 		return t.deny(request, "server does not answer")
@@ -453,6 +457,7 @@
 
 // FromServer decides on a packet from the server.
 func (t *Tracker) FromServer(now time.Duration, p *Packet) Verdict {
+	t.load.advance(now)
 	if p.Returned {
 		return t.returned(now, p)
 	}
@@ -501,6 +506,7 @@
 
 // Sweep removes idle flows and requests that have been running for too long. Call it about once a second.
 func (t *Tracker) Sweep(now time.Duration) {
+	t.load.advance(now)
 	for {
 		key, oldest, ok := t.flows.GetOldest()
 		if !ok || now-oldest.lastSeen <= t.config.IdleTimeout {
--- a/flow/tracker_test.go
+++ b/flow/tracker_test.go
@@ -287,6 +287,28 @@
 
 // TestOneShortRequestDoesNotOverfillTheQueue covers a server that answers its first request after a start very
 // quickly. The agent must not conclude that every request is that short.
+// TestServiceTimeStartsWhenTheSlotIsFree covers a request that waited for the only slot until the client of the running
+// one reset its flow.
+func TestServiceTimeStartsWhenTheSlotIsFree(t *testing.T) {
+	server := upstreamOf(1, "orders")
+	server.Slots = 1
+	tracker := newTracker(viewAt(start, 5, server))
+	for n := range 2 {
+		tracker.FromNode(start, opening(n), nil, request(flow.PurposeDeliver))
+		tracker.FromServer(start, &flow.Packet{Key: opening(n).Key, Kind: flow.Accepting})
+		sendRequest(tracker, start, n)
+	}
+	now := start + 400*time.Millisecond
+	reset := dataPacket(0)
+	reset.Kind, reset.Length = flow.Resetting, 0
+	tracker.FromNode(now, reset, nil, request(flow.PurposeDeliver))
+	now += 40 * time.Millisecond
+	sendAnswer(tracker, now, 1)
+	if got := tracker.Status(now).ServiceTime; got != 40*time.Millisecond {
+		t.Fatalf("the request took %v according to the agent, want 40ms", got)
+	}
+}
+
 func TestOneShortRequestDoesNotOverfillTheQueue(t *testing.T) {
 	tracker := newTracker(orderView(5))
 	acceptFlow(t, tracker, start, 0)
@@ -709,6 +731,47 @@
 	}
 }
 
+// TestLeavingServerGetsNoTrialFlows covers a draining server that has stopped answering. A trial would give it new work.
+func TestLeavingServerGetsNoTrialFlows(t *testing.T) {
+	for name, view := range map[string]*registry.View{
+		"draining": viewAt(start, 6, drainingUpstream(1, "orders")),
+		"departed": viewAt(start, 6),
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := newTracker(orderView(5))
+			tracker.ServerDown()
+			tracker.SetView(view)
+			now := start
+			for n := range 20 {
+				now += time.Second
+				if v := tracker.FromNode(now, opening(n), nil, request(flow.PurposeOpen, agentIP(3))); v.Action != flow.Forward {
+					t.Fatalf("opening packet %d: got %v, want it passed on", n, v.Action)
+				}
+			}
+		})
+	}
+}
+
+func drainingUpstream(n int, service string) registry.Upstream {
+	u := upstreamOf(n, service)
+	u.Draining = true
+	return u
+}
+
+// TestDeniedSearchUsesUpNoTrial covers a server that is down. Packets of flows that it can't hold must not take the place
+// of the opening packets that show whether it answers again.
+func TestDeniedSearchUsesUpNoTrial(t *testing.T) {
+	config := flow.DefaultTrackerConfig("", flow.Endpoint{})
+	tracker := newTracker(orderView(5))
+	now := start + config.IdleTimeout + time.Second
+	tracker.ServerDown()
+	for n := range 20 {
+		now += config.TrialInterval + time.Millisecond
+		wantAction(t, tracker.FromNode(now, dataPacket(100+n), nil, request(flow.PurposeSearch)), flow.Drop, flow.NoteDenied)
+		wantAction(t, tracker.FromNode(now, opening(n), nil, request(flow.PurposeOpen, agentIP(3))), flow.ToServer, flow.NoNote)
+	}
+}
+
 func TestReusedClientPortOpensANewFlow(t *testing.T) {
 	tracker := newTracker(orderView(5))
 	acceptFlow(t, tracker, start, 1)
--- a/internal/nodecodec/nodecodec.go
+++ b/internal/nodecodec/nodecodec.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/bramleyrack/bramleyrack/flow"
@@ -146,7 +147,7 @@
 // different times.
 func PutFreshness(h *nodev1.Header, now time.Duration, f registry.Freshness) {
 	h.Revision, h.Changed, h.Reader = f.Revision, f.Changed, f.Reader
-	h.AgeMs = uint32(max(0, now-f.Confirmed).Milliseconds())
+	h.AgeMs = uint32(min(max(0, now-f.Confirmed).Milliseconds(), math.MaxUint32))
 	h.ContinuousMs, h.Interrupted = uint64(max(0, now-f.ContinuousSince).Milliseconds()), f.Interrupted
 	h.RoutesKnownMs = uint64(max(0, now-f.RoutesKnownSince).Milliseconds())
 }
--- a/internal/nodecodec/nodecodec_test.go
+++ b/internal/nodecodec/nodecodec_test.go
@@ -84,6 +84,16 @@
 	}
 }
 
+// TestLongAgeDoesNotWrap covers a store that has not answered for 60 days. The age takes 32 bits in milliseconds.
+func TestLongAgeDoesNotWrap(t *testing.T) {
+	const now = 100 * 24 * time.Hour
+	var h nodev1.Header
+	nodecodec.PutFreshness(&h, now, registry.Freshness{Revision: 1, Confirmed: now - 60*24*time.Hour})
+	if got := now - nodecodec.Freshness(&h, now).Confirmed; got < 49*24*time.Hour {
+		t.Fatalf("a confirmation 60 days ago is %v old after transmission", got)
+	}
+}
+
 func TestDeltaRoundTrip(t *testing.T) {
 	want := registry.Delta{
 		From:      3,
--- a/internal/storeview/loop.go
+++ b/internal/storeview/loop.go
@@ -172,8 +172,8 @@
 		changes, err := l.config.Source.Watch(ctx, after, wait)
 		changes.Confirmed = started
 		if changes.Revision == after {
-			// The store had no newer revision throughout the wait.
-			changes.Confirmed += wait
+			// The store had no newer revision throughout the wait, which it may have ended early.
+			changes.Confirmed += min(wait, l.config.Clock.Now()-started)
 		}
 		result.changes, result.err = &changes, err
 	}
--- a/internal/storeview/storeview_test.go
+++ b/internal/storeview/storeview_test.go
@@ -44,7 +44,9 @@
 	refuse, ignore func(process int) bool
 	// stalledWatches is set while watches hang without reporting changes.
 	stalledWatches bool
-	calls          int
+	// cutWatches is set while waiting watches end without a change when they are woken.
+	cutWatches bool
+	calls      int
 }
 
 func newFakeStore() *fakeStore {
@@ -145,7 +147,7 @@
 	for {
 		s.store.mu.Lock()
 		changes, err := s.store.since(after)
-		changed, stalled := s.store.changed, s.store.stalledWatches
+		changed, stalled, cut := s.store.changed, s.store.stalledWatches, s.store.cutWatches
 		s.store.mu.Unlock()
 		if err != nil {
 			return registry.Changes{}, err
@@ -158,6 +160,9 @@
 		}
 		select {
 		case <-changed:
+			if cut {
+				return changes, nil
+			}
 		case <-deadline:
 			return changes, nil
 		case <-ctx.Done():
@@ -368,6 +373,28 @@
 	}
 }
 
+// TestWatchThatEndsEarlyConfirmsNoFuture covers a store that cuts waiting watches without reporting a change. A view that
+// is confirmed for a time to come would hide the changes of that time.
+func TestWatchThatEndsEarlyConfirmsNoFuture(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 14)
+		time.Sleep(10 * time.Second)
+		for range 100 {
+			f.store.set(func(s *fakeStore) {
+				s.cutWatches = true
+				close(s.changed)
+				s.changed = make(chan struct{})
+			})
+			time.Sleep(37 * time.Millisecond)
+			for i, v := range f.views {
+				if ahead := v.Current().Confirmed - f.clock.Now(); ahead > 0 {
+					t.Fatalf("the view of process %d is confirmed %v into the future", i, ahead)
+				}
+			}
+		}
+	})
+}
+
 func TestStoreCallRateWithoutChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 90)
