--- /dev/null
+++ b/flow/accept.go
@@ -0,0 +1,105 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/bramleyrack/bramleyrack/registry"
+)
+
+// openFlow decides on the opening packet of a flow. The newer one of the configurations of balancer and agent
+// applies.
+func (t *Tracker) openFlow(now time.Duration, p *Packet, request Request) Verdict {
+	route := t.routes[p.Key.Service]
+	switch {
+	case t.versions.forbids(now, max(request.Version, t.version), t.config.MaxVersionSkew):
+		return Verdict{Decision: Decision{Reason: "a newer configuration was applied and has not been received yet"}}
+	case request.Version > t.version:
+		t.versions.record(now, request.Version)
+	case route == nil:
+		return refuse(request, "no route in the configuration in force")
+	}
+	if !t.Accepting(now) && (t.leaving() || !t.server.allowTrial(now)) {
+		return t.pass(request, route, "server accepts no new flows")
+	}
+	t.load.releaseExpired(now)
+	if !t.admits(now, &request, route) {
+		return t.pass(request, route, "no free slot")
+	}
+	t.accept(now, p, request)
+	return Verdict{Decision: Decision{Action: ToServer}}
+}
+
+// admits reports whether the server takes a new flow. A server with a free slot takes it immediately. If no server
+// has one, the server with the best offer takes it, so a request that is passed on carries the best offer. A
+// suspect server is occasionally given a flow whose requests are repeatable as a trial; otherwise it makes an
+// offer, in case all other servers are full.
+func (t *Tracker) admits(now time.Duration, request *Request, route *registry.Route) bool {
+	budget := latencyBudget(route)
+	offer := Offer{Agent: t.config.Address.IP, Wait: t.load.expectedTime(budget), Suspect: t.load.outcomes.suspect}
+	switch {
+	case request.Final:
+		return offer.Wait <= budget
+	case t.load.full():
+	case offer.Suspect:
+		if route != nil && route.Repeatable && t.load.outcomes.allowTrial(now) {
+			return true
+		}
+	case offer.Wait <= budget || t.load.allowTrial(now):
+		return true
+	}
+	if offer.better(&request.Best, budget) {
+		request.Best = offer
+	}
+	return len(request.Remaining) == 0 && request.Best == offer && offer.Wait <= budget
+}
+
+// accept records that the server is given an opening packet.
+func (t *Tracker) accept(now time.Duration, p *Packet, request Request) {
+	if f, ok := t.flows.Peek(p.Key); ok && f.state == ended {
+		t.flows.Remove(p.Key)
+	}
+	f := t.track(now, p, openingSent)
+	f.request = cloneRequest(request)
+	t.load.reserve(now, f)
+	t.server.sentOpening(now)
+}
+
+// cloneRequest returns a copy of a request whose list remains valid after the packet was handled.
+func cloneRequest(request Request) Request {
+	request.Remaining = append([]IP(nil), request.Remaining...)
+	return request
+}
+
+// pass forwards an opening packet to the next agent. After the last agent the flow goes to the one with the best
+// offer, or is refused if the expected wait of that offer is too long.
+func (t *Tracker) pass(request Request, route *registry.Route, reason string) Verdict {
+	best := request.Best.Agent
+	switch {
+	case len(request.Remaining) > 0:
+		v := Verdict{Decision: forward(request, reason)}
+		if best == (IP{}) || best == t.config.Address.IP {
+			v.Note, v.Balancer = NoteStatus, request.Balancer
+		}
+		return v
+	case request.Final || best == (IP{}):
+		return refuse(request, reason+"; no agent is left to try")
+	case !request.Best.within(latencyBudget(route)):
+		return refuse(request, "no server can answer in time")
+	}
+	request.Final = true
+	request.Remaining = []IP{best}
+	return Verdict{Decision: forward(request, reason)}
+}
+
+// forward sends a packet to the first of the remaining agents.
+func forward(request Request, reason string) Decision {
+	to := request.Remaining[0]
+	request.Remaining = request.Remaining[1:]
+	return Decision{Action: Forward, To: to, Request: request, Reason: reason}
+}
+
+// refuse tells the client that its flow was not opened. The sequence number of the reset is zero, which the client
+// ignores if the flow has opened elsewhere.
+func refuse(request Request, reason string) Verdict {
+	return Verdict{Decision: Decision{Action: Reset, Reason: reason}, Note: NoteRefused, Balancer: request.Balancer}
+}
