Keep the platform's names out of the tests of bramleyctl

The test now expects every finding of package platform in the output, where it named two before; both are among them. The tests of bramleyctl pass.

--- a/cmd/bramleyctl/flow_test.go
+++ b/cmd/bramleyctl/flow_test.go
@@ -1,9 +1,13 @@
 package main
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"testing"
+
+	"github.com/bramleyrack/bramleyrack/internal/finding"
+	"github.com/bramleyrack/bramleyrack/platform"
 )
 
 const flowLog = `edge-1 time=2026-01-06T05:50:59.001Z level=INFO op=flow_placed flow=100.64.0.1:1025>198.18.0.1:443 copy=0 agent=10.0.0.1 version=3 reason=""
@@ -48,18 +52,24 @@
 	}
 }
 
+// TestPlatformSettingsAreValidated reads a file with a missing and an invalid address. The command must print each
+// finding of package platform, with the name of the file.
 func TestPlatformSettingsAreValidated(t *testing.T) {
-	file := writeFile(t, "settings.json", `{
-  "node_name": "edge-1",
-  "zone": "bog-norte",
-  "ip": "10.1.0.10",
-  "bind_addrs": {"datagram_addr": "10.1.0.10:8172", "ready": "here"},
-  "internal_port_range": [7720, 7735],
-  "platform": {}
-}`)
-	status, out, _ := runCommand(t, "validate", "--platform", file)
+	const name = "settings-invalid.json"
+	data, err := os.ReadFile(filepath.Join("..", "..", "platform", "testdata", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = platform.ParseSettings(data)
+	var found *finding.Error
+	if !errors.As(err, &found) || len(found.Findings) != 2 {
+		t.Fatalf("got %v, want two findings", err)
+	}
+	status, out, _ := runCommand(t, "validate", "--platform", writeFile(t, name, string(data)))
 	if status != exitFailed {
 		t.Fatalf("exit %d", status)
 	}
-	assertContains(t, out, "settings.json:bind_addrs.ready: ", "settings.json:platform.address: is missing")
+	for _, f := range found.Findings {
+		assertContains(t, out, name+":"+f.Path+": ", f.Reason)
+	}
 }
