Do not refuse patient clients in the seconds after a restart

Change: for 5 s after its start an agent leaves a new flow that is refused only because all servers are busy to the client's next copy, which comes after 200 and 400 ms, and refuses the last copy. The balancer's hedges offer it again before that. Clients with a timeout below 2.8 s are refused as before, since a copy costs them the time of another attempt, and so is everybody in a lasting overload, where copies would only make more answers late.

TestPatientClientsAreNotRefusedAfterARestart failed first.

--- a/flow/accept.go
+++ b/flow/accept.go
@@ -82,9 +82,9 @@
 		}
 		return v
 	case request.Final || best == (IP{}):
-		return refuse(request, reason+"; no agent is left to try")
+		return refuseBusy(request, reason+"; no agent is left to try")
 	case !request.Best.within(latencyBudget(route)):
-		return refuse(request, "no server can answer in time")
+		return refuseBusy(request, "no server can answer in time")
 	}
 	request.Final = true
 	request.Remaining = []IP{best}
@@ -98,6 +98,26 @@
 	return Decision{Action: Forward, To: to, Request: request, Reason: reason}
 }
 
+// lastCopy is the number of the last copy of an opening packet that a client sends.
+const lastCopy = 2
+
+// postpone replaces the refusal of a new flow by dropping its packet if all servers are busy shortly after a start and
+// the client will send another copy.
+func (t *Tracker) postpone(now time.Duration, p *Packet, v Verdict) Verdict {
+	route := t.routes[p.Key.Service]
+	if !v.busy || route == nil || route.Timeout < t.config.MinPatience || p.Copy >= lastCopy || now-t.started > t.config.RecoveryTime {
+		return v
+	}
+	return Verdict{Decision: Decision{Reason: v.Reason + "; left to the client's next copy"}}
+}
+
+// refuseBusy refuses a flow because all servers are busy.
+func refuseBusy(request Request, reason string) Verdict {
+	v := refuse(request, reason)
+	v.busy = true
+	return v
+}
+
 // refuse tells the client that its flow was not opened. The sequence number of the reset is zero, which the client
 // ignores if the flow has opened elsewhere.
 func refuse(request Request, reason string) Verdict {
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -66,6 +66,8 @@
 	Decision
 	Note     Note
 	Balancer IP
+	// busy is set if a new flow was refused only because all servers are busy.
+	busy bool
 }
 
 // Tracker makes the decisions of one agent. It is not safe for concurrent use.
@@ -188,7 +190,7 @@
 	case otherService && !t.holds(p.Key):
 		return t.deny(request, "server belongs to another service")
 	case request.Purpose == PurposeOpen:
-		return t.openFlow(now, p, request)
+		return t.postpone(now, p, t.openFlow(now, p, request))
 	}
 	return t.fromOpenFlow(now, p, raw, request)
 }
@@ -336,7 +338,7 @@
 	t.flows.Remove(p.Key)
 	switch {
 	case p.Kind == Opening:
-		return t.pass(request, t.routes[p.Key.Service], "server refused the flow")
+		return t.postpone(now, p, t.pass(request, t.routes[p.Key.Service], "server refused the flow"))
 	case request.Purpose == PurposeOpen:
 		return Verdict{Decision: Decision{Reason: "server does not hold the flow; no balancer to return the packet to"}}
 	}
--- a/flow/tracker_config.go
+++ b/flow/tracker_config.go
@@ -39,6 +39,14 @@
 	// ReservationTimeout is how long a new flow counts as busy before its first request. A client sends the request one
 	// round trip after the flow has opened; a client that took another server's answer never sends it.
 	ReservationTimeout time.Duration
+	// RecoveryTime is how long after its start an agent does not refuse new flows of patient clients because all servers
+	// are busy, but leaves them to the client's next copy. After a restart of many processes all clients that have
+	// waited come at once, and a client whose flow is refused repeats it at once and soon has no repetition left. In a
+	// lasting overload the copies would only make more requests late.
+	RecoveryTime time.Duration
+	// MinPatience is the timeout of a route from which its clients count as patient. A client sends copies of an
+	// opening packet for 1.4 s, and needs time for another attempt after that.
+	MinPatience time.Duration
 	// MaxVersionSkew is how long an agent that has applied a balancer's newer configuration may continue to use an older
 	// one before it has received the newer one itself. The required limit is 250 ms.
 	MaxVersionSkew time.Duration
@@ -61,6 +69,8 @@
 		RequestTimeout:     5 * time.Second,
 		SlowTrialInterval:  time.Second,
 		ReservationTimeout: 100 * time.Millisecond,
+		RecoveryTime:       5 * time.Second,
+		MinPatience:        2800 * time.Millisecond,
 		MaxVersionSkew:     200 * time.Millisecond,
 	}
 }
--- a/flow/tracker_test.go
+++ b/flow/tracker_test.go
@@ -772,6 +772,52 @@
 	}
 }
 
+// TestPatientClientsAreNotRefusedAfterARestart covers the requests of a service that waited while all processes were
+// down and come at once. Refused clients would repeat them at once and use up their repetitions.
+func TestPatientClientsAreNotRefusedAfterARestart(t *testing.T) {
+	config := flow.DefaultTrackerConfig("", flow.Endpoint{})
+	for _, c := range []struct {
+		name    string
+		timeout time.Duration
+		copies  uint32
+		age     time.Duration
+		want    flow.Action
+	}{
+		{"patient client", 4 * time.Second, 0, 0, flow.Drop},
+		{"second copy", 4 * time.Second, 1, 0, flow.Drop},
+		{"last copy", 4 * time.Second, 2, 0, flow.Reset},
+		{"impatient client", 1500 * time.Millisecond, 0, 0, flow.Reset},
+		{"lasting overload", 4 * time.Second, 0, config.RecoveryTime + time.Second, flow.Reset},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			view := orderView(5)
+			view.Configuration.Routes[0].Timeout = c.timeout
+			tracker := newTracker(view)
+			now := start + c.age
+			for n := range 100 {
+				acceptFlowOrNot(tracker, now, n)
+			}
+			p := opening(200)
+			p.Copy = c.copies
+			v := tracker.FromNode(now, p, nil, request(flow.PurposeOpen))
+			if v.Action != c.want {
+				t.Fatalf("got %v, want %v: %s", v.Action, c.want, v.Reason)
+			}
+			if refused := v.Note == flow.NoteRefused; refused != (c.want == flow.Reset) {
+				t.Fatalf("reported to the balancer as refused: %v", refused)
+			}
+		})
+	}
+}
+
+// acceptFlowOrNot offers a flow to the server, which accepts it and gets a request if the agent forwards it.
+func acceptFlowOrNot(tracker *flow.Tracker, now time.Duration, n int) {
+	if tracker.FromNode(now, opening(n), nil, request(flow.PurposeOpen)).Action == flow.ToServer {
+		tracker.FromServer(now, &flow.Packet{Key: opening(n).Key, Kind: flow.Accepting})
+		sendRequest(tracker, now, n)
+	}
+}
+
 func TestReusedClientPortOpensANewFlow(t *testing.T) {
 	tracker := newTracker(orderView(5))
 	acceptFlow(t, tracker, start, 1)
--- a/internal/nodecodec/delta.go
+++ b/internal/nodecodec/delta.go
@@ -38,7 +38,7 @@
 	m := &nodev1.Configuration{Version: c.Version, IdleTimeoutMs: uint64(c.IdleTimeout.Milliseconds())}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		route := &nodev1.Route{Ip: packIP(flow.IP(r.Address.Addr().As4())), Port: uint32(r.Address.Port()), Repeatable: r.Repeatable, TargetMs: uint32(r.Target.Milliseconds()), Priority: uint32(r.Priority)}
+		route := &nodev1.Route{Ip: packIP(flow.IP(r.Address.Addr().As4())), Port: uint32(r.Address.Port()), Repeatable: r.Repeatable, TargetMs: uint32(r.Target.Milliseconds()), TimeoutMs: uint32(r.Timeout.Milliseconds()), Priority: uint32(r.Priority)}
 		for _, share := range r.Shares {
 			route.Shares = append(route.Shares, &nodev1.Share{Service: share.Service, Weight: share.Weight})
 		}
@@ -85,7 +85,7 @@
 func decodeConfiguration(m *nodev1.Configuration) *registry.Configuration {
 	c := &registry.Configuration{Version: m.Version, IdleTimeout: time.Duration(m.IdleTimeoutMs) * time.Millisecond}
 	for _, r := range m.Routes {
-		route := registry.Route{Address: addrPort(r.Ip, r.Port), Repeatable: r.Repeatable, Target: time.Duration(r.TargetMs) * time.Millisecond, Priority: int(r.Priority)}
+		route := registry.Route{Address: addrPort(r.Ip, r.Port), Repeatable: r.Repeatable, Target: time.Duration(r.TargetMs) * time.Millisecond, Timeout: time.Duration(r.TimeoutMs) * time.Millisecond, Priority: int(r.Priority)}
 		for _, share := range r.Shares {
 			route.Shares = append(route.Shares, registry.Share{Service: share.Service, Weight: share.Weight})
 		}
--- a/internal/nodecodec/nodecodec_test.go
+++ b/internal/nodecodec/nodecodec_test.go
@@ -101,7 +101,7 @@
 		Former:    []registry.FormerShare{{Address: netip.MustParseAddrPort("198.18.0.1:443"), Service: "b", Until: now - 10*time.Second}},
 		Configuration: &registry.Configuration{Version: 12, IdleTimeout: 15 * time.Second, Routes: []registry.Route{{
 			Address: netip.MustParseAddrPort("198.18.0.1:443"), Shares: []registry.Share{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}},
-			Repeatable: true, Target: 200 * time.Millisecond, Priority: 2,
+			Repeatable: true, Target: 200 * time.Millisecond, Timeout: 4 * time.Second, Priority: 2,
 		}}},
 		Upstreams: []registry.Upstream{
 			{ID: "x", Service: "a", Address: netip.MustParseAddrPort("10.0.0.1:80"), Place: "north", Slots: 5, Incarnation: 7},
--- a/registry/types.go
+++ b/registry/types.go
@@ -18,8 +18,8 @@
 	Shares  []Share
 	// Repeatable is set if running a request of the route twice does no harm.
 	Repeatable bool
-	// Target is the latency that clients expect; zero if it is not known.
-	Target time.Duration
+	// Target is the latency that clients expect, and Timeout how long they wait at most; zero if it is not known.
+	Target, Timeout time.Duration
 	// Priority decides which routes of a service go first when there is not enough capacity for all.
 	// Lower values go first, and zero is the highest priority.
 	Priority int
