Show that a restarted process drops the servers that its seed missed

Operators of similar systems saw a departed server in use again after a restart. The test starts a process whose first seed was cut off from store and peers while a server left, with and without an answering store; it passes on the present code, so nothing is changed.

--- a/internal/storeview/storeview_test.go
+++ b/internal/storeview/storeview_test.go
@@ -203,12 +203,15 @@
 	group sync.WaitGroup
 	// fetchesHang is set while all fetches from peers hang until they time out.
 	fetchesHang atomic.Bool
+	// isolated is the process that exchanges no gossip with the others, or -1.
+	isolated atomic.Int32
 	// firstStart is set while processes start for the first time.
 	firstStart bool
 }
 
 func newFleet(t *testing.T, size int) *fleet {
 	f := &fleet{t: t, store: newFakeStore(), rnd: rand.New(rand.NewSource(1)), clock: clock.New()}
+	f.isolated.Store(-1)
 	for range size {
 		f.add()
 	}
@@ -298,6 +301,9 @@
 			if v == nil || views[to] == nil || from == to || v.Current() == nil {
 				continue
 			}
+			if isolated := int(f.isolated.Load()); from == isolated || to == isolated {
+				continue
+			}
 			views[to].Observe(v.Current().Freshness, address(from))
 		}
 	}
@@ -471,6 +477,34 @@
 	})
 }
 
+// TestRestartedProcessDropsTheServersThatItsSeedMissed starts a process whose seed has been cut off while a server left.
+// With the store it must not use that server, and without the store only until it hears from another process.
+func TestRestartedProcessDropsTheServersThatItsSeedMissed(t *testing.T) {
+	for name, storeAnswers := range map[string]bool{"store answers": true, "store refuses": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 14)
+				f.store.put("a")
+				time.Sleep(10 * time.Second)
+				f.isolated.Store(0)
+				f.store.set(func(s *fakeStore) { s.refuse = func(p int) bool { return p == 0 } })
+				time.Sleep(100 * time.Millisecond)
+				f.store.remove("a")
+				time.Sleep(5 * time.Second)
+				if !hasUpstream("a")(f.views[0].Current()) || hasUpstream("a")(f.views[5].Current()) {
+					t.Fatal("the isolated process alone must list the server that has left")
+				}
+				f.store.set(func(s *fakeStore) { s.refuse = func(p int) bool { return p == 0 || !storeAnswers } })
+				f.add()
+				time.Sleep(500 * time.Millisecond)
+				if view := f.views[14].Current(); view == nil || hasUpstream("a")(view) {
+					t.Fatalf("the new process has the view %+v, want one without the server that has left", view)
+				}
+			})
+		})
+	}
+}
+
 // TestFetchesResumeAfterTimeouts makes every fetch from a peer time out for a while. Processes must fetch
 // from peers again afterwards.
 func TestFetchesResumeAfterTimeouts(t *testing.T) {
