--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -152,10 +152,6 @@
 	reset func(flow.Key)
 }
 
-func newSimulation(t *testing.T, seed int64, servers, balancers int) *simulation {
-	return newSimulationWith(t, seed, servers, balancers, simOptions{slots: 50, places: 1, routesKnown: time.Hour})
-}
-
 func newSimulationWith(t *testing.T, seed int64, servers, balancers int, options simOptions) *simulation {
 	sim := &simulation{
 		options: options,
