Order views by the store's era, and pass evacuations and services with them

Cause: nothing read evacuations, the settings of cold servers or the store's era.

Change: a revision holds the era in its upper bits, so that views, deltas and searches stay ordered after a restore of the store. The version of a configuration decides which is newer, entries written before a known one are ignored, and an evacuation that a restored store may have lost stays in force for 15 s. Balancers leave the servers of an evacuated zone out, over one second; their agents pass on what balancers with an older view send.

--- a/cmd/bramley-flow-agent/main.go
+++ b/cmd/bramley-flow-agent/main.go
@@ -44,6 +44,8 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	tracker := flow.DefaultTrackerConfig(p.Settings.Service, flow.EndpointOf(p.Settings.Server))
+	tracker.Place = p.Settings.Place
 	a, err := flowagent.New(flowagent.Config{
 		View:             p.View,
 		Clock:            p.Clock,
@@ -56,7 +58,7 @@
 		ProcessID:        p.ProcessID,
 		Rand:             rand.New(rand.NewSource(int64(p.ProcessID))),
 		Seeds:            p.Seeds,
-		Tracker:          flow.DefaultTrackerConfig(p.Settings.Service, flow.EndpointOf(p.Settings.Server)),
+		Tracker:          tracker,
 		Event:            telemetry.Event,
 		RecordAnswerTime: telemetry.NewHistogram("flow_accepted_us").Record,
 	})
--- a/flow/accept.go
+++ b/flow/accept.go
@@ -18,6 +18,9 @@
 	case route == nil:
 		return refuse(request, "no route in the configuration in force")
 	}
+	if t.evacuated && evacuated(now, t.evacuation, p.Key.Hash()) {
+		return t.pass(request, route, "availability zone is evacuated")
+	}
 	if !t.Accepting(now) && (t.leaving() || !t.server.allowTrial(now)) {
 		return t.pass(request, route, "server accepts no new flows")
 	}
--- a/flow/director.go
+++ b/flow/director.go
@@ -181,7 +181,7 @@
 	// SearchID is the number of the search that the packet belongs to; the last agent in its list reports a denial
 	// under that number. Changed is the revision of the last change in the view of the searching balancer.
 	SearchID uint64
-	Changed  uint64
+	Changed  registry.Revision
 	// Wide is set in a search of all services. The agent's service is then not known to get flows of the address, so
 	// the packet must not reach a server unless the agent knows that it holds the flow.
 	Wide bool
--- a/flow/director_test.go
+++ b/flow/director_test.go
@@ -39,7 +39,7 @@
 // viewAt returns a view that the store confirmed at the given time, and without interruption for an hour before.
 func viewAt(at time.Duration, version uint64, upstreams ...registry.Upstream) *registry.View {
 	return &registry.View{
-		Freshness: registry.Freshness{Revision: version, Changed: version, Confirmed: at, ContinuousSince: at - time.Hour},
+		Freshness: registry.Freshness{Revision: registry.Revision(version), Changed: registry.Revision(version), Confirmed: at, ContinuousSince: at - time.Hour},
 		Content: &registry.Content{
 			Configuration: &registry.Configuration{Version: version, Routes: []registry.Route{routeTo(orders, "orders"), routeTo(photos, "photos")}},
 			Upstreams:     upstreams,
--- a/flow/openings.go
+++ b/flow/openings.go
@@ -78,7 +78,7 @@
 		if o == nil {
 			return Decision{}, nil, nil
 		}
-		list := d.stillAvailable(now, o.list)
+		list := d.stillAvailable(now, o.packet.Key.Hash(), o.list)
 		if len(list) == 0 {
 			delete(d.openings.pending, o.packet.Key)
 			continue
@@ -92,7 +92,7 @@
 }
 
 // stillAvailable filters a list to the agents that still take new flows and moves unresponsive ones to the end.
-func (d *Director) stillAvailable(now time.Duration, list []IP) []IP {
+func (d *Director) stillAvailable(now time.Duration, flow uint64, list []IP) []IP {
 	d.listBuf = d.listBuf[:0]
 	var unresponsiveAgents []IP
 	for _, ip := range list {
@@ -100,7 +100,7 @@
 		if a == nil {
 			continue
 		}
-		switch d.classify(now, a) {
+		switch d.classify(now, a, flow) {
 		case unavailable:
 		case unresponsive:
 			unresponsiveAgents = append(unresponsiveAgents, ip)
--- a/flow/search.go
+++ b/flow/search.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/bramleyrack/bramleyrack/placement"
+	"github.com/bramleyrack/bramleyrack/registry"
 )
 
 // maxWaiting bounds the packets of one flow that wait for a search; a sender has at most 16 packets in flight.
@@ -34,7 +35,7 @@
 	chains int
 	// changed is the revision of the last change in the view when the search began. outdated is set if an agent
 	// knew of a later one, so that a newer server may hold the flow.
-	changed  uint64
+	changed  registry.Revision
 	outdated bool
 	// waiting holds further packets of the flow.
 	waiting []QueuedPacket
--- a/flow/select.go
+++ b/flow/select.go
@@ -20,10 +20,13 @@
 	unavailable
 )
 
-func (d *Director) classify(now time.Duration, a *agent) class {
+// classify returns the class of an agent for a new flow with the given hash.
+func (d *Director) classify(now time.Duration, a *agent, flow uint64) class {
 	switch {
 	case !a.present || a.draining:
 		return unavailable
+	case d.evacuated(now, a.place, flow):
+		return unavailable
 	case a.status.Process > 0 && !a.status.Accepting:
 		return unavailable
 	case a.unresponsive(now, d.config.UnresponsiveAfter):
@@ -34,6 +37,12 @@
 	return local
 }
 
+// evacuated reports whether a new flow must avoid the servers in a place because operators evacuate it.
+func (d *Director) evacuated(now time.Duration, place string, flow uint64) bool {
+	e, ok := d.view.Evacuation(place)
+	return ok && evacuated(now, e, flow)
+}
+
 // selectAgents returns the agents for a new flow, the best first. Within a class they are in the flow's rank order,
 // so that a later search finds the owner early; of the first two, the one with the lower load comes first. Free
 // slots change faster than balancers learn of them, so the agents themselves check for one and pass the packet on
@@ -43,7 +52,7 @@
 	d.rankBuf = placement.Rank(d.rankBuf[:0], p.Key.Hash(), d.config.Place, s.candidates)
 	var byClass [unavailable + 1][]IP
 	for _, number := range d.rankBuf {
-		c := d.classify(now, d.agents[ipFromNumber(number)])
+		c := d.classify(now, d.agents[ipFromNumber(number)], p.Key.Hash())
 		byClass[c] = append(byClass[c], ipFromNumber(number))
 	}
 	locals, remotes := byClass[local], byClass[remote]
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -106,7 +106,7 @@
 	now      time.Duration
 	queue    simQueue
 	order    int
-	revision uint64
+	revision registry.Revision
 	version  uint64
 	routes   map[flow.Endpoint][]registry.Share
 	// allowed holds the services to which the new flows of an address were ever directed, and configurations every
@@ -120,7 +120,7 @@
 	nextIP         byte
 	nextSeq        uint32
 	// revisions holds the revision of each process's view.
-	revisions map[flow.IP]uint64
+	revisions map[flow.IP]registry.Revision
 	// maxLag is the maximum delay with which a process receives a view.
 	maxLag     time.Duration
 	violations []string
@@ -134,7 +134,7 @@
 
 type publishedConfiguration struct {
 	*registry.Configuration
-	revision uint64
+	revision registry.Revision
 }
 
 type simOptions struct {
@@ -156,7 +156,7 @@
 	sim := &simulation{
 		options: options,
 		t:       t, rnd: rand.New(rand.NewSource(seed)), byIP: map[flow.IP]*simServer{}, clients: map[flow.Key]*simClient{},
-		routes: map[flow.Endpoint][]registry.Share{}, allowed: map[flow.Endpoint]map[string]bool{}, revisions: map[flow.IP]uint64{}, maxLag: 300 * time.Millisecond, counts: map[string]int{},
+		routes: map[flow.Endpoint][]registry.Share{}, allowed: map[flow.Endpoint]map[string]bool{}, revisions: map[flow.IP]registry.Revision{}, maxLag: 300 * time.Millisecond, counts: map[string]int{},
 		now: time.Hour,
 	}
 	for i, service := range []string{"orders", "photos"} {
@@ -471,7 +471,7 @@
 
 // receiveStatus delivers the status of an agent to a balancer, which fetches the changes if the agent's view is
 // newer.
-func (sim *simulation) receiveStatus(b *simBalancer, status flow.AgentStatus, revision uint64) {
+func (sim *simulation) receiveStatus(b *simBalancer, status flow.AgentStatus, revision registry.Revision) {
 	b.director.UpdateStatus(sim.now, status)
 	if revision > sim.revisions[b.ip] {
 		b.cutOffUntil = 0
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -77,13 +77,16 @@
 	started time.Duration
 	version uint64
 	// changed is the revision of the last change in the view.
-	changed uint64
+	changed registry.Revision
 	// routes holds the routes that direct new flows to the server's service.
 	routes map[Endpoint]*registry.Route
 	// entry is the server's entry in the view, or nil if the view does not name the server.
 	entry *registry.Upstream
 	// gone is set if the view named the server earlier and does not any more.
-	gone     bool
+	gone bool
+	// evacuation is the request that the server's place gets no new flows, and evacuated is set if there is one.
+	evacuation registry.Evacuation
+	evacuated  bool
 	flows    *simplelru.LRU[Key, *trackedFlow]
 	load     load
 	server   serverHealth
@@ -120,6 +123,7 @@
 	if t.entry != nil {
 		t.load.slots = t.entry.Slots
 	}
+	t.evacuation, t.evacuated = view.Evacuation(t.place())
 	t.setRoutes(view.Configuration)
 }
 
@@ -159,6 +163,19 @@
 	return t.gone || t.entry != nil && t.entry.Draining
 }
 
+// place returns the availability zone of the server.
+func (t *Tracker) place() string {
+	if t.entry != nil {
+		return t.entry.Place
+	}
+	return t.config.Place
+}
+
+// Evacuation returns the request that the server's place gets no new flows, or false if there is none.
+func (t *Tracker) Evacuation() (registry.Evacuation, bool) {
+	return t.evacuation, t.evacuated
+}
+
 // Status returns the status of the server for the agent's messages to balancers.
 func (t *Tracker) Status(now time.Duration) AgentStatus {
 	t.load.advance(now)
--- a/flow/tracker_config.go
+++ b/flow/tracker_config.go
@@ -7,6 +7,8 @@
 	// Service is the name of the server's service, and Address is where the server receives packets.
 	Service string
 	Address Endpoint
+	// Place is the availability zone of the VM. The entry of the server takes precedence.
+	Place string
 	// MaxFlows bounds the tracked flows. A flow takes about 250 bytes; packets of a flow that was evicted are
 	// checked with the server again.
 	MaxFlows int
--- a/internal/nodecodec/delta.go
+++ b/internal/nodecodec/delta.go
@@ -1,7 +1,9 @@
 package nodecodec
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/bramleyrack/bramleyrack/flow"
@@ -12,7 +14,8 @@
 // EncodeDelta converts a delta to its protobuf message. Times are sent as ages or remaining times.
 func EncodeDelta(now time.Duration, d registry.Delta) *nodev1.View {
 	m := &nodev1.View{
-		From: d.From, Revision: d.Revision, Changed: d.Changed, Reader: d.Reader,
+		From: uint64(d.From), Revision: uint64(d.Revision), Changed: uint64(d.Changed), Reader: d.Reader,
+		ConfigVersion: d.ConfigurationVersion,
 		AgeMs:         uint64(max(0, now-d.Confirmed).Milliseconds()),
 		ContinuousMs:  uint64(max(0, now-d.ContinuousSince).Milliseconds()),
 		Interrupted:   d.Interrupted,
@@ -31,6 +34,18 @@
 	for i := range d.Upstreams {
 		m.Upstreams = append(m.Upstreams, encodeUpstream(now, &d.Upstreams[i], d.Lapsed[i]))
 	}
+	for i := range d.Evacuations {
+		m.Evacuations = append(m.Evacuations, encodeEvacuation(now, &d.Evacuations[i]))
+	}
+	return m
+}
+
+func encodeEvacuation(now time.Duration, e *registry.Evacuation) *nodev1.Evacuation {
+	m := &nodev1.Evacuation{Place: e.Place, Revision: uint64(e.Revision), Ended: e.Ended}
+	if e.Started > 0 {
+		started := uint64(max(0, now-e.Started).Milliseconds())
+		m.StartedMs = &started
+	}
 	return m
 }
 
@@ -44,25 +59,31 @@
 		}
 		m.Routes = append(m.Routes, route)
 	}
+	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
+		s := c.Services[name]
+		m.Services = append(m.Services, &nodev1.Service{Name: name, ColdStartMs: uint64(s.ColdStart.Milliseconds()), ColdRate: s.ColdRate})
+	}
 	return m
 }
 
 func encodeUpstream(now time.Duration, u *registry.Upstream, lapsed bool) *nodev1.Upstream {
 	return &nodev1.Upstream{
 		Id: u.ID, Service: u.Service, Ip: packIP(flow.IP(u.Address.Addr().As4())), Port: uint32(u.Address.Port()),
-		Place: u.Place, Slots: uint32(u.Slots), Draining: u.Draining, Incarnation: u.Incarnation, Created: u.Created, Lapsed: lapsed,
-		ColdMs: uint64(max(0, u.WarmAt-now).Milliseconds()),
+		Place: u.Place, Slots: uint32(u.Slots), Draining: u.Draining, Incarnation: u.Incarnation, Created: uint64(u.Created), Lapsed: lapsed,
+		Sequence: u.Sequence,
+		ColdMs:   uint64(max(0, u.WarmAt-now).Milliseconds()),
 	}
 }
 
 // DecodeDelta converts a protobuf message that was received now.
 func DecodeDelta(now time.Duration, m *nodev1.View) registry.Delta {
 	d := registry.Delta{
-		From: m.From,
+		From: registry.Revision(m.From),
 		Freshness: registry.Freshness{
-			Revision: m.Revision, Changed: m.Changed, Reader: m.Reader,
-			Confirmed:       now - time.Duration(m.AgeMs)*time.Millisecond,
-			ContinuousSince: now - time.Duration(m.ContinuousMs)*time.Millisecond, Interrupted: m.Interrupted,
+			Revision: registry.Revision(m.Revision), Changed: registry.Revision(m.Changed), Reader: m.Reader,
+			ConfigurationVersion: m.ConfigVersion,
+			Confirmed:            now - time.Duration(m.AgeMs)*time.Millisecond,
+			ContinuousSince:      now - time.Duration(m.ContinuousMs)*time.Millisecond, Interrupted: m.Interrupted,
 			RoutesKnownSince: now - time.Duration(m.RoutesKnownMs)*time.Millisecond,
 		},
 		Removed: m.Removed,
@@ -79,9 +100,21 @@
 		d.Upstreams = append(d.Upstreams, decodeUpstream(now, u))
 		d.Lapsed = append(d.Lapsed, u.Lapsed)
 	}
+	for _, e := range m.Evacuations {
+		d.Evacuations = append(d.Evacuations, decodeEvacuation(now, e))
+	}
 	return d
 }
 
+func decodeEvacuation(now time.Duration, m *nodev1.Evacuation) registry.Evacuation {
+	e := registry.Evacuation{Place: m.Place, Revision: registry.Revision(m.Revision), Ended: m.Ended}
+	if m.StartedMs != nil {
+		// A time of zero would mean that the start is not known.
+		e.Started = max(1, now-time.Duration(*m.StartedMs)*time.Millisecond)
+	}
+	return e
+}
+
 func decodeConfiguration(m *nodev1.Configuration) *registry.Configuration {
 	c := &registry.Configuration{Version: m.Version, IdleTimeout: time.Duration(m.IdleTimeoutMs) * time.Millisecond}
 	for _, r := range m.Routes {
@@ -91,13 +124,20 @@
 		}
 		c.Routes = append(c.Routes, route)
 	}
+	if len(m.Services) > 0 {
+		c.Services = make(map[string]registry.Service, len(m.Services))
+	}
+	for _, s := range m.Services {
+		c.Services[s.Name] = registry.Service{ColdStart: time.Duration(s.ColdStartMs) * time.Millisecond, ColdRate: s.ColdRate}
+	}
 	return c
 }
 
 func decodeUpstream(now time.Duration, m *nodev1.Upstream) registry.Upstream {
 	u := registry.Upstream{
 		ID: m.Id, Service: m.Service, Address: addrPort(m.Ip, m.Port), Place: m.Place, Slots: int(m.Slots),
-		Draining: m.Draining, Incarnation: m.Incarnation, Created: m.Created,
+		Draining: m.Draining, Incarnation: m.Incarnation, Created: registry.Revision(m.Created),
+		Sequence: m.Sequence,
 	}
 	if m.ColdMs > 0 {
 		u.WarmAt = now + time.Duration(m.ColdMs)*time.Millisecond
--- a/internal/nodecodec/nodecodec.go
+++ b/internal/nodecodec/nodecodec.go
@@ -69,7 +69,7 @@
 	h.Search = r.SearchID
 	h.Best, h.BestWaitUs, h.BestSuspect = packIP(r.Best.Agent), uint32(min(r.Best.Wait, maxWait).Microseconds()), r.Best.Suspect
 	h.Final = r.Final
-	h.Changed = r.Changed
+	h.Changed = uint64(r.Changed)
 	h.Wide = r.Wide
 	h.Balancer = packIP(r.Balancer)
 	h.Remaining = h.Remaining[:0]
@@ -86,7 +86,7 @@
 		SearchID:  h.Search,
 		Best:      flow.Offer{Agent: unpackIP(h.Best), Wait: time.Duration(h.BestWaitUs) * time.Microsecond, Suspect: h.BestSuspect},
 		Final:     h.Final,
-		Changed:   h.Changed,
+		Changed:   registry.Revision(h.Changed),
 		Wide:      h.Wide,
 		Balancer:  unpackIP(h.Balancer),
 		Remaining: list[:0],
@@ -148,7 +148,8 @@
 // PutFreshness stores the freshness of a view in h. Times are sent as ages, since the clocks of two processes start at
 // different times.
 func PutFreshness(h *nodev1.Header, now time.Duration, f registry.Freshness) {
-	h.Revision, h.Changed, h.Reader = f.Revision, f.Changed, f.Reader
+	h.Revision, h.Changed, h.Reader = uint64(f.Revision), uint64(f.Changed), f.Reader
+	h.ConfigVersion = f.ConfigurationVersion
 	h.AgeMs = uint32(min(max(0, now-f.Confirmed).Milliseconds(), math.MaxUint32))
 	h.ContinuousMs, h.Interrupted = uint64(max(0, now-f.ContinuousSince).Milliseconds()), f.Interrupted
 	h.RoutesKnownMs = uint64(max(0, now-f.RoutesKnownSince).Milliseconds())
@@ -157,9 +158,10 @@
 // Freshness returns the freshness of a view in h.
 func Freshness(h *nodev1.Header, now time.Duration) registry.Freshness {
 	return registry.Freshness{
-		Revision: h.Revision, Changed: h.Changed, Reader: h.Reader,
-		Confirmed:       now - time.Duration(h.AgeMs)*time.Millisecond,
-		ContinuousSince: now - time.Duration(h.ContinuousMs)*time.Millisecond, Interrupted: h.Interrupted,
+		Revision: registry.Revision(h.Revision), Changed: registry.Revision(h.Changed), Reader: h.Reader,
+		ConfigurationVersion: h.ConfigVersion,
+		Confirmed:            now - time.Duration(h.AgeMs)*time.Millisecond,
+		ContinuousSince:      now - time.Duration(h.ContinuousMs)*time.Millisecond, Interrupted: h.Interrupted,
 		RoutesKnownSince: now - time.Duration(h.RoutesKnownMs)*time.Millisecond,
 	}
 }
--- a/internal/storeview/loop.go
+++ b/internal/storeview/loop.go
@@ -33,12 +33,15 @@
 	skipSeeds bool
 	// hintedPeer is a peer that has newer changes. The zero value means none.
 	hintedPeer netip.AddrPort
-	// fetchAll is set if the next fetch must return the whole state, because the peer knows former routes that
-	// this process lacks.
-	fetchAll         bool
-	lastSeedFetch    time.Duration
-	nextSeed         int
-	publishedContent *registry.Content
+	// fetchAll is set if the next fetch must return the whole state, because the peer knows more of the past than the
+	// changes show: former routes, or what a restored store has lost.
+	fetchAll bool
+	// askPeerAfterRestore is set once this process has read a restored store itself, until a peer has delivered its
+	// whole state.
+	askPeerAfterRestore bool
+	lastSeedFetch       time.Duration
+	nextSeed            int
+	publishedContent    *registry.Content
 }
 
 func (l *loop) run(ctx context.Context) error {
@@ -159,7 +162,7 @@
 	})
 }
 
-func (l *loop) callStore(ctx context.Context, whole bool, after uint64, wait time.Duration) *readResult {
+func (l *loop) callStore(ctx context.Context, whole bool, after registry.Revision, wait time.Duration) *readResult {
 	started := l.config.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
@@ -197,7 +200,7 @@
 func (l *loop) observe(observed *observation) {
 	l.noteConfirmation(observed.freshness)
 	before := l.registry.Freshness()
-	if l.registry.LacksHistoryOf(observed.freshness) {
+	if l.registry.LacksHistoryOf(observed.freshness) || l.lacksWhatStoreLost(observed.freshness) {
 		l.hintedPeer, l.fetchAll = observed.peer, true
 	}
 	if l.registry.Observe(observed.freshness) {
@@ -209,6 +212,16 @@
 	}
 }
 
+// lacksWhatStoreLost reports whether a peer may know what a restored store has lost and this process does not know: a
+// newer configuration, or requests and entries from before the restore.
+func (l *loop) lacksWhatStoreLost(peer registry.Freshness) bool {
+	own := l.registry.Freshness()
+	if own.Revision == 0 || peer.Revision == 0 || peer.Revision > own.Revision {
+		return false
+	}
+	return peer.ConfigurationVersion > own.ConfigurationVersion || l.askPeerAfterRestore
+}
+
 // noteConfirmation reports to the pacer by whom the view of a peer was confirmed.
 func (l *loop) noteConfirmation(f registry.Freshness) {
 	wasReading := l.pacer.IsReader()
@@ -223,7 +236,7 @@
 	now := l.config.Clock.Now()
 	if errors.Is(r.err, ErrHistoryLost) {
 		l.readAll = true
-		l.config.Event("store_history_lost", "revision", l.registry.Freshness().Revision)
+		l.config.Event("store_history_lost", "revision", l.registry.Freshness().Revision, "error", r.err)
 		return
 	}
 	if r.err != nil {
@@ -257,6 +270,7 @@
 func (l *loop) merge(r *readResult) {
 	if r.snapshot != nil {
 		l.readAll = false
+		l.noteEra(r.snapshot.Revision)
 		if l.registry.Replace(*r.snapshot) {
 			l.publish("store", "")
 			return
@@ -268,6 +282,17 @@
 	l.publish("store", "")
 }
 
+// noteEra handles the era of a whole state that was read from the store. A process that knew the previous era keeps what
+// the store has lost; another one asks a peer for it.
+func (l *loop) noteEra(revision registry.Revision) {
+	known := l.registry.Freshness().Revision
+	if revision.Era() <= known.Era() {
+		return
+	}
+	l.askPeerAfterRestore = known == 0
+	l.config.Event("store_era", "era", revision.Era(), "previous", known.Era(), "revision", revision, "known_revision", known)
+}
+
 type fetchResult struct {
 	peer  netip.AddrPort
 	delta registry.Delta
@@ -282,6 +307,9 @@
 		return
 	}
 	l.skipSeeds = l.skipSeeds || f.delta.Revision == 0 && !l.config.FirstStart
+	if f.delta.From == 0 && f.delta.Revision > 0 {
+		l.askPeerAfterRestore = false
+	}
 	l.noteConfirmation(f.delta.Freshness)
 	l.registry.Merge(f.delta)
 	l.publish("peer", f.peer.String())
@@ -300,6 +328,7 @@
 	l.publishedContent = current.Content
 	l.config.Event("view_changed",
 		"revision", current.Revision, "version", current.Version(), "upstreams", len(current.Upstreams),
+		"evacuations", len(current.Evacuations),
 		"age", l.config.Clock.Now()-current.Confirmed, "source", source, "peer", peer)
 	select {
 	case l.view.updates <- struct{}{}:
--- a/internal/storeview/peers.go
+++ b/internal/storeview/peers.go
@@ -27,7 +27,7 @@
 
 // Fetch returns the changes after a revision.
 func (s viewService) Fetch(ctx context.Context, req *nodev1.FetchRequest) (*nodev1.View, error) {
-	delta, err := s.view.Since(ctx, req.GetRevision())
+	delta, err := s.view.Since(ctx, registry.Revision(req.GetRevision()))
 	if err != nil {
 		return nil, err
 	}
@@ -74,8 +74,8 @@
 
 // Fetch returns a function that fetches the changes after a revision from a peer. Each fetch opens a new
 // connection, because fetches are rare and an idle connection may have failed unnoticed.
-func Fetch(c *clock.Clock) func(ctx context.Context, peer netip.AddrPort, revision uint64) (registry.Delta, error) {
-	return func(ctx context.Context, peer netip.AddrPort, revision uint64) (registry.Delta, error) {
+func Fetch(c *clock.Clock) func(ctx context.Context, peer netip.AddrPort, revision registry.Revision) (registry.Delta, error) {
+	return func(ctx context.Context, peer netip.AddrPort, revision registry.Revision) (registry.Delta, error) {
 		var dialer net.Dialer
 		conn, err := dialer.DialContext(ctx, "tcp", peer.String())
 		if err != nil {
@@ -83,7 +83,7 @@
 		}
 		link := drpcconn.New(conn)
 		defer link.Close()
-		answer, err := nodev1.NewDRPCViewServiceClient(link).Fetch(ctx, &nodev1.FetchRequest{Revision: revision})
+		answer, err := nodev1.NewDRPCViewServiceClient(link).Fetch(ctx, &nodev1.FetchRequest{Revision: uint64(revision)})
 		if err != nil {
 			return registry.Delta{}, errors.Annotatef(err, "ViewService of peer %s: fetching changes after revision %d", peer, revision)
 		}
--- a/internal/storeview/storeview.go
+++ b/internal/storeview/storeview.go
@@ -19,8 +19,14 @@
 	"github.com/bramleyrack/bramleyrack/registry"
 )
 
-// ErrHistoryLost is returned by a Source if the store has discarded the changes since the given revision.
-const ErrHistoryLost = errors.ConstError("store has discarded the changes since the requested revision")
+// Errors of a Source.
+const (
+	// ErrHistoryLost means that the store has discarded the changes since the given revision, or was restored from a
+	// copy since.
+	ErrHistoryLost = errors.ConstError("store has discarded the changes since the requested revision")
+	// ErrRestored means that the store was restored from a copy during a read of the whole state.
+	ErrRestored = errors.ConstError("store was restored from a copy during the read")
+)
 
 // Source reads the store. The caller sets the time of confirmation in its results, since it knows when it
 // sent the request.
@@ -28,7 +34,7 @@
 	// ReadAll returns the whole state.
 	ReadAll(ctx context.Context) (registry.Snapshot, error)
 	// Watch returns the changes after a revision, as soon as there are any or after the wait.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (registry.Changes, error)
+	Watch(ctx context.Context, after registry.Revision, wait time.Duration) (registry.Changes, error)
 }
 
 // Config configures a View.
@@ -38,7 +44,7 @@
 	// ProcessID identifies this process among the readers of the store.
 	ProcessID uint64
 	// Fetch fetches the changes after a revision from the peer at an address.
-	Fetch func(ctx context.Context, peer netip.AddrPort, revision uint64) (registry.Delta, error)
+	Fetch func(ctx context.Context, peer netip.AddrPort, revision registry.Revision) (registry.Delta, error)
 	// Seeds returns the peers to fetch from before any other peer is known. IsSeed is set if this process is one of
 	// those that others ask.
 	Seeds  func() []netip.AddrPort
@@ -146,7 +152,7 @@
 }
 
 // Since returns the changes after a revision.
-func (v *View) Since(ctx context.Context, revision uint64) (registry.Delta, error) {
+func (v *View) Since(ctx context.Context, revision registry.Revision) (registry.Delta, error) {
 	answer := make(chan registry.Delta, 1)
 	select {
 	case v.events <- event{command: func(r *registry.Registry) { answer <- r.Since(revision) }}:
--- a/internal/storeview/storeview_test.go
+++ b/internal/storeview/storeview_test.go
@@ -33,12 +33,12 @@
 // fakeStore is an in-memory store with injectable faults.
 type fakeStore struct {
 	mu       sync.Mutex
-	revision uint64
+	revision registry.Revision
 	version  uint64
 	entries  map[string]registry.Upstream
 	// log holds the changed keys by revision. The empty key stands for the configuration.
-	log               map[uint64]string
-	compactedRevision uint64
+	log               map[registry.Revision]string
+	compactedRevision registry.Revision
 	changed           chan struct{}
 	// refuse reports whether requests of a process fail, and ignore whether they get no answer.
 	refuse, ignore func(process int) bool
@@ -52,7 +52,7 @@
 func newFakeStore() *fakeStore {
 	noProcess := func(int) bool { return false }
 	return &fakeStore{
-		revision: 1, version: 1, entries: map[string]registry.Upstream{}, log: map[uint64]string{},
+		revision: 1, version: 1, entries: map[string]registry.Upstream{}, log: map[registry.Revision]string{},
 		changed: make(chan struct{}), refuse: noProcess, ignore: noProcess,
 	}
 }
@@ -139,7 +139,7 @@
 	return snapshot, nil
 }
 
-func (s *source) Watch(ctx context.Context, after uint64, wait time.Duration) (registry.Changes, error) {
+func (s *source) Watch(ctx context.Context, after registry.Revision, wait time.Duration) (registry.Changes, error) {
 	if err := s.request(ctx); err != nil {
 		return registry.Changes{}, err
 	}
@@ -171,7 +171,7 @@
 	}
 }
 
-func (s *fakeStore) since(after uint64) (registry.Changes, error) {
+func (s *fakeStore) since(after registry.Revision) (registry.Changes, error) {
 	if after < s.compactedRevision {
 		return registry.Changes{}, storeview.ErrHistoryLost
 	}
@@ -253,7 +253,7 @@
 		Source:    &source{store: f.store, process: process},
 		Clock:     f.clock,
 		ProcessID: uint64(process + 1),
-		Fetch: func(ctx context.Context, peer netip.AddrPort, revision uint64) (registry.Delta, error) {
+		Fetch: func(ctx context.Context, peer netip.AddrPort, revision registry.Revision) (registry.Delta, error) {
 			time.Sleep(storeLatency)
 			if f.fetchesHang.Load() {
 				<-ctx.Done()
--- a/registry/delta.go
+++ b/registry/delta.go
@@ -7,7 +7,7 @@
 
 // Delta holds the changes after revision From, or the whole state if From is zero.
 type Delta struct {
-	From uint64
+	From Revision
 	Freshness
 	// Configuration is nil if it did not change. Otherwise Former holds all former shares.
 	Configuration *Configuration
@@ -16,15 +16,17 @@
 	// Lapsed runs parallel to Upstreams. It is set while an entry is missing in the store but kept.
 	Lapsed  []bool
 	Removed []string
+	// Evacuations includes requests that were taken back.
+	Evacuations []Evacuation
 }
 
 // Since returns the changes after a revision, or the whole state if the changes since that revision are
 // not completely known.
-func (r *Registry) Since(revision uint64) Delta {
+func (r *Registry) Since(revision Revision) Delta {
 	if revision < r.completeSince || revision > r.freshness.Revision {
 		revision = 0
 	}
-	d := Delta{From: revision, Freshness: r.Freshness()}
+	d := Delta{From: revision, Freshness: r.Freshness(), Evacuations: r.evacuations.list(revision, true)}
 	if r.configurationChanged > revision {
 		d.Configuration = r.configuration
 		d.Former = r.history.list()
@@ -52,6 +54,10 @@
 	if f.Revision == 0 {
 		return false
 	}
+	if f.ConfigurationVersion > r.configuration.version() {
+		// This holds for an older revision too: the store may have been restored with an older configuration.
+		return true
+	}
 	if f.Revision < r.freshness.Revision {
 		r.observeOlder(f)
 		return false
@@ -79,6 +85,12 @@
 		*own = f
 		return
 	}
+	if r.entersEra(f.Revision) {
+		r.evacuations.enterEra(f.Confirmed)
+		own.Revision, own.Confirmed, own.Reader = f.Revision, max(own.Confirmed, f.Confirmed), f.Reader
+		own.ContinuousSince, own.Interrupted = f.ContinuousSince, true
+		return
+	}
 	gap := f.Confirmed-own.Confirmed > r.config.InterruptedAfter
 	switch {
 	case gap && f.ContinuousSince-own.Confirmed > r.config.InterruptedAfter:
@@ -107,10 +119,10 @@
 	}
 	before := r.content
 	if d.Revision < r.freshness.Revision {
-		// The peer may still know former routes that this registry lacks.
-		r.mergeHistory(d, r.configuration != nil)
+		r.mergeOlder(d)
 		return before == nil || r.content == nil
 	}
+	newEra := r.entersEra(d.Revision)
 	if d.From == 0 {
 		// A whole state does not show entries that were added and removed in between.
 		r.completeSince = d.Revision
@@ -121,10 +133,7 @@
 	present := make(map[string]bool, len(d.Upstreams))
 	for i := range d.Upstreams {
 		present[d.Upstreams[i].ID] = true
-		r.putUpstream(&d.Upstreams[i], d.Changed)
-		if d.Lapsed[i] {
-			r.markLapsed(r.upstreams[d.Upstreams[i].ID], d.Changed)
-		}
+		r.mergeUpstream(&d.Upstreams[i], d.Lapsed[i], d.Changed, newEra)
 	}
 	r.adoptConfirmation(d.Freshness)
 	for _, id := range d.Removed {
@@ -137,6 +146,41 @@
 			}
 		}
 	}
+	r.mergeEvacuations(d)
 	r.freshness.Changed = max(r.freshness.Changed, d.Changed)
 	return before == nil || r.content == nil
 }
+
+// mergeOlder applies what is valid in a delta with an older revision: the peer may know former routes that this
+// registry lacks and, if the store was restored, a configuration and requests that the store has lost.
+func (r *Registry) mergeOlder(d Delta) {
+	hadConfiguration := r.configuration != nil
+	r.adoptConfiguration(d.Configuration, r.freshness.Revision, d.Confirmed)
+	r.mergeHistory(d, hadConfiguration)
+	r.putEvacuations(d.Evacuations)
+}
+
+// mergeUpstream adds or replaces an entry of a peer. newEra is set if the peer's store was restored meanwhile.
+func (r *Registry) mergeUpstream(u *Upstream, lapsed bool, changed Revision, newEra bool) {
+	r.putFromWhole(u, changed, newEra)
+	if e := r.upstreams[u.ID]; lapsed && e != nil {
+		r.markLapsed(e, changed)
+	}
+}
+
+// mergeEvacuations applies the requests of a delta. A whole state that lacks one shows that it was taken back.
+func (r *Registry) mergeEvacuations(d Delta) {
+	r.putEvacuations(d.Evacuations)
+	if d.From == 0 && r.evacuations.replace(d.Evacuations, d.Changed, d.Confirmed) {
+		r.markChanged(d.Changed)
+	}
+}
+
+// putEvacuations adopts the later ones of the requests of a peer.
+func (r *Registry) putEvacuations(list []Evacuation) {
+	for _, e := range list {
+		if r.evacuations.put(e, r.freshness.Revision, r.freshness.Confirmed) {
+			r.markChanged(r.freshness.Revision)
+		}
+	}
+}
--- a/registry/history_test.go
+++ b/registry/history_test.go
@@ -25,7 +25,7 @@
 // readRegistry returns a registry that read a configuration at the given time.
 func readRegistry(at time.Duration, c *registry.Configuration) *registry.Registry {
 	r := registry.New(registry.DefaultConfig(1))
-	r.Replace(registry.Snapshot{Revision: c.Version, Confirmed: at, Configuration: c})
+	r.Replace(registry.Snapshot{Revision: registry.Revision(c.Version), Confirmed: at, Configuration: c})
 	return r
 }
 
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -26,6 +26,9 @@
 	// RouteRetention is how long the former services of an address are remembered. Flows that are older need not
 	// be found again.
 	RouteRetention time.Duration
+	// EraRetention is how long after a restore of the store an evacuation stays in force that the store may have lost. It
+	// must exceed the time until operators have written it again; meanwhile the place stays empty.
+	EraRetention time.Duration
 }
 
 // DefaultConfig returns limits for a store whose servers register again within two seconds.
@@ -37,6 +40,7 @@
 		PeerGracePeriod:  300 * time.Millisecond,
 		RemovedRetention: time.Minute,
 		RouteRetention:   time.Minute,
+		EraRetention:     15 * time.Second,
 	}
 }
 
@@ -46,15 +50,16 @@
 // entry is an upstream with the revision of its last change as known to this process.
 type entry struct {
 	Upstream
-	changed uint64
+	changed Revision
 	// lapsed is set while the entry is missing in the store but not yet treated as removed.
 	lapsed bool
 }
 
-// removal records that an upstream is no longer registered.
+// removal records that an upstream is no longer registered, and its last known entry.
 type removal struct {
-	changed   uint64
-	removedAt time.Duration
+	changed               Revision
+	removedAt             time.Duration
+	incarnation, sequence uint64
 }
 
 // Registry merges the state of the store with that of peers. It is not safe for concurrent use.
@@ -62,10 +67,11 @@
 	config    Config
 	freshness Freshness
 	// completeSince is the lowest revision since which all changes are known.
-	completeSince        uint64
+	completeSince        Revision
 	configuration        *Configuration
-	configurationChanged uint64
+	configurationChanged Revision
 	history              routeHistory
+	evacuations          evacuations
 	upstreams            map[string]*entry
 	removed              map[string]removal
 	// content is nil after a change, until View rebuilds it.
@@ -76,7 +82,7 @@
 
 // New returns an empty Registry.
 func New(config Config) *Registry {
-	return &Registry{config: config, upstreams: map[string]*entry{}, removed: map[string]removal{}, history: newRouteHistory()}
+	return &Registry{config: config, upstreams: map[string]*entry{}, removed: map[string]removal{}, history: newRouteHistory(), evacuations: evacuations{}}
 }
 
 // Freshness returns how recently and by whom the registry was confirmed. The revision is zero if the
@@ -84,6 +90,7 @@
 func (r *Registry) Freshness() Freshness {
 	f := r.freshness
 	f.RoutesKnownSince = r.history.since
+	f.ConfigurationVersion = r.configuration.version()
 	return f
 }
 
@@ -99,7 +106,7 @@
 }
 
 func (r *Registry) buildContent() *Content {
-	c := &Content{Configuration: r.configuration, Former: r.history.list(), Upstreams: make([]Upstream, 0, len(r.upstreams))}
+	c := &Content{Configuration: r.configuration, Former: r.history.list(), Upstreams: make([]Upstream, 0, len(r.upstreams)), Evacuations: r.evacuations.list(0, false)}
 	for _, e := range r.upstreams {
 		c.Upstreams = append(c.Upstreams, e.Upstream)
 	}
@@ -108,7 +115,7 @@
 }
 
 // markChanged records a change that became known at a revision of the store.
-func (r *Registry) markChanged(revision uint64) {
+func (r *Registry) markChanged(revision Revision) {
 	r.freshness.Changed = max(r.freshness.Changed, revision)
 	r.content = nil
 }
@@ -125,9 +132,10 @@
 		r.completeSince = s.Revision
 		r.freshness.Changed = s.Revision
 	}
+	newEra := r.entersEra(s.Revision)
 	r.confirm(s.Revision, s.Confirmed)
 	before := r.content
-	if r.configuration.version() != s.Configuration.version() {
+	if r.configuration.version() < s.Configuration.version() {
 		// Other configurations may have been in force between the known one and the one that was read.
 		r.history.since = s.Confirmed
 	}
@@ -135,13 +143,16 @@
 	present := make(map[string]bool, len(s.Upstreams))
 	for i := range s.Upstreams {
 		present[s.Upstreams[i].ID] = true
-		r.putUpstream(&s.Upstreams[i], s.Revision)
+		r.putFromWhole(&s.Upstreams[i], s.Revision, newEra)
 	}
 	for id := range r.upstreams {
 		if !present[id] {
 			r.handleMissing(id, s.Revision)
 		}
 	}
+	if r.evacuations.replace(s.Evacuations, s.Revision, s.Confirmed) {
+		r.markChanged(s.Revision)
+	}
 	return before == nil || r.content == nil
 }
 
@@ -164,15 +175,30 @@
 	for _, id := range c.Removed {
 		r.handleMissing(id, c.Revision)
 	}
+	for _, e := range c.Evacuations {
+		if r.evacuations.put(e, c.Revision, c.Confirmed) {
+			r.markChanged(c.Revision)
+		}
+	}
 	return before == nil || r.content == nil, nil
 }
 
+// entersEra reports whether the store of a state was restored since the registry last heard of it. The requests that
+// the store may have lost are then kept for a while.
+func (r *Registry) entersEra(revision Revision) bool {
+	return r.freshness.Revision > 0 && revision.Era() > r.freshness.Revision.Era()
+}
+
 // confirm records that the store reported its revision to this process.
-func (r *Registry) confirm(revision uint64, at time.Duration) {
+func (r *Registry) confirm(revision Revision, at time.Duration) {
 	f := &r.freshness
 	switch {
 	case f.Revision == 0:
 		f.ContinuousSince, f.Interrupted = at, r.readFailed
+	case r.entersEra(revision):
+		// The store was restored from a copy, which lacks the entries written after it was taken.
+		r.evacuations.enterEra(at)
+		f.ContinuousSince, f.Interrupted = at, true
 	case at-f.Confirmed > r.config.InterruptedAfter:
 		f.ContinuousSince, f.Interrupted = at, true
 	}
@@ -183,7 +209,7 @@
 
 // adoptConfiguration puts a configuration into force that was confirmed at the given time, unless it is older than the
 // current one.
-func (r *Registry) adoptConfiguration(c *Configuration, revision uint64, at time.Duration) {
+func (r *Registry) adoptConfiguration(c *Configuration, revision Revision, at time.Duration) {
 	if c == nil || r.configuration != nil && c.Version <= r.configuration.Version {
 		return
 	}
@@ -193,14 +219,32 @@
 	r.markChanged(revision)
 }
 
-// putUpstream adds or replaces an entry. An entry without a difference still counts as a change,
-// because a peer may have seen a different state in between.
-func (r *Registry) putUpstream(u *Upstream, revision uint64) {
-	if e := r.upstreams[u.ID]; e != nil && !e.lapsed && e.equivalent(u) {
-		e.changed = revision
-		r.freshness.Changed = max(r.freshness.Changed, revision)
+// putFromWhole adds or replaces an entry of a whole state. A store that was restored may state an earlier run of a
+// server; the next write of the server decides.
+func (r *Registry) putFromWhole(u *Upstream, revision Revision, newEra bool) {
+	if e := r.upstreams[u.ID]; newEra && e != nil && u.Incarnation < e.Incarnation {
+		u = &e.Upstream
+	}
+	r.putUpstream(u, revision)
+}
+
+// putUpstream adds or replaces an entry, unless a later one of the same run of the server is known. An entry without a
+// difference still counts as a change, because a peer may have seen a different state in between.
+func (r *Registry) putUpstream(u *Upstream, revision Revision) {
+	if gone, ok := r.removed[u.ID]; ok && u.staleAfter(gone.incarnation, gone.sequence) {
 		return
 	}
+	if e := r.upstreams[u.ID]; e != nil {
+		if u.staleAfter(e.Incarnation, e.Sequence) {
+			u = &e.Upstream
+		}
+		if !e.lapsed && e.equivalent(u) {
+			e.Sequence = u.Sequence
+			e.changed = revision
+			r.freshness.Changed = max(r.freshness.Changed, revision)
+			return
+		}
+	}
 	delete(r.removed, u.ID)
 	r.upstreams[u.ID] = &entry{Upstream: *u, changed: revision}
 	r.markChanged(revision)
@@ -214,7 +258,7 @@
 
 // handleMissing removes an upstream that the store no longer has, or marks it as lapsed while the store
 // may have lost it in an outage.
-func (r *Registry) handleMissing(id string, revision uint64) {
+func (r *Registry) handleMissing(id string, revision Revision) {
 	e := r.upstreams[id]
 	switch {
 	case e == nil, r.freshness.MissingMeansRemoved(r.config):
@@ -226,7 +270,7 @@
 
 // markLapsed marks an entry as missing in the store but kept for now. Peers must receive the mark,
 // because each process expires the entry itself.
-func (r *Registry) markLapsed(e *entry, revision uint64) {
+func (r *Registry) markLapsed(e *entry, revision Revision) {
 	if e.lapsed && e.changed >= revision {
 		return
 	}
@@ -237,13 +281,16 @@
 
 // removeUpstream deletes an upstream. The removal of an unknown upstream is recorded too, because peers
 // may know it.
-func (r *Registry) removeUpstream(id string, revision uint64) {
-	r.removed[id] = removal{changed: revision, removedAt: r.freshness.Confirmed}
+func (r *Registry) removeUpstream(id string, revision Revision) {
+	gone := r.removed[id]
+	gone.changed, gone.removedAt = revision, r.freshness.Confirmed
 	r.freshness.Changed = max(r.freshness.Changed, revision)
-	if r.upstreams[id] != nil {
+	if e := r.upstreams[id]; e != nil {
+		gone.incarnation, gone.sequence = e.Incarnation, e.Sequence
 		delete(r.upstreams, id)
 		r.content = nil
 	}
+	r.removed[id] = gone
 }
 
 // Expire removes lapsed entries that were not registered again, and drops old removals and former routes. It
@@ -261,6 +308,10 @@
 		r.content = nil
 		expired = true
 	}
+	if r.evacuations.expire(r.freshness.Revision, r.freshness.Confirmed, r.config.EraRetention, r.config.RemovedRetention) {
+		r.markChanged(r.freshness.Revision)
+		expired = true
+	}
 	for id, removed := range r.removed {
 		if r.freshness.Confirmed-removed.removedAt > r.config.RemovedRetention {
 			delete(r.removed, id)
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -40,7 +40,7 @@
 	return &registry.Configuration{Version: version}
 }
 
-func snapshot(revision uint64, at time.Duration, upstreams ...registry.Upstream) registry.Snapshot {
+func snapshot(revision registry.Revision, at time.Duration, upstreams ...registry.Upstream) registry.Snapshot {
 	return registry.Snapshot{Revision: revision, Confirmed: at, Configuration: configuration(1), Upstreams: upstreams}
 }
 
@@ -224,7 +224,7 @@
 
 // store is a model of the platform's store.
 type store struct {
-	revision uint64
+	revision registry.Revision
 	version  uint64
 	entries  map[string]registry.Upstream
 	log      []registry.Changes
@@ -245,7 +245,7 @@
 }
 
 // since returns the changes after a revision, with the last change of each key.
-func (s *store) since(after uint64, at time.Duration) registry.Changes {
+func (s *store) since(after registry.Revision, at time.Duration) registry.Changes {
 	c := registry.Changes{After: after, Revision: s.revision, Confirmed: at}
 	touched := map[string]bool{}
 	for _, past := range s.log {
--- a/registry/types.go
+++ b/registry/types.go
@@ -31,6 +31,16 @@
 	Routes  []Route
 	// IdleTimeout is the time after which the state of an idle flow may be dropped.
 	IdleTimeout time.Duration
+	// Services holds the settings of the services by name. A service without settings may be missing.
+	Services map[string]Service
+}
+
+// Service holds the settings of a service that concern servers that have just started.
+type Service struct {
+	// ColdStart is how long a server is cold after its start, or zero if it is not known.
+	ColdStart time.Duration
+	// ColdRate is the number of new flows a second that a cold server may get, or zero if there is no limit.
+	ColdRate float64
 }
 
 // version returns the version, or zero if there is no configuration.
@@ -58,8 +68,10 @@
 	// Incarnation distinguishes the runs of a server. It comes from the clock of the server's VM, which
 	// may step.
 	Incarnation uint64
+	// Sequence counts the writes of a run of the server.
+	Sequence uint64
 	// Created is the store's revision at which the entry was created.
-	Created uint64
+	Created Revision
 }
 
 // Newer reports whether the entry of u was created after that of other. It decides between two entries
@@ -71,11 +83,18 @@
 	return u.Incarnation > other.Incarnation
 }
 
+// staleAfter reports whether the entry was written before the one of the same run with the given incarnation and
+// sequence. A store that was restored from a copy returns such entries.
+func (u *Upstream) staleAfter(incarnation, sequence uint64) bool {
+	return u.Incarnation == incarnation && u.Sequence < sequence
+}
+
 // equivalent reports whether two entries have no difference that peers need. The warm-up time is
 // estimated anew with each heartbeat, so small differences of it are ignored.
 func (u *Upstream) equivalent(other *Upstream) bool {
 	a, b := *u, *other
 	a.WarmAt, b.WarmAt = 0, 0
+	a.Sequence, b.Sequence = 0, 0
 	return a == b && (u.WarmAt-other.WarmAt).Abs() < warmUpTolerance
 }
 
@@ -85,17 +104,18 @@
 
 // Snapshot is the whole state of the store at a revision.
 type Snapshot struct {
-	Revision uint64
+	Revision Revision
 	// Confirmed is a time at or after which the store held this state.
 	Confirmed time.Duration
 	// Configuration is nil if operators have not published one yet.
 	Configuration *Configuration
 	Upstreams     []Upstream
+	Evacuations   []Evacuation
 }
 
 // Changes holds the changes of the store after revision After, up to Revision.
 type Changes struct {
-	After, Revision uint64
+	After, Revision Revision
 	Confirmed       time.Duration
 	// Configuration is the latest one, or nil if it did not change. Superseded holds those that it replaced
 	// after revision After, in order.
@@ -104,12 +124,17 @@
 	Upstreams     []Upstream
 	// Removed holds the IDs of the servers that are no longer registered.
 	Removed []string
+	// Evacuations holds the latest state of the requests that were written or taken back.
+	Evacuations []Evacuation
 }
 
 // Freshness describes how current the view of a process is.
 type Freshness struct {
 	// Revision is the store's revision of the view. Changed is the revision of the last change in it.
-	Revision, Changed uint64
+	Revision, Changed Revision
+	// ConfigurationVersion is zero if there is no configuration. A store that was restored from a copy may have an older
+	// one than the view.
+	ConfigurationVersion uint64
 	// Confirmed is the last time at which the store is known to have held this state.
 	Confirmed time.Duration
 	// ContinuousSince is the start of the current period in which the store has confirmed the view without
@@ -149,6 +174,8 @@
 	Former []FormerShare
 	// Upstreams are sorted by ID.
 	Upstreams []Upstream
+	// Evacuations holds the requests in force, sorted by place.
+	Evacuations []Evacuation
 }
 
 // Version returns the version of the configuration, or zero if there is none yet.
