--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -87,11 +87,11 @@
 	// evacuation is the request that the server's place gets no new flows, and evacuated is set if there is one.
 	evacuation registry.Evacuation
 	evacuated  bool
-	flows    *simplelru.LRU[Key, *trackedFlow]
-	load     load
-	server   serverHealth
-	probes   []probe
-	versions versionGuard
+	flows      *simplelru.LRU[Key, *trackedFlow]
+	load       load
+	server     serverHealth
+	probes     []probe
+	versions   versionGuard
 }
 
 // NewTracker returns the Tracker of an agent that starts now. The limits in config must be positive.
