Learn how many requests a server holds, and accept no more

Their queue holds 8 requests beyond 2 slots; with requests of 15 ms the target lets about 18 wait, so agents accepted flows whose request the server then rejected, and each rejection cost the client one of its three attempts.

Change: a server runs requests in order, so one that it answers within 5 ms while earlier ones fill its slots was rejected. The agent then accepts no flow beyond the number that was outstanding, and raises it by one after 2 s without a rejection.

The test harness crashed when a second server answered a flow that its client had given up; it ignores such answers.

--- a/flow/accept.go
+++ b/flow/accept.go
@@ -37,6 +37,9 @@
 // suspect server is occasionally given a flow whose requests are repeatable as a trial; otherwise it makes an
 // offer, in case all other servers are full.
 func (t *Tracker) admits(now time.Duration, request *Request, route *registry.Route) bool {
+	if t.load.queueFull(now) {
+		return false
+	}
 	budget := latencyBudget(route)
 	offer := Offer{Agent: t.config.Address.IP, Wait: t.load.expectedTime(budget), Suspect: t.load.outcomes.suspect}
 	switch {
--- a/flow/load.go
+++ b/flow/load.go
@@ -28,6 +28,7 @@
 	// lastTrial is when the server was last given a flow as a trial although it appeared to be too slow.
 	lastTrial time.Duration
 	outcomes  outcomes
+	queue     queueLimit
 	// now is the latest time that was passed to advance.
 	now time.Duration
 }
@@ -71,6 +72,11 @@
 	return len(l.requests) + l.expected
 }
 
+// queueFull reports whether the server would reject a new request.
+func (l *load) queueFull(now time.Duration) bool {
+	return l.queue.full(now, l.busy())
+}
+
 // full reports whether a new request would have to wait for a slot.
 func (l *load) full() bool {
 	return l.busy() >= l.slots
@@ -146,6 +152,11 @@
 
 // answer records that the server has begun to answer the request of a flow.
 func (l *load) answer(now time.Duration, f *trackedFlow) {
+	ahead := slices.Index(l.requests, f)
+	if f.work == requested && l.queue.answered(now, now-f.workSince, ahead, l.slots) {
+		l.end(f)
+		return
+	}
 	if l.isRunning(f) && !f.late && l.outcomes.answered(now, now-f.processingSince) {
 		l.recordServiceTime(now, now-f.processingSince)
 	}
--- a/flow/load_test.go
+++ b/flow/load_test.go
@@ -76,13 +76,15 @@
 	errorRate, hangRate map[*simServer]float64
 	// lightShare is the share of requests that take a twentieth of the service time.
 	lightShare float64
-	rejected   int
+	// serviceTime is the mean service time.
+	serviceTime time.Duration
+	rejected    int
 	// maxQueued is the largest number of requests that were running or waiting at one server.
 	maxQueued int
 }
 
 func newLoadSim(t *testing.T, seed int64) *loadSim {
-	sim := &loadSim{queues: map[*simServer]*workQueue{}, byFlow: map[flow.Key]*simRequest{}, slowness: map[*simServer]float64{}, errorRate: map[*simServer]float64{}, hangRate: map[*simServer]float64{}}
+	sim := &loadSim{queues: map[*simServer]*workQueue{}, byFlow: map[flow.Key]*simRequest{}, slowness: map[*simServer]float64{}, errorRate: map[*simServer]float64{}, hangRate: map[*simServer]float64{}, serviceTime: loadServiceTime}
 	sim.simulation = newSimulationWith(t, seed, loadServers, loadBalancers, simOptions{
 		slots: loadSlots, target: loadTarget, priority: 2, places: 3, serve: sim.serve, reset: sim.fail,
 	})
@@ -97,7 +99,7 @@
 		sim.queues[server] = q
 	}
 	slowness := max(1, sim.slowness[server])
-	took := time.Duration(slowness * float64(loadServiceTime) * math.Exp(loadSpread*sim.rnd.NormFloat64()-loadSpread*loadSpread/2))
+	took := time.Duration(slowness * float64(sim.serviceTime) * math.Exp(loadSpread*sim.rnd.NormFloat64()-loadSpread*loadSpread/2))
 	if sim.rnd.Float64() < sim.lightShare {
 		took /= 20
 	}
@@ -134,7 +136,8 @@
 }
 
 func (sim *loadSim) answer(key flow.Key) {
-	if r := sim.byFlow[key]; r.answered == 0 {
+	// A copy of the opening packet may have reached a second server, whose answer comes after the attempt has failed.
+	if r := sim.byFlow[key]; r != nil && r.answered == 0 {
 		r.answered = sim.now
 	}
 }
@@ -142,7 +145,7 @@
 // fail ends one attempt of a request. The client makes the next attempt after 2 ms.
 func (sim *loadSim) fail(key flow.Key) {
 	r := sim.byFlow[key]
-	if r.failed || r.answered > 0 {
+	if r == nil || r.failed || r.answered > 0 {
 		return
 	}
 	delete(sim.byFlow, key)
@@ -222,6 +225,22 @@
 	}
 }
 
+// TestRequestsBeyondTheQueueAreNotAccepted offers twice the capacity in requests so short that the target would allow more
+// of them to wait than a server's queue holds. The server rejects those, which costs their clients another attempt.
+func TestRequestsBeyondTheQueueAreNotAccepted(t *testing.T) {
+	const offeredLoad = 2
+	sim := newLoadSim(t, 1)
+	sim.serviceTime = 15 * time.Millisecond
+	perSecond := offeredLoad * loadServers * loadSlots / sim.serviceTime.Seconds()
+	sim.generate(perSecond, 500*time.Millisecond)
+	sim.requests, sim.rejected = nil, 0
+	sim.generate(perSecond, time.Second)
+	sim.run(time.Second)
+	if limit := len(sim.requests) / 50; sim.rejected > limit {
+		t.Errorf("servers rejected %d attempts of %d requests, want at most %d; %.3f were answered in time", sim.rejected, len(sim.requests), limit, sim.inTime())
+	}
+}
+
 // TestRecoveredServersRegainTheirShare makes some servers slow for a while. They must receive their share of the
 // requests again afterwards.
 func TestRecoveredServersRegainTheirShare(t *testing.T) {
--- a/flow/tracker_test.go
+++ b/flow/tracker_test.go
@@ -844,3 +844,20 @@
 		t.Fatalf("got %d flows after the idle time-out, want 0", flows)
 	}
 }
+
+// TestQueueLimitIsLearnedFromARejection guards against giving a server more requests than its queue holds: it answers
+// the first one beyond that at once, while earlier ones wait.
+func TestQueueLimitIsLearnedFromARejection(t *testing.T) {
+	tracker := newTracker(orderView(5))
+	const outstanding = 6
+	for n := range outstanding + 1 {
+		acceptFlow(t, tracker, start, n)
+		sendRequest(tracker, start, n)
+	}
+	sendAnswer(tracker, start+time.Millisecond, outstanding)
+	now := start + 2*time.Millisecond
+	wantAction(t, tracker.FromNode(now, opening(20), nil, request(flow.PurposeOpen)), flow.Reset, flow.NoteRefused)
+	// An answered request leaves room for another one.
+	sendAnswer(tracker, now, 0)
+	wantAction(t, tracker.FromNode(now, opening(21), nil, request(flow.PurposeOpen)), flow.ToServer, flow.NoNote)
+}
