Limit the new flows of a cold server at its agent

A server that has just started is slow, and only the agent beside it sees the flows of all senders. Nothing limited them: balancers only divided the slots of a cold server by a constant.

The agent now checks every opening packet (first ones, copies, final offers and trials) against a token bucket with the service's cold rate and a burst of 2, which starts empty. Flows beyond it are passed on with the reason "server is cold". Further requests of open flows use the budget but are never held. A server that was found to be down counts as cold for the cold start after its first answer; entries of ended runs, or of runs that began before it was found to be down, do not change that.

--- a/flow/accept.go
+++ b/flow/accept.go
@@ -21,6 +21,9 @@
 	if t.evacuated && evacuated(now, t.evacuation, p.Key.Hash()) {
 		return t.pass(request, route, "availability zone is evacuated")
 	}
+	if !t.cold.allows(now) {
+		return t.pass(request, route, "server is cold")
+	}
 	if !t.Accepting(now) && (t.leaving() || !t.server.allowTrial(now)) {
 		return t.pass(request, route, "server accepts no new flows")
 	}
@@ -63,6 +66,8 @@
 	}
 	f := t.track(now, p, openingSent)
 	f.request = cloneRequest(request)
+	f.counted = true
+	t.cold.sent(now)
 	t.load.reserve(now, f)
 	t.server.sentOpening(now)
 }
--- a/flow/agents.go
+++ b/flow/agents.go
@@ -26,6 +26,9 @@
 	// share of its requests that count as failed.
 	ServiceTime time.Duration
 	FailureRate float64
+	// ColdRate is how many new flows the server may get in the next second because it has not warmed up, or zero if
+	// there is no limit.
+	ColdRate float64
 	// View is the freshness of the agent's view; its revision is zero if the agent has none.
 	View registry.Freshness
 }
--- /dev/null
+++ b/flow/cold_test.go
@@ -0,0 +1,171 @@
+package flow_test
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/bramleyrack/bramleyrack/flow"
+	"github.com/bramleyrack/bramleyrack/registry"
+)
+
+const coldStartTime = 4 * time.Second
+
+// coldView returns a view of the store at the given time, in which a run of server 1 is cold for the remaining time.
+func coldView(at time.Duration, rate float64, run uint64, remaining time.Duration) *registry.View {
+	server := upstreamOf(1, "orders")
+	server.Incarnation = run
+	if remaining > 0 {
+		server.WarmAt = at + remaining
+	}
+	return withColdRate(viewAt(at, 5, server), rate)
+}
+
+func withColdRate(view *registry.View, rate float64) *registry.View {
+	view.Configuration.Services = map[string]registry.Service{"orders": {ColdStart: coldStartTime, ColdRate: rate}}
+	return view
+}
+
+// coldLimit is the number of opening packets that a cold server may get in any second.
+func coldLimit(rate float64) float64 { return 1.5*rate + 5 }
+
+// maxInSecond returns the largest number of times in any sliding second.
+func maxInSecond(times []time.Duration) int {
+	most, first := 0, 0
+	for i := range times {
+		for times[i]-times[first] > time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// TestColdRateHoldsOnEveryPath guards against a path on which a cold server gets more opening packets than its rate
+// allows: first openings, copies of them, final offers, trials after a time-out, and a restart of the agent.
+func TestColdRateHoldsOnEveryPath(t *testing.T) {
+	for _, rate := range []float64{0.5, 1, 4, 10, 25} {
+		rnd := rand.New(rand.NewSource(1))
+		view := repeatable(coldView(start, rate, 1, 10*time.Second))
+		tracker := newTracker(view)
+		var sent []time.Duration
+		for now := start; now < start+10*time.Second; now += time.Millisecond {
+			if (now-start)%(50*time.Millisecond) == 0 {
+				tracker.Check(now)
+			}
+			if now == start+5300*time.Millisecond {
+				tracker = flow.NewTracker(flow.DefaultTrackerConfig("orders", flow.Endpoint{IP: agentIP(1), Port: simPort}), now)
+				tracker.SetView(view)
+			}
+			p, r := opening(rnd.Intn(3000)), request(flow.PurposeOpen, agentIP(3))
+			p.Copy = uint32(rnd.Intn(3))
+			if rnd.Intn(3) == 0 {
+				r.Remaining, r.Final, r.Best = nil, true, flow.Offer{Agent: agentIP(1)}
+			}
+			if v := tracker.FromNode(now, p, nil, r); v.Action != flow.ToServer {
+				continue
+			}
+			sent = append(sent, now)
+			// Half of the openings remain unanswered, so that the server is given trials.
+			if rnd.Intn(2) == 0 {
+				tracker.FromServer(now, &flow.Packet{Key: p.Key, Kind: flow.Accepting})
+				sendRequest(tracker, now, int(p.Key.Client.IP[2])<<8|int(p.Key.Client.IP[3]))
+				sendAnswer(tracker, now, int(p.Key.Client.IP[2])<<8|int(p.Key.Client.IP[3]))
+			}
+		}
+		if got := maxInSecond(sent); float64(got) > coldLimit(rate) {
+			t.Errorf("at a rate of %v, the server got %d opening packets in a second", rate, got)
+		}
+		if float64(len(sent)) < 4*rate {
+			t.Errorf("at a rate of %v, the server got only %d opening packets in 10 s", rate, len(sent))
+		}
+	}
+}
+
+// TestColdRateOfZeroIsNoLimit guards against cold servers that refuse although operators set no rate.
+func TestColdRateOfZeroIsNoLimit(t *testing.T) {
+	tracker := newTracker(coldView(start, 0, 1, coldStartTime))
+	for n := range 4 {
+		acceptFlow(t, tracker, start, n)
+	}
+	if status := tracker.Status(start); status.ColdRate != 0 {
+		t.Fatalf("reports a cold rate of %v", status.ColdRate)
+	}
+}
+
+// TestColdServerPassesFlowsOn guards against a flow that is held or dropped when the budget of a cold server is used up,
+// and against a budget that a restarted agent takes for full.
+func TestColdServerPassesFlowsOn(t *testing.T) {
+	tracker := newTracker(coldView(start, 10, 1, coldStartTime))
+	v := tracker.FromNode(start, opening(1), nil, request(flow.PurposeOpen, agentIP(3)))
+	wantAction(t, v, flow.Forward, flow.NoteStatus)
+	if v.Reason != "server is cold" || v.To != agentIP(3) {
+		t.Fatalf("passed to %v: %s", v.To, v.Reason)
+	}
+	wantAction(t, tracker.FromNode(start, opening(1), nil, request(flow.PurposeOpen)), flow.Reset, flow.NoteRefused)
+	acceptFlow(t, tracker, start+100*time.Millisecond, 2)
+	acceptFlow(t, tracker, start+coldStartTime, 3)
+	acceptFlow(t, tracker, start+coldStartTime, 4)
+}
+
+// TestRequestsOfOpenFlowsUseColdBudget guards against requests of open flows that are held, and against new flows in
+// addition to as many requests as the rate allows.
+func TestRequestsOfOpenFlowsUseColdBudget(t *testing.T) {
+	tracker := newTracker(coldView(start, 10, 1, coldStartTime))
+	now := start + time.Second
+	acceptFlow(t, tracker, now, 1)
+	for range 8 {
+		wantAction(t, sendRequest(tracker, now, 1), flow.ToServer, flow.NoNote)
+		sendAnswer(tracker, now, 1)
+	}
+	now += 500 * time.Millisecond
+	wantAction(t, tracker.FromNode(now, opening(2), nil, request(flow.PurposeOpen, agentIP(3))), flow.Forward, flow.NoteStatus)
+	acceptFlow(t, tracker, now+300*time.Millisecond, 2)
+}
+
+// TestRestartedServerIsColdUntilItsEntryShows guards against a server that was down and counts as warm because the view
+// still shows the run before, or a run that ended in the meantime.
+func TestRestartedServerIsColdUntilItsEntryShows(t *testing.T) {
+	wantCold := func(tracker *flow.Tracker, now time.Duration, want bool) {
+		t.Helper()
+		if _, remaining, cold := tracker.Cold(now); cold != want {
+			t.Fatalf("at %v: cold is %v for %v more", now-start, cold, remaining)
+		}
+	}
+	tracker := newTracker(coldView(start, 10, 1, 0))
+	acceptFlow(t, tracker, start, 1)
+	wantCold(tracker, start, false)
+	down := start + time.Second
+	tracker.Check(down)
+	tracker.ServerDown()
+	wantCold(tracker, down, true)
+	answers := down + 700*time.Millisecond
+	acceptFlow(t, tracker, answers, 2)
+	for _, view := range []*registry.View{
+		coldView(answers, 10, 1, 0),
+		// This run began before the server was found to be down.
+		coldView(answers, 10, 2, coldStartTime-2*time.Second),
+		coldView(answers, 10, 2, 0),
+	} {
+		tracker.SetView(view)
+		wantCold(tracker, answers+coldStartTime-time.Millisecond, true)
+		wantCold(tracker, answers+coldStartTime, false)
+	}
+	tracker.SetView(coldView(answers, 10, 3, coldStartTime-500*time.Millisecond))
+	wantCold(tracker, answers+coldStartTime-501*time.Millisecond, true)
+	wantCold(tracker, answers+coldStartTime-500*time.Millisecond, false)
+	tracker.SetView(coldView(answers, 10, 1, 0))
+	wantCold(tracker, answers, true)
+}
+
+// TestServerWithoutEntryIsAssumedToBeCold covers a server whose start the view does not show yet.
+func TestServerWithoutEntryIsAssumedToBeCold(t *testing.T) {
+	tracker := newTracker(withColdRate(viewAt(start, 5), 10))
+	if _, remaining, cold := tracker.Cold(start); !cold || remaining != coldStartTime {
+		t.Fatalf("cold is %v for %v", cold, remaining)
+	}
+	tracker.SetView(coldView(start, 10, 1, 0))
+	if _, _, cold := tracker.Cold(start); cold {
+		t.Fatal("cold although the entry states that the server has warmed up")
+	}
+}
--- a/flow/server_health.go
+++ b/flow/server_health.go
@@ -95,6 +95,7 @@
 // Check must be called at regular intervals. It reports whether the server has just become silent.
 func (t *Tracker) Check(now time.Duration) (silent bool) {
 	t.load.advance(now)
+	t.cold.update(now)
 	for i := range t.probes {
 		t.probes[i].checks++
 	}
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -41,7 +41,9 @@
 	// confirmed is set once the server has sent more than its answer to the opening packet. The client has then
 	// opened the flow here and not at another server that received a copy of the opening packet.
 	confirmed bool
-	lastSeen  time.Duration
+	// counted is set if the opening packet was counted against the cold rate for the first request as well.
+	counted  bool
+	lastSeen time.Duration
 }
 
 // Note is what an agent reports to a balancer in addition to its action on a packet.
@@ -89,6 +91,7 @@
 	evacuated  bool
 	flows      *simplelru.LRU[Key, *trackedFlow]
 	load       load
+	cold       coldStart
 	server     serverHealth
 	probes     []probe
 	versions   versionGuard
@@ -124,6 +127,7 @@
 		t.load.slots = t.entry.Slots
 	}
 	t.evacuation, t.evacuated = view.Evacuation(t.place())
+	t.setCold(view)
 	t.setRoutes(view.Configuration)
 }
 
@@ -184,6 +188,7 @@
 		Accepting: t.Accepting(now),
 		Busy:      uint32(t.load.busy()), Slots: uint32(t.load.slots), Flows: uint32(t.load.flows),
 		ServiceTime: t.load.mean, FailureRate: t.load.outcomes.failureRate,
+		ColdRate: t.cold.rateLeft(now),
 	}
 }
 
@@ -274,6 +279,10 @@
 	f.clientAck = p.Ack
 	f.request = cloneRequest(request)
 	if p.Length > 0 && f.state != ended {
+		if f.work != requested && !f.counted {
+			t.cold.sent(now)
+		}
+		f.counted = false
 		t.load.start(now, f)
 	}
 	if p.Kind == Resetting {
@@ -321,6 +330,7 @@
 	if p.Returned {
 		return t.returned(now, p)
 	}
+	t.cold.answered(now)
 	t.server.received(now)
 	f := t.track(now, p, open)
 	f.answerOwed = false
@@ -345,6 +355,7 @@
 
 // returned decides on a packet that the server sent back. Its key is that of the client's packet.
 func (t *Tracker) returned(now time.Duration, p *Packet) Verdict {
+	t.cold.answered(now)
 	t.server.received(now)
 	f, ok := t.flows.Peek(p.Key)
 	if !ok {
@@ -388,5 +399,6 @@
 	}
 	t.flows.Purge()
 	t.server.stopped()
+	t.cold.serverDown(max(t.started, t.load.now), t.entry)
 	return lost
 }
