Weigh cold servers by their limit on new flows at balancers

Balancers divided the slots of a cold server by 1.6, whatever number of new flows its agent lets through, so agents would turn away most of what they are sent.

Agents now report how many new flows their server may get in the next second (header field cold_rate). A balancer takes rate x mean service time as the capacity of a cold server, at most its slots, and the constant where the rate or the service time is not known. A server without budget in its last status, or after the flows sent since then, moves behind the servers of the other zones for at most the interval of remote heartbeats.

--- a/flow/agents.go
+++ b/flow/agents.go
@@ -44,6 +44,8 @@
 	slots    int
 	draining bool
 	warmAt   time.Duration
+	// coldRate is the limit on the new flows per second until the server has warmed up, or zero if there is none.
+	coldRate float64
 	// present is set if the view names the server.
 	present bool
 	// lastHeard is when the agent last sent its status, and waitingSince when it was first sent a message since then
@@ -73,14 +75,15 @@
 	return a.leaving || a.waitingSince > 0 && now-a.waitingSince > limit
 }
 
-// coldFactor is how many times longer a server takes for a request until it has warmed up.
+// coldFactor is how many times longer a server takes for a request until it has warmed up. It applies if there is no
+// limit on the new flows of cold servers.
 const coldFactor = 1.6
 
 // capacity returns how many requests the server can run at once, in requests at its warm speed.
 func (a *agent) capacity(now time.Duration) float64 {
 	slots := float64(max(1, a.slots))
-	if now < a.warmAt {
-		slots /= coldFactor
+	if a.cold(now) {
+		return a.coldCapacity(slots)
 	}
 	return slots
 }
@@ -148,6 +151,7 @@
 	}
 	d.setUpstreams(now, view.Upstreams)
 	d.setRoutes(view.Content)
+	d.setColdRates(view.Configuration)
 	d.pruneAgents(now)
 }
 
--- /dev/null
+++ b/flow/cold_agents.go
@@ -0,0 +1,45 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/bramleyrack/bramleyrack/registry"
+)
+
+// setColdRates adopts the limits on the new flows of cold servers from a configuration.
+func (d *Director) setColdRates(c *registry.Configuration) {
+	if c == nil {
+		return
+	}
+	for _, a := range d.agents {
+		a.coldRate = 0
+		if s := d.byHash[a.service]; s != nil {
+			a.coldRate = c.Services[s.name].ColdRate
+		}
+	}
+}
+
+// cold reports whether the server has not warmed up, according to its entry or to its agent, which learns earlier that
+// the server has started anew.
+func (a *agent) cold(now time.Duration) bool {
+	return now < a.warmAt || a.status.ColdRate > 0
+}
+
+// coldCapacity returns the capacity of a server that has the given number of slots and has not warmed up. If the limit
+// on its new flows is known, it is the number of slots that so many flows a second keep busy.
+func (a *agent) coldCapacity(slots float64) float64 {
+	if a.coldRate > 0 && a.status.ServiceTime > 0 {
+		return min(slots, a.coldRate*a.status.ServiceTime.Seconds())
+	}
+	return slots / coldFactor
+}
+
+// exhausted reports whether the cold server had no budget left for another new flow in its last status, or has none left
+// after those sent since then. The budget grows at a known rate, but all balancers share what is added, so only the next
+// status shows it. Older statuses than ttl say nothing.
+func (a *agent) exhausted(now, ttl time.Duration) bool {
+	if a.status.ColdRate == 0 || a.coldRate == 0 || now-a.lastHeard > ttl {
+		return false
+	}
+	return a.status.ColdRate-a.coldRate-float64(a.sentFlows) < 1
+}
--- a/flow/cold_test.go
+++ b/flow/cold_test.go
@@ -169,3 +169,79 @@
 		t.Fatal("cold although the entry states that the server has warmed up")
 	}
 }
+
+// newColdDirector returns the Director of a balancer that knows the given number of servers in its place, of which the
+// first one is cold for a second, with a cold rate of 10.
+func newColdDirector(servers int) *flow.Director {
+	var upstreams []registry.Upstream
+	for n := range servers {
+		upstreams = append(upstreams, upstreamOf(2*n+1, "orders"))
+	}
+	upstreams[0].WarmAt = start + time.Second
+	d := flow.NewDirector(flow.DefaultDirectorConfig("here"), start)
+	d.SetView(start, withColdRate(viewAt(start, 5, upstreams...), 10))
+	return d
+}
+
+// TestColdServerIsWeighedByItsRate guards against balancers that send a cold server more flows than its rate allows. At
+// 100 ms a request, a rate of 10 is worth one of its 4 slots.
+func TestColdServerIsWeighedByItsRate(t *testing.T) {
+	for _, tc := range []struct {
+		serviceTime time.Duration
+		coldFlows   uint32
+		want        flow.IP
+	}{
+		{100 * time.Millisecond, 1, agentIP(1)},
+		{100 * time.Millisecond, 3, agentIP(3)},
+		// The rate is never worth more than the slots, and without a service time the constant applies.
+		{10 * time.Second, 8, agentIP(1)},
+		{10 * time.Second, 11, agentIP(3)},
+		{0, 5, agentIP(1)},
+		{0, 7, agentIP(3)},
+	} {
+		for n := range 20 {
+			d := newColdDirector(2)
+			cold := statusOf(1, 0, tc.coldFlows)
+			cold.ServiceTime, cold.ColdRate = tc.serviceTime, 12
+			receive(d, start, cold, statusOf(3, 0, 10))
+			if got := d.FromClient(start, opening(n), nil); got.To != tc.want {
+				t.Fatalf("with %d flows and %v a request, the cold server was preferred: %v", tc.coldFlows, tc.serviceTime, got.To == agentIP(1))
+			}
+		}
+	}
+}
+
+// TestExhaustedColdServerComesLast guards against flows that take a hop through an agent that must pass them on.
+func TestExhaustedColdServerComesLast(t *testing.T) {
+	d := newColdDirector(4)
+	exhausted := statusOf(1, 0, 0)
+	exhausted.ColdRate = 10.9
+	for n := range 30 {
+		receive(d, start, exhausted, statusOf(3, 9, 90), statusOf(5, 9, 90), statusOf(7, 9, 90))
+		got := d.FromClient(start, opening(n), nil)
+		if last := got.Request.Remaining[len(got.Request.Remaining)-1]; last != agentIP(1) {
+			t.Fatalf("the last agent for flow %d is %v, not that of the exhausted server", n, last)
+		}
+	}
+	// Its last status allows two flows.
+	allowed := 0
+	exhausted.ColdRate = 12
+	receive(d, start, exhausted)
+	for n := range 30 {
+		receive(d, start, statusOf(3, 9, 90), statusOf(5, 9, 90), statusOf(7, 9, 90))
+		if d.FromClient(start, opening(100+n), nil).To == agentIP(1) {
+			allowed++
+		}
+	}
+	if allowed != 2 {
+		t.Fatalf("%d flows were sent to a server that may get 2", allowed)
+	}
+	// Alone, it is still asked: its agent decides.
+	d = flow.NewDirector(flow.DefaultDirectorConfig("here"), start)
+	d.SetView(start, withColdRate(viewAt(start, 5, upstreamOf(1, "orders"), upstreamOf(2, "orders")), 10))
+	exhausted.ColdRate = 10
+	cold := statusOf(2, 0, 0)
+	cold.ColdRate = 10
+	receive(d, start, exhausted, cold)
+	wantForward(t, d.FromClient(start, opening(1), nil), flow.PurposeOpen)
+}
--- a/flow/openings.go
+++ b/flow/openings.go
@@ -91,10 +91,11 @@
 	}
 }
 
-// stillAvailable filters a list to the agents that still take new flows and moves unresponsive ones to the end.
+// stillAvailable filters a list to the agents that still take new flows and moves exhausted and unresponsive ones to the
+// end.
 func (d *Director) stillAvailable(now time.Duration, flow uint64, list []IP) []IP {
 	d.listBuf = d.listBuf[:0]
-	var unresponsiveAgents []IP
+	var exhaustedAgents, unresponsiveAgents []IP
 	for _, ip := range list {
 		a := d.agents[ip]
 		if a == nil {
@@ -102,13 +103,15 @@
 		}
 		switch d.classify(now, a, flow) {
 		case unavailable:
+		case exhausted:
+			exhaustedAgents = append(exhaustedAgents, ip)
 		case unresponsive:
 			unresponsiveAgents = append(unresponsiveAgents, ip)
 		default:
 			d.listBuf = append(d.listBuf, ip)
 		}
 	}
-	d.listBuf = append(d.listBuf, unresponsiveAgents...)
+	d.listBuf = append(append(d.listBuf, exhaustedAgents...), unresponsiveAgents...)
 	return d.listBuf
 }
 
--- a/flow/select.go
+++ b/flow/select.go
@@ -14,6 +14,8 @@
 	local class = iota
 	// remote is in another place.
 	remote
+	// exhausted is cold and has used up its limit on new flows.
+	exhausted
 	// unresponsive has not answered recently.
 	unresponsive
 	// unavailable takes no new flows.
@@ -31,6 +33,8 @@
 		return unavailable
 	case a.unresponsive(now, d.config.UnresponsiveAfter):
 		return unresponsive
+	case a.exhausted(now, d.config.RemoteInterval):
+		return exhausted
 	case a.place != d.config.Place:
 		return remote
 	}
@@ -62,6 +66,7 @@
 	localLimit := min(len(locals), max(limit-d.config.MinRemote, limit-len(remotes)))
 	d.listBuf = append(d.listBuf[:0], locals[:localLimit]...)
 	d.listBuf = append(d.listBuf, remotes...)
+	d.listBuf = append(d.listBuf, byClass[exhausted]...)
 	d.listBuf = append(d.listBuf, byClass[unresponsive]...)
 	d.listBuf = d.listBuf[:min(len(d.listBuf), limit)]
 	if n := len(d.listBuf); n > 0 {
--- a/internal/nodecodec/nodecodec.go
+++ b/internal/nodecodec/nodecodec.go
@@ -124,6 +124,7 @@
 	h.Process, h.Accepting = s.Process, s.Accepting
 	h.Busy, h.Slots, h.Flows = s.Busy, s.Slots, s.Flows
 	h.ServiceTimeUs, h.Failing = uint32(s.ServiceTime.Microseconds()), float32(s.FailureRate)
+	h.ColdRate = float32(s.ColdRate)
 }
 
 // Status returns the status in h, received now from the agent at the given address.
@@ -132,6 +133,7 @@
 		From: from, Process: h.Process, Accepting: h.Accepting,
 		Busy: h.Busy, Slots: h.Slots, Flows: h.Flows, View: Freshness(h, now),
 		ServiceTime: time.Duration(h.ServiceTimeUs) * time.Microsecond, FailureRate: float64(h.Failing),
+		ColdRate: float64(h.ColdRate),
 	}
 }
 
