Do not count packets of searches against the cold rate

After the loss of many servers, their clients' packets are searched for at every agent, and an agent that has just started gives each of them to its server. These packets were counted as requests of open flows, so the budget of a restarted server stayed overdrawn during its whole cold start.

Only requests of flows that the server holds are counted now, and the request of a flow that a search found once the server has answered it.

The new test fails without the change.

--- a/flow/cold.go
+++ b/flow/cold.go
@@ -152,6 +152,23 @@
 	return max(minColdRate, c.service.ColdRate+c.bucket.available(now))
 }
 
+// found counts the request of a flow that turned out to be held by the server.
+func (c *coldStart) found(now time.Duration, f *trackedFlow) {
+	if f.state == searchDelivered && f.work == requested {
+		c.sent(now)
+	}
+}
+
+// countRequest counts a request of a flow that the server holds against the cold rate. The opening packet covers the
+// first request. Requests of flows that the server may not hold are not counted: after the loss of many servers, the
+// searches of their clients would use up the budget of those that have restarted.
+func (t *Tracker) countRequest(now time.Duration, f *trackedFlow) {
+	if f.state == open && f.work != requested && !f.counted {
+		t.cold.sent(now)
+	}
+	f.counted = false
+}
+
 // Cold reports whether the server has not warmed up, with the limit on its new flows per second, which is zero if there
 // is none, and the expected time until it has warmed up.
 func (t *Tracker) Cold(now time.Duration) (rate float64, remaining time.Duration, cold bool) {
--- a/flow/cold_test.go
+++ b/flow/cold_test.go
@@ -245,3 +245,17 @@
 	receive(d, start, exhausted, cold)
 	wantForward(t, d.FromClient(start, opening(1), nil), flow.PurposeOpen)
 }
+
+// TestSearchesDoNotUseColdBudget guards against the searches for lost flows, which reach every restarted server, using
+// up the budget for new flows.
+func TestSearchesDoNotUseColdBudget(t *testing.T) {
+	tracker := newTracker(coldView(start, 10, 1, coldStartTime))
+	now := start + time.Second
+	for n := range 100 {
+		p := dataPacket(10 + n)
+		wantAction(t, tracker.FromNode(now, p, nil, request(flow.PurposeSearch)), flow.ToServer, flow.NoNote)
+		p.Returned = true
+		wantAction(t, tracker.FromServer(now, p), flow.Drop, flow.NoteDenied)
+	}
+	acceptFlow(t, tracker, now, 1)
+}
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -279,10 +279,7 @@
 	f.clientAck = p.Ack
 	f.request = cloneRequest(request)
 	if p.Length > 0 && f.state != ended {
-		if f.work != requested && !f.counted {
-			t.cold.sent(now)
-		}
-		f.counted = false
+		t.countRequest(now, f)
 		t.load.start(now, f)
 	}
 	if p.Kind == Resetting {
@@ -337,6 +334,7 @@
 	f.confirmed = f.confirmed || p.Kind != Accepting
 	v := Verdict{Decision: Decision{Action: ToClient}}
 	if (f.state == openingSent || f.state == searchDelivered) && p.Kind != Resetting {
+		t.cold.found(now, f)
 		f.state = open
 		v.Note, v.Balancer = NoteHeld, f.request.Balancer
 	}
