Correct evacuation in forwarding, and log and count it

Agents and balancers log evacuation_begun, evacuation_ended, server_cold and server_warm, and count the opening packets turned away because of evacuations and of the cold rate.

--- a/flow/accept.go
+++ b/flow/accept.go
@@ -18,11 +18,14 @@
 	case route == nil:
 		return refuse(request, "no route in the configuration in force")
 	}
+	if t.justResumed(now) {
+		return t.pass(request, route, "agent has just continued after a pause")
+	}
 	if t.evacuated && evacuated(now, t.evacuation, p.Key.Hash()) {
-		return t.pass(request, route, "availability zone is evacuated")
+		return t.passEvacuated(request, p)
 	}
 	if !t.cold.allows(now) {
-		return t.pass(request, route, "server is cold")
+		return t.passCold(request, p)
 	}
 	if !t.Accepting(now) && (t.leaving() || !t.server.allowTrial(now)) {
 		return t.pass(request, route, "server accepts no new flows")
--- a/flow/agents.go
+++ b/flow/agents.go
@@ -61,6 +61,8 @@
 	nextHeartbeat time.Duration
 	// reportedUnresponsive is what HealthChanges last returned for the agent.
 	reportedUnresponsive bool
+	// reportedCold is what ColdChanges last returned for the server.
+	reportedCold bool
 }
 
 // expectReply records that the agent was sent a message that requires an answer.
--- a/flow/cold.go
+++ b/flow/cold.go
@@ -50,22 +50,29 @@
 }
 
 // observe handles the server's entry in a view that the store confirmed at the given time. Entries of ended runs and of
-// runs that began before the server was found to be down are ignored: they say nothing about the present run.
-func (c *coldStart) observe(confirmed time.Duration, entry *registry.Upstream) {
+// runs that began before the server was found to be down are ignored: they say nothing about the present run. An
+// entry that the store still states after a cold start is not ignored any more: its server has a cold start of another
+// length. observe reports whether the server has started anew.
+func (c *coldStart) observe(confirmed time.Duration, entry *registry.Upstream) (newRun bool) {
 	if slices.Contains(c.endedRuns, entry.Incarnation) {
-		return
+		return false
 	}
 	if !c.runKnown || entry.Incarnation != c.run {
-		if c.restarted && c.beganBy(confirmed, entry) < c.downSince {
-			return
+		older := c.restarted && c.beganBy(confirmed, entry) < c.downSince
+		if older && confirmed < c.downSince+c.service.ColdStart {
+			return false
 		}
+		newRun = c.runKnown || c.restarted
 		if c.runKnown {
 			c.endRun(c.run)
 		}
 		c.run, c.runKnown = entry.Incarnation, true
-		c.restarted, c.assumedUntil = false, 0
+		if !older {
+			c.down, c.restarted, c.assumedUntil = false, false, 0
+		}
 	}
 	c.warmAt = entry.WarmAt
+	return newRun
 }
 
 // beganBy returns the latest time at which the run of an entry can have begun.
@@ -181,8 +188,8 @@
 	if view.Configuration != nil {
 		t.cold.configure(t.started, view.Configuration.Services[t.config.Service])
 	}
-	if t.entry != nil {
-		t.cold.observe(view.Confirmed, t.entry)
+	if t.entry != nil && t.cold.observe(view.Confirmed, t.entry) {
+		t.server.restarted()
 	}
 	t.cold.update(max(t.started, t.load.now))
 }
--- a/flow/cold_agents.go
+++ b/flow/cold_agents.go
@@ -43,3 +43,25 @@
 	}
 	return a.status.ColdRate-a.coldRate-float64(a.sentFlows) < 1
 }
+
+// ColdChange is a change in whether a balancer considers a server cold.
+type ColdChange struct {
+	Agent IP
+	Cold  bool
+	// Rate is the limit on the new flows per second, or zero if there is none. Remaining is the time until the server
+	// is expected to have warmed up, or zero if only its agent knows.
+	Rate      float64
+	Remaining time.Duration
+}
+
+// ColdChanges returns the servers that have become cold or warm since the last call.
+func (d *Director) ColdChanges(now time.Duration) []ColdChange {
+	var changes []ColdChange
+	for _, a := range d.sortedAgents {
+		if cold := a.present && a.cold(now); cold != a.reportedCold {
+			a.reportedCold = cold
+			changes = append(changes, ColdChange{Agent: a.ip, Cold: cold, Rate: a.coldRate, Remaining: max(0, a.warmAt-now)})
+		}
+	}
+	return changes
+}
--- a/flow/director.go
+++ b/flow/director.go
@@ -235,6 +235,7 @@
 	// searchBytes limits the bytes that searches send, and wideMessages the messages of searches of all services.
 	searchBytes, wideMessages tokenBucket
 	started                   time.Duration
+	turnedAway                TurnedAway
 }
 
 // NewDirector returns a Director without a view, which drops every packet.
@@ -280,7 +281,7 @@
 	s := r.pick(p.Key)
 	list := d.selectAgents(now, s, p)
 	if len(list) == 0 {
-		return d.refuse(now, p, "no upstream accepts new flows")
+		return d.refuseUnplaced(now, p, s)
 	}
 	d.openings.add(now, p, raw, s, list)
 	return d.forwardOpening(now, s, list)
--- a/flow/evacuation.go
+++ b/flow/evacuation.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bramleyrack/bramleyrack/registry"
@@ -17,6 +18,30 @@
 	if e.Started == 0 || elapsed >= evacuationRamp {
 		return true
 	}
-	// The upper bits of the hash select the service of a route, so the lower ones are used here.
+	// The upper bits of the hash select the service of a route; the remainder depends on all bits.
 	return time.Duration(hash%uint64(evacuationRamp)) < elapsed
 }
+
+// EvacuationChanges returns the evacuations that have begun and ended between two views.
+func EvacuationChanges(before, after []registry.Evacuation) (begun, ended []registry.Evacuation) {
+	return evacuationsWithout(after, before), evacuationsWithout(before, after)
+}
+
+// evacuationsWithout returns the evacuations of a list whose places are not in another list.
+func evacuationsWithout(list, others []registry.Evacuation) []registry.Evacuation {
+	var rest []registry.Evacuation
+	for _, e := range list {
+		if !slices.ContainsFunc(others, func(other registry.Evacuation) bool { return other.Place == e.Place }) {
+			rest = append(rest, e)
+		}
+	}
+	return rest
+}
+
+// EvacuationAge returns the time since an evacuation began as text, or "unknown".
+func EvacuationAge(now time.Duration, e registry.Evacuation) string {
+	if e.Started == 0 {
+		return "unknown"
+	}
+	return (now - e.Started).String()
+}
--- a/flow/openings.go
+++ b/flow/openings.go
@@ -102,7 +102,7 @@
 			continue
 		}
 		switch d.classify(now, a, flow) {
-		case unavailable:
+		case unavailable, evacuating:
 		case exhausted:
 			exhaustedAgents = append(exhaustedAgents, ip)
 		case unresponsive:
--- a/flow/select.go
+++ b/flow/select.go
@@ -20,6 +20,8 @@
 	unresponsive
 	// unavailable takes no new flows.
 	unavailable
+	// evacuating is in a place that operators evacuate, and takes no new flows.
+	evacuating
 )
 
 // classify returns the class of an agent for a new flow with the given hash.
@@ -28,7 +30,7 @@
 	case !a.present || a.draining:
 		return unavailable
 	case d.evacuated(now, a.place, flow):
-		return unavailable
+		return evacuating
 	case a.status.Process > 0 && !a.status.Accepting:
 		return unavailable
 	case a.unresponsive(now, d.config.UnresponsiveAfter):
@@ -54,9 +56,12 @@
 // before may be dead or unreachable.
 func (d *Director) selectAgents(now time.Duration, s *service, p *Packet) []IP {
 	d.rankBuf = placement.Rank(d.rankBuf[:0], p.Key.Hash(), d.config.Place, s.candidates)
-	var byClass [unavailable + 1][]IP
-	for _, number := range d.rankBuf {
+	var byClass [evacuating + 1][]IP
+	for i, number := range d.rankBuf {
 		c := d.classify(now, d.agents[ipFromNumber(number)], p.Key.Hash())
+		if i == 0 {
+			d.countTurnedAway(c)
+		}
 		byClass[c] = append(byClass[c], ipFromNumber(number))
 	}
 	locals, remotes := byClass[local], byClass[remote]
--- a/flow/server_health.go
+++ b/flow/server_health.go
@@ -86,6 +86,14 @@
 	s.down = true
 }
 
+// restarted records that the view shows a new run of the server. What was observed before concerns the run that is over.
+// Without this, a server that was down while it had no flows would never get any again: balancers send none to a server
+// that takes none, and only a packet from the server shows that it is up.
+func (s *serverHealth) restarted() {
+	s.waitingSince, s.unanswered, s.pending = 0, 0, 0
+	s.down, s.silent = false, false
+}
+
 // NeedsProcessCheck reports whether the caller should check if the server process is running.
 func (t *Tracker) NeedsProcessCheck(now time.Duration) bool {
 	s := &t.server
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -93,8 +93,11 @@
 	load       load
 	cold       coldStart
 	server     serverHealth
-	probes     []probe
-	versions   versionGuard
+	turnedAway TurnedAway
+	// resumed is when the agent continued after a pause, or zero.
+	resumed  time.Duration
+	probes   []probe
+	versions versionGuard
 }
 
 // NewTracker returns the Tracker of an agent that starts now. The limits in config must be positive.
--- a/internal/flowagent/counters.go
+++ b/internal/flowagent/counters.go
@@ -17,6 +17,8 @@
 	announced     atomic.Uint64
 	lost          atomic.Uint64
 	writeFailures atomic.Uint64
+	evacuated     atomic.Uint64
+	cold          atomic.Uint64
 	flows         atomic.Int64
 	busy          atomic.Int64
 }
@@ -25,16 +27,18 @@
 func (a *Agent) Counters() map[string]uint64 {
 	c := &a.counts
 	counts := map[string]uint64{
-		"node_packets":   c.nodePackets.Load(),
-		"server_packets": c.serverPackets.Load(),
-		"malformed":      c.malformed.Load(),
-		"held":           c.held.Load(),
-		"refused":        c.refused.Load(),
-		"announced":      c.announced.Load(),
-		"lost":           c.lost.Load(),
-		"write_failures": c.writeFailures.Load(),
-		"flows":          uint64(c.flows.Load()),
-		"busy":           uint64(c.busy.Load()),
+		"node_packets":          c.nodePackets.Load(),
+		"server_packets":        c.serverPackets.Load(),
+		"malformed":             c.malformed.Load(),
+		"held":                  c.held.Load(),
+		"refused":               c.refused.Load(),
+		"announced":             c.announced.Load(),
+		"lost":                  c.lost.Load(),
+		"write_failures":        c.writeFailures.Load(),
+		"turned_away_evacuated": c.evacuated.Load(),
+		"turned_away_cold":      c.cold.Load(),
+		"flows":                 uint64(c.flows.Load()),
+		"busy":                  uint64(c.busy.Load()),
 	}
 	for action := range c.actions {
 		counts["action_"+flow.Action(action).String()] = c.actions[action].Load()
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -28,12 +28,16 @@
 	balancers                    *flow.Balancers
 	seedHeartbeats               *flow.SeedHeartbeats
 	content                      *registry.Content
-	// accepting and suspect are the values that were last logged.
-	accepting bool
-	suspect   bool
+	// accepting, suspect, cold and evacuations are the values that were last logged.
+	accepting   bool
+	suspect     bool
+	cold        bool
+	evacuations []registry.Evacuation
 	// lastSweep is when idle flows were last removed, and lastAnnounce when silent balancers were last looked for.
 	lastSweep, lastAnnounce time.Duration
-	checker                 processChecker
+	// lastTick is when the periodic work was last done.
+	lastTick time.Duration
+	checker  processChecker
 	// openingSentAt maps each flow whose opening packet the server has not answered to the time when it was forwarded.
 	openingSentAt map[flow.Key]time.Duration
 }
@@ -102,7 +106,9 @@
 	l.content = view.Content
 	l.tracker.SetView(view)
 	l.config.Event("view_in_force", "version", view.Version(), "revision", view.Revision, "age", now-view.Confirmed)
+	l.logEvacuations(now, view.Evacuations)
 	l.logAccepting(now)
+	l.logCold(now)
 }
 
 // logAccepting logs when the server starts or stops accepting new flows.
@@ -124,6 +130,7 @@
 
 func (l *loop) handleBatch(batch *packetreader.Batch) {
 	now := l.config.Clock.Now()
+	l.detectPause(now)
 	l.updateView(now)
 	for i := range batch.Messages {
 		m := &batch.Messages[i]
--- a/internal/flowagent/tick.go
+++ b/internal/flowagent/tick.go
@@ -17,9 +17,12 @@
 		l.config.Event("resumed", "suspended", suspended)
 	}
 	now := l.config.Clock.Now()
+	l.detectPause(now)
+	l.lastTick = now
 	l.updateView(now)
 	l.logAccepting(now)
 	l.logSuspect(now)
+	l.logCold(now)
 	l.checkServer(now)
 	l.announce(now)
 	l.contactSeed(now)
@@ -63,6 +66,9 @@
 	status := l.tracker.Status(now)
 	l.agent.counts.flows.Store(int64(status.Flows))
 	l.agent.counts.busy.Store(int64(status.Busy))
+	turnedAway := l.tracker.TurnedAway()
+	l.agent.counts.evacuated.Store(turnedAway.Evacuated)
+	l.agent.counts.cold.Store(turnedAway.Cold)
 	for key, sent := range l.openingSentAt {
 		if now-sent > sweepInterval {
 			delete(l.openingSentAt, key)
--- a/internal/flowbalancer/counters.go
+++ b/internal/flowbalancer/counters.go
@@ -17,6 +17,8 @@
 	reported      atomic.Uint64
 	heartbeats    atomic.Uint64
 	writeFailures atomic.Uint64
+	evacuated     atomic.Uint64
+	cold          atomic.Uint64
 	flows         atomic.Int64
 }
 
@@ -24,15 +26,17 @@
 func (b *Balancer) Counters() map[string]uint64 {
 	c := &b.counts
 	counts := map[string]uint64{
-		"client_packets": c.clientPackets.Load(),
-		"malformed":      c.malformed.Load(),
-		"opened":         c.opened.Load(),
-		"searched":       c.searched.Load(),
-		"hedged":         c.hedged.Load(),
-		"reported":       c.reported.Load(),
-		"heartbeats":     c.heartbeats.Load(),
-		"write_failures": c.writeFailures.Load(),
-		"flows":          uint64(c.flows.Load()),
+		"client_packets":        c.clientPackets.Load(),
+		"malformed":             c.malformed.Load(),
+		"opened":                c.opened.Load(),
+		"searched":              c.searched.Load(),
+		"hedged":                c.hedged.Load(),
+		"reported":              c.reported.Load(),
+		"heartbeats":            c.heartbeats.Load(),
+		"write_failures":        c.writeFailures.Load(),
+		"turned_away_evacuated": c.evacuated.Load(),
+		"turned_away_cold":      c.cold.Load(),
+		"flows":                 uint64(c.flows.Load()),
 	}
 	for action := range c.actions {
 		counts["action_"+flow.Action(action).String()] = c.actions[action].Load()
--- a/internal/flowbalancer/loop.go
+++ b/internal/flowbalancer/loop.go
@@ -24,6 +24,8 @@
 	outHeader nodev1.Header
 	addresses map[flow.IP]*net.UDPAddr
 	content   *registry.Content
+	// evacuations are those that were last logged.
+	evacuations []registry.Evacuation
 	// lastSweep is when idle flows were last removed, and lastHealthLog when health changes were last checked for.
 	lastSweep, lastHealthLog time.Duration
 	// probe is the number of the last heartbeat.
@@ -97,6 +99,7 @@
 		l.content = view.Content
 		l.config.Event("routes_in_force", "version", view.Version(), "revision", view.Revision,
 			"upstreams", len(view.Upstreams), "age", now-view.Confirmed)
+		l.logEvacuations(now, view.Evacuations)
 	}
 }
 
--- a/internal/flowbalancer/nodes.go
+++ b/internal/flowbalancer/nodes.go
@@ -115,6 +115,7 @@
 	l.sendHeartbeats(now)
 	if now-l.lastHealthLog >= healthLogInterval {
 		l.logHealthChanges(now)
+		l.logColdChanges(now)
 	}
 	if now-l.lastSweep >= sweepInterval {
 		l.sweep(now)
@@ -181,6 +182,9 @@
 	l.lastSweep = now
 	l.director.Sweep(now)
 	l.balancer.counts.flows.Store(int64(l.director.Flows()))
+	turnedAway := l.director.TurnedAway()
+	l.balancer.counts.evacuated.Store(turnedAway.Evacuated)
+	l.balancer.counts.cold.Store(turnedAway.Cold)
 	for key, sent := range l.openingSentAt {
 		if now-sent > sweepInterval {
 			delete(l.openingSentAt, key)
