Assume that a server may have started together with its agent

After a power failure of a VM, the view may still show the run of the server before, which had warmed up. The agent then gave the new run as many flows as it had slots for until its entry arrived. RestartedServer tests did not cover this, because only a server that the agent itself finds down counted as cold.

For a service with a cold rate, an agent that has just started counts its server as cold until the store has confirmed its state for 500 ms after that start (the server would have written its entry), until the server sends a packet of an older flow, or until an entry of a new run arrives; at most for the cold start. While this is the only sign, 1.5 times the rate applies, which keeps the hard limit and loses less when only agents restart.

--- a/flow/cold.go
+++ b/flow/cold.go
@@ -11,6 +11,9 @@
 	// coldBurst is how many new flows a cold server may get at once. In any second it gets at most its rate and this
 	// burst, which is below the hard limit of 1.5 × rate + 5 for every rate.
 	coldBurst = 2
+	// unprovenFactor multiplies the rate while a server is only suspected to be cold because its agent has just started.
+	// This loses less capacity when only agents restart, and still keeps the hard limit.
+	unprovenFactor = 1.5
 	// minColdRate is the lowest rate that an agent reports, since zero means that there is no limit.
 	minColdRate = 0.01
 	// maxEndedRuns bounds the runs of the server that are remembered as ended. The store shows an ended run only for
@@ -21,9 +24,12 @@
 // coldStart decides whether the server beside an agent has warmed up, and how many new flows it may get until then.
 type coldStart struct {
 	service registry.Service
-	// configured is set once the settings of the service are known.
-	configured bool
-	bucket     tokenBucket
+	// started is when the agent started, and registration how long a server takes at most to write its entry. unproven
+	// is set from then on until it is known that the server did not start together with the agent, as after a power
+	// failure.
+	started, registration time.Duration
+	unproven              bool
+	bucket                tokenBucket
 	// limited is set while the bucket limits the new flows.
 	limited bool
 	// run is the run of the server that the latest entry describes, and warmAt when that run has warmed up.
@@ -40,13 +46,24 @@
 	assumedUntil time.Duration
 }
 
-// configure adopts the settings of the service. Until the view shows an entry, the server is assumed to have started
-// together with the agent.
-func (c *coldStart) configure(started time.Duration, service registry.Service) {
-	if !c.configured && !c.runKnown {
-		c.assumedUntil = started + service.ColdStart
+func newColdStart(started, registration time.Duration) coldStart {
+	return coldStart{started: started, registration: registration, unproven: true}
+}
+
+// confirm records that the store held the view at the given time. Once it would hold the entry of a run that began together
+// with the agent, the run of the entry is the present one.
+func (c *coldStart) confirm(confirmed time.Duration) {
+	if c.runKnown && confirmed >= c.started+c.registration {
+		c.unproven = false
+	}
+}
+
+// holdsOlderFlow records that the server has sent a packet of a flow that it was not given by this run of the agent. The
+// server is therefore older than the agent, as the entry states.
+func (c *coldStart) holdsOlderFlow() {
+	if c.runKnown {
+		c.unproven = false
 	}
-	c.service, c.configured = service, true
 }
 
 // observe handles the server's entry in a view that the store confirmed at the given time. Entries of ended runs and of
@@ -66,6 +83,7 @@
 		if c.runKnown {
 			c.endRun(c.run)
 		}
+		c.unproven = c.unproven && !newRun
 		c.run, c.runKnown = entry.Incarnation, true
 		if !older {
 			c.down, c.restarted, c.assumedUntil = false, false, 0
@@ -96,6 +114,7 @@
 // serverDown records that the server is not running. The run of its entry, if there is one, is over.
 func (c *coldStart) serverDown(now time.Duration, entry *registry.Upstream) {
 	c.down, c.restarted, c.downSince = true, true, now
+	c.unproven = false
 	if entry != nil {
 		c.endRun(entry.Incarnation)
 	}
@@ -117,21 +136,34 @@
 	if c.down {
 		return c.service.ColdStart, true
 	}
-	remaining = max(c.assumedUntil, c.warmAt) - now
+	until := max(c.assumedUntil, c.warmAt)
+	if c.unproven {
+		until = max(until, c.started+c.service.ColdStart)
+	}
+	remaining = until - now
 	return max(0, remaining), remaining > 0
 }
 
+// onlyUnproven reports whether the only sign of a cold start is that the server may have started with the agent.
+func (c *coldStart) onlyUnproven(now time.Duration) bool {
+	return c.unproven && !c.down && now >= max(c.assumedUntil, c.warmAt)
+}
+
 // update starts or ends the limit on new flows. The budget starts empty, because the number of flows that the server
 // got before, for example from an earlier run of the agent, is not known.
 func (c *coldStart) update(now time.Duration) {
 	_, cold := c.cold(now)
-	limited := cold && c.service.ColdRate > 0
+	rate := c.service.ColdRate
+	if c.onlyUnproven(now) {
+		rate *= unprovenFactor
+	}
+	limited := cold && rate > 0
 	if limited && !c.limited {
 		c.bucket = tokenBucket{burst: coldBurst, refilled: now}
 	}
-	if limited && c.bucket.perSecond != c.service.ColdRate {
+	if limited && c.bucket.perSecond != rate {
 		c.bucket.available(now)
-		c.bucket.perSecond = c.service.ColdRate
+		c.bucket.perSecond = rate
 	}
 	c.limited = limited
 }
@@ -186,10 +218,26 @@
 // setCold adopts what a view states about the warm-up of the server.
 func (t *Tracker) setCold(view *registry.View) {
 	if view.Configuration != nil {
-		t.cold.configure(t.started, view.Configuration.Services[t.config.Service])
+		t.cold.service = view.Configuration.Services[t.config.Service]
 	}
 	if t.entry != nil && t.cold.observe(view.Confirmed, t.entry) {
 		t.server.restarted()
 	}
+	t.Confirm(view.Confirmed)
 	t.cold.update(max(t.started, t.load.now))
 }
+
+// Confirm records that the store held the view in force at the given time.
+func (t *Tracker) Confirm(confirmed time.Duration) {
+	t.cold.confirm(confirmed)
+}
+
+// observeAnswer looks in a packet from the server for evidence that the server is older than the agent.
+func (t *Tracker) observeAnswer(p *Packet) {
+	if !t.cold.unproven || p.Kind == Accepting || p.Kind == Resetting {
+		return
+	}
+	if f, known := t.flows.Peek(p.Key); !known || f.state == searchDelivered {
+		t.cold.holdsOlderFlow()
+	}
+}
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -415,6 +415,7 @@
 	if server.tracker == nil {
 		return
 	}
+	server.tracker.Confirm(sim.now - sim.maxLag)
 	if server.tracker.Check(sim.now) {
 		for key := range server.tracker.EndStalled() {
 			sim.reset(key, "agent "+server.id+": server is silent")
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -102,7 +102,7 @@
 
 // NewTracker returns the Tracker of an agent that starts now. The limits in config must be positive.
 func NewTracker(config TrackerConfig, now time.Duration) *Tracker {
-	t := &Tracker{config: config, service: ServiceHash(config.Service), started: now, load: newLoad(config), server: newServerHealth(config)}
+	t := &Tracker{config: config, service: ServiceHash(config.Service), started: now, load: newLoad(config), cold: newColdStart(now, config.RegistrationTime), server: newServerHealth(config)}
 	flows, err := simplelru.NewLRU(config.MaxFlows, func(_ Key, f *trackedFlow) { t.end(f) })
 	if err != nil {
 		panic(err)
@@ -331,6 +331,7 @@
 		return t.returned(now, p)
 	}
 	t.cold.answered(now)
+	t.observeAnswer(p)
 	t.server.received(now)
 	f := t.track(now, p, open)
 	f.answerOwed = false
--- a/flow/tracker_config.go
+++ b/flow/tracker_config.go
@@ -52,6 +52,10 @@
 	// MaxVersionSkew is how long an agent that has applied a balancer's newer configuration may continue to use an older
 	// one before it has received the newer one itself. The required limit is 250 ms.
 	MaxVersionSkew time.Duration
+	// RegistrationTime bounds the time that a server takes to write its entry after its start. For a service with a cold
+	// rate, an agent that has just started counts its server as cold until the store has confirmed its state for this
+	// long, since both may have started together. A long time loses capacity when only agents restart.
+	RegistrationTime time.Duration
 }
 
 // DefaultTrackerConfig returns the default configuration of the agent beside a server.
@@ -74,5 +78,6 @@
 		RecoveryTime:       5 * time.Second,
 		MinPatience:        2800 * time.Millisecond,
 		MaxVersionSkew:     200 * time.Millisecond,
+		RegistrationTime:   500 * time.Millisecond,
 	}
 }
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -100,7 +100,11 @@
 // updateView puts the current view into force if its content has changed.
 func (l *loop) updateView(now time.Duration) {
 	view := l.config.View.Current()
-	if view == nil || view.Content == l.content {
+	if view == nil {
+		return
+	}
+	l.tracker.Confirm(view.Confirmed)
+	if view.Content == l.content {
 		return
 	}
 	l.content = view.Content
