--- a/flow/cold.go
+++ b/flow/cold.go
@@ -50,8 +50,8 @@
 	return coldStart{started: started, registration: registration, unproven: true}
 }
 
-// confirm records that the store held the view at the given time. Once it would hold the entry of a run that began together
-// with the agent, the run of the entry is the present one.
+// confirm records that the store held the view at the given time. Once it would hold the entry of a run that began
+// together with the agent, the run of the entry is the present one.
 func (c *coldStart) confirm(confirmed time.Duration) {
 	if c.runKnown && confirmed >= c.started+c.registration {
 		c.unproven = false
--- a/flow/turned_away.go
+++ b/flow/turned_away.go
@@ -49,8 +49,8 @@
 	return t.pass(request, t.routes[p.Key.Service], "server is cold")
 }
 
-// countTurnedAway counts an opening packet that does not go to the agent that ranks first for its flow. first is the class
-// of that agent.
+// countTurnedAway counts an opening packet that does not go to the agent that ranks first for its flow. first is the
+// class of that agent.
 func (d *Director) countTurnedAway(first class) {
 	switch first {
 	case evacuating:
