Suspect a cold start after an agent's start only with a cold rate

Without a rate the suspicion limits nothing, but each start of an agent logged its server as cold and then as warm.

Measured: the tests of flow pass.

--- a/flow/cold.go
+++ b/flow/cold.go
@@ -137,7 +137,7 @@
 		return c.service.ColdStart, true
 	}
 	until := max(c.assumedUntil, c.warmAt)
-	if c.unproven {
+	if c.unproven && c.service.ColdRate > 0 {
 		until = max(until, c.started+c.service.ColdStart)
 	}
 	remaining = until - now
