--- a/flow/agents.go
+++ b/flow/agents.go
@@ -26,6 +26,9 @@
 	// share of its requests that count as failed.
 	ServiceTime time.Duration
 	FailureRate float64
+	// ColdRate is how many new flows the server may get in the next second because it has not warmed up, or zero if
+	// there is no limit.
+	ColdRate float64
 	// View is the freshness of the agent's view; its revision is zero if the agent has none.
 	View registry.Freshness
 }
@@ -41,6 +44,8 @@
 	slots    int
 	draining bool
 	warmAt   time.Duration
+	// coldRate is the limit on the new flows per second until the server has warmed up, or zero if there is none.
+	coldRate float64
 	// present is set if the view names the server.
 	present bool
 	// lastHeard is when the agent last sent its status, and waitingSince when it was first sent a message since then
@@ -56,6 +61,8 @@
 	nextHeartbeat time.Duration
 	// reportedUnresponsive is what HealthChanges last returned for the agent.
 	reportedUnresponsive bool
+	// reportedCold is what ColdChanges last returned for the server.
+	reportedCold bool
 }
 
 // expectReply records that the agent was sent a message that requires an answer.
@@ -70,14 +77,15 @@
 	return a.leaving || a.waitingSince > 0 && now-a.waitingSince > limit
 }
 
-// coldFactor is how many times longer a server takes for a request until it has warmed up.
+// coldFactor is how many times longer a server takes for a request until it has warmed up. It applies if there is no
+// limit on the new flows of cold servers.
 const coldFactor = 1.6
 
 // capacity returns how many requests the server can run at once, in requests at its warm speed.
 func (a *agent) capacity(now time.Duration) float64 {
 	slots := float64(max(1, a.slots))
-	if now < a.warmAt {
-		slots /= coldFactor
+	if a.cold(now) {
+		return a.coldCapacity(slots)
 	}
 	return slots
 }
@@ -145,6 +153,7 @@
 	}
 	d.setUpstreams(now, view.Upstreams)
 	d.setRoutes(view.Content)
+	d.setColdRates(view.Configuration)
 	d.pruneAgents(now)
 }
 
--- a/flow/openings.go
+++ b/flow/openings.go
@@ -91,24 +91,27 @@
 	}
 }
 
-// stillAvailable filters a list to the agents that still take new flows and moves unresponsive ones to the end.
+// stillAvailable filters a list to the agents that still take new flows and moves exhausted and unresponsive ones to the
+// end.
 func (d *Director) stillAvailable(now time.Duration, flow uint64, list []IP) []IP {
 	d.listBuf = d.listBuf[:0]
-	var unresponsiveAgents []IP
+	var exhaustedAgents, unresponsiveAgents []IP
 	for _, ip := range list {
 		a := d.agents[ip]
 		if a == nil {
 			continue
 		}
 		switch d.classify(now, a, flow) {
-		case unavailable:
+		case unavailable, evacuating:
+		case exhausted:
+			exhaustedAgents = append(exhaustedAgents, ip)
 		case unresponsive:
 			unresponsiveAgents = append(unresponsiveAgents, ip)
 		default:
 			d.listBuf = append(d.listBuf, ip)
 		}
 	}
-	d.listBuf = append(d.listBuf, unresponsiveAgents...)
+	d.listBuf = append(append(d.listBuf, exhaustedAgents...), unresponsiveAgents...)
 	return d.listBuf
 }
 
--- a/flow/select.go
+++ b/flow/select.go
@@ -14,10 +14,14 @@
 	local class = iota
 	// remote is in another place.
 	remote
+	// exhausted is cold and has used up its limit on new flows.
+	exhausted
 	// unresponsive has not answered recently.
 	unresponsive
 	// unavailable takes no new flows.
 	unavailable
+	// evacuating is in a place that operators evacuate, and takes no new flows.
+	evacuating
 )
 
 // classify returns the class of an agent for a new flow with the given hash.
@@ -26,11 +30,13 @@
 	case !a.present || a.draining:
 		return unavailable
 	case d.evacuated(now, a.place, flow):
-		return unavailable
+		return evacuating
 	case a.status.Process > 0 && !a.status.Accepting:
 		return unavailable
 	case a.unresponsive(now, d.config.UnresponsiveAfter):
 		return unresponsive
+	case a.exhausted(now, d.config.RemoteInterval):
+		return exhausted
 	case a.place != d.config.Place:
 		return remote
 	}
@@ -50,9 +56,12 @@
 // before may be dead or unreachable.
 func (d *Director) selectAgents(now time.Duration, s *service, p *Packet) []IP {
 	d.rankBuf = placement.Rank(d.rankBuf[:0], p.Key.Hash(), d.config.Place, s.candidates)
-	var byClass [unavailable + 1][]IP
-	for _, number := range d.rankBuf {
+	var byClass [evacuating + 1][]IP
+	for i, number := range d.rankBuf {
 		c := d.classify(now, d.agents[ipFromNumber(number)], p.Key.Hash())
+		if i == 0 {
+			d.countTurnedAway(c)
+		}
 		byClass[c] = append(byClass[c], ipFromNumber(number))
 	}
 	locals, remotes := byClass[local], byClass[remote]
@@ -62,6 +71,7 @@
 	localLimit := min(len(locals), max(limit-d.config.MinRemote, limit-len(remotes)))
 	d.listBuf = append(d.listBuf[:0], locals[:localLimit]...)
 	d.listBuf = append(d.listBuf, remotes...)
+	d.listBuf = append(d.listBuf, byClass[exhausted]...)
 	d.listBuf = append(d.listBuf, byClass[unresponsive]...)
 	d.listBuf = d.listBuf[:min(len(d.listBuf), limit)]
 	if n := len(d.listBuf); n > 0 {
