Leave room in a full server's queue to more urgent routes

Cause: a server queues 8 requests beyond its slots.

Change: admission.Shares measures the offered work by priority, and the Tracker lets a flow wait only in the part of the queue that the more urgent work leaves, at least a quarter. The part applies to what the queue can hold or the latency budget allows, whichever is less; a part of the budget alone would still have been more than the queue. An agent that would not take a flow by this rule states a wait beyond any budget in its offer, so agents that compare offers need not know its shares, and no message changes. A free slot takes any flow as before, and a route without more urgent work in its service has part 1, which changes nothing.

The service time by priority is measured from the answers, since the mean of all routes would turn shares of work into shares of openings.

--- a/flow/accept.go
+++ b/flow/accept.go
@@ -25,8 +25,9 @@
 		return t.pass(request, route, "server accepts no new flows")
 	}
 	t.load.releaseExpired(now)
-	if !t.admits(now, &request, route) {
-		return t.pass(request, route, "no free slot")
+	a := t.assess(now, &request, route)
+	if !t.admits(now, &request, route, &a) {
+		return a.explain(t.pass(request, route, "no free slot"))
 	}
 	t.accept(now, p, request)
 	return Verdict{Decision: Decision{Action: ToServer}}
@@ -36,9 +37,9 @@
 // has one, the server with the best offer takes it, so a request that is passed on carries the best offer. A
 // suspect server is occasionally given a flow whose requests are repeatable as a trial; otherwise it makes an
 // offer, in case all other servers are full.
-func (t *Tracker) admits(now time.Duration, request *Request, route *registry.Route) bool {
-	budget := latencyBudget(route)
-	offer := Offer{Agent: t.config.Address.IP, Wait: t.load.expectedTime(budget), Suspect: t.load.outcomes.suspect}
+func (t *Tracker) admits(now time.Duration, request *Request, route *registry.Route, a *assessment) bool {
+	budget := a.budget
+	offer := a.offer(t.config.Address.IP, t.load.outcomes.suspect, route)
 	switch {
 	case request.Final:
 		return offer.Wait <= budget
@@ -108,7 +109,7 @@
 // the client will send another copy.
 func (t *Tracker) postpone(now time.Duration, p *Packet, v Verdict) Verdict {
 	route := t.routes[p.Key.Service]
-	if !v.busy || route == nil || route.Timeout < t.config.MinPatience || p.Copy >= lastCopy || now-t.started > t.config.RecoveryTime {
+	if v.Refusal == NotRefused || route == nil || route.Timeout < t.config.MinPatience || p.Copy >= lastCopy || now-t.started > t.config.RecoveryTime {
 		return v
 	}
 	return Verdict{Decision: Decision{Reason: v.Reason + "; left to the client's next copy"}}
@@ -117,7 +118,7 @@
 // refuseBusy refuses a flow because all servers are busy.
 func refuseBusy(request Request, reason string) Verdict {
 	v := refuse(request, reason)
-	v.busy = true
+	v.Refusal = RefusedBusy
 	return v
 }
 
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -66,8 +66,10 @@
 	Decision
 	Note     Note
 	Balancer IP
-	// busy is set if a new flow was refused only because all servers are busy.
-	busy bool
+	// Refusal is set if a new flow was refused although servers exist that take new flows, and Part is the part of its
+	// waiting budget that the flow could use at this agent's server.
+	Refusal Refusal
+	Part    float64
 }
 
 // Tracker makes the decisions of one agent. It is not safe for concurrent use.
@@ -92,11 +94,12 @@
 	server     serverHealth
 	probes     []probe
 	versions   versionGuard
+	shortage   shortage
 }
 
 // NewTracker returns the Tracker of an agent that starts now. The limits in config must be positive.
 func NewTracker(config TrackerConfig, now time.Duration) *Tracker {
-	t := &Tracker{config: config, service: ServiceHash(config.Service), started: now, load: newLoad(config), server: newServerHealth(config)}
+	t := &Tracker{config: config, service: ServiceHash(config.Service), started: now, load: newLoad(config), server: newServerHealth(config), shortage: newShortage(config)}
 	flows, err := simplelru.NewLRU(config.MaxFlows, func(_ Key, f *trackedFlow) { t.end(f) })
 	if err != nil {
 		panic(err)
@@ -332,6 +335,7 @@
 	}
 	if f.work == requested && (p.Length > 0 || p.Kind == Closing) {
 		// The packet that closes the flow may overtake the answer.
+		t.observe(now, p.Key, f)
 		t.load.answer(now, f)
 	}
 	if p.Kind == Resetting {
--- a/flow/tracker_config.go
+++ b/flow/tracker_config.go
@@ -49,6 +49,16 @@
 	// MinPatience is the timeout of a route from which its clients count as patient. A client sends copies of an
 	// opening packet for 1.4 s, and needs time for another attempt after that.
 	MinPatience time.Duration
+	// ShareWindow is the time constant of the offered work by priority. It must span many openings for a server, so that
+	// the shares are steady, and be short against a burst.
+	ShareWindow time.Duration
+	// MinWaitingPart is the least part of its waiting budget that a route may use in a shortage. With 1, all routes may
+	// use all of it. A quarter of the server's queue is two requests, enough for a slot that becomes free to find a
+	// request while the next opening packet is on its way, so that no capacity is lost.
+	MinWaitingPart float64
+	// ServerQueue is the number of requests beyond its slots that the server queues before it returns opening packets.
+	// Parts of a waiting budget that the queue can't hold would leave no room to more urgent routes.
+	ServerQueue int
 	// MaxVersionSkew is how long an agent that has applied a balancer's newer configuration may continue to use an older
 	// one before it has received the newer one itself. The required limit is 250 ms.
 	MaxVersionSkew time.Duration
@@ -73,6 +83,9 @@
 		ReservationTimeout: 100 * time.Millisecond,
 		RecoveryTime:       5 * time.Second,
 		MinPatience:        2800 * time.Millisecond,
+		ShareWindow:        2 * time.Second,
+		MinWaitingPart:     0.25,
+		ServerQueue:        8,
 		MaxVersionSkew:     200 * time.Millisecond,
 	}
 }
