Queue new flows of patient clients after a start instead of dropping them

Cause: for 5 s after an agent's start, Tracker.postpone dropped opening packets of routes with a timeout of 2.8 s or more if all servers were busy. What can't be served must be refused at once, and a dropped packet leaves the client in doubt for 200 to 800 ms.

Change: in that time such a flow is queued at a server if its answer is expected within a quarter of the route's timeout and the server's queue of 8 has room; the verdict's reason states the expected wait and the limit. Otherwise it is refused at once, whatever copy of the opening packet arrives. No opening packet is dropped because servers are busy. RecoveryTime and MinPatience keep their meaning, and PatientPart is new.

Also mends a fault: if a server returned the opening packet of a flow that it had got as the best offer of the last agent, the agent sent the packet to itself as a final offer and gave it to the same server again.

--- a/flow/accept.go
+++ b/flow/accept.go
@@ -30,7 +30,7 @@
 		return a.explain(t.pass(request, route, "no free slot"))
 	}
 	t.accept(now, p, request)
-	return Verdict{Decision: Decision{Action: ToServer}}
+	return a.delivered()
 }
 
 // admits reports whether the server takes a new flow. A server with a free slot takes it immediately. If no server
@@ -87,7 +87,7 @@
 		return v
 	case request.Final || best == (IP{}):
 		return refuseBusy(request, reason+"; no agent is left to try")
-	case !request.Best.within(latencyBudget(route)):
+	case !request.Best.within(t.budget(route)):
 		return refuseBusy(request, "no server can answer in time")
 	}
 	request.Final = true
@@ -102,19 +102,6 @@
 	return Decision{Action: Forward, To: to, Request: request, Reason: reason}
 }
 
-// lastCopy is the number of the last copy of an opening packet that a client sends.
-const lastCopy = 2
-
-// postpone replaces the refusal of a new flow by dropping its packet if all servers are busy shortly after a start and
-// the client will send another copy.
-func (t *Tracker) postpone(now time.Duration, p *Packet, v Verdict) Verdict {
-	route := t.routes[p.Key.Service]
-	if v.Refusal == NotRefused || route == nil || route.Timeout < t.config.MinPatience || p.Copy >= lastCopy || now-t.started > t.config.RecoveryTime {
-		return v
-	}
-	return Verdict{Decision: Decision{Reason: v.Reason + "; left to the client's next copy"}}
-}
-
 // refuseBusy refuses a flow because all servers are busy.
 func refuseBusy(request Request, reason string) Verdict {
 	v := refuse(request, reason)
--- a/flow/shortage.go
+++ b/flow/shortage.go
@@ -38,9 +38,11 @@
 
 // assessment is what applies to one opening packet at one server.
 type assessment struct {
-	// wait is the expected time until the answer, and budget the time that it may take.
-	wait, budget time.Duration
-	// part is the part of the waiting budget that the flow may use. excluded is set if the flow would exceed it.
+	// wait is the expected time until the answer, and budget the time that it may take. regular is the latency budget of
+	// the route, which budget exceeds if the client is patient.
+	wait, budget, regular time.Duration
+	// part is the part of the waiting budget that the flow may use. excluded is set if the flow would exceed that
+	// or the server's queue.
 	part     float64
 	excluded bool
 	// refusal is the reason if the flow is refused because of this assessment.
@@ -50,17 +52,18 @@
 // assess records an opening packet as offered work and returns what applies to it. A final offer was recorded when the
 // agent made it.
 func (t *Tracker) assess(now time.Duration, request *Request, route *registry.Route) assessment {
-	budget := latencyBudget(route)
-	a := assessment{wait: t.load.expectedTime(budget), budget: budget, part: 1, refusal: RefusedBusy}
+	regular := latencyBudget(route)
+	a := assessment{wait: t.load.expectedTime(regular), budget: t.budget(route), regular: regular, part: 1, refusal: RefusedBusy}
 	if route == nil {
 		return a
 	}
 	if !request.Final {
-		t.shortage.shares.Offer(now, route.Priority, t.load.serviceTime(budget))
+		t.shortage.shares.Offer(now, route.Priority, t.load.serviceTime(regular))
 	}
 	if !t.load.full() {
 		return a
 	}
+	a.limitPatience(t.load.position(), t.config.ServerQueue)
 	a.part = t.shortage.shares.Part(route.Priority)
 	if a.part < 1 && float64(t.load.position()) > a.part*t.load.room(a.wait, a.budget, t.config.ServerQueue) {
 		a.excluded, a.refusal = true, RefusedShare
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -70,6 +70,9 @@
 	// waiting budget that the flow could use at this agent's server.
 	Refusal Refusal
 	Part    float64
+	// Patient is set if a new flow was queued at the server although its answer is not expected within the latency budget
+	// of its route.
+	Patient bool
 }
 
 // Tracker makes the decisions of one agent. It is not safe for concurrent use.
@@ -212,7 +215,7 @@
 	case request.Wide && !t.holds(p.Key):
 		return t.deny(request, "server is not known to hold the flow")
 	case request.Purpose == PurposeOpen:
-		return t.postpone(now, p, t.openFlow(now, p, request))
+		return t.openFlow(now, p, request)
 	}
 	return t.fromOpenFlow(now, p, raw, request)
 }
@@ -361,7 +364,11 @@
 	t.flows.Remove(p.Key)
 	switch {
 	case p.Kind == Opening:
-		return t.postpone(now, p, t.pass(request, t.routes[p.Key.Service], "server refused the flow"))
+		if request.Best.Agent == t.config.Address.IP {
+			// The agent can't keep its offer and would send the packet to itself.
+			request.Best = Offer{}
+		}
+		return t.pass(request, t.routes[p.Key.Service], "server refused the flow")
 	case request.Purpose == PurposeOpen:
 		return Verdict{Decision: Decision{Reason: "server does not hold the flow; no balancer to return the packet to"}}
 	}
--- a/flow/tracker_config.go
+++ b/flow/tracker_config.go
@@ -41,14 +41,18 @@
 	// ReservationTimeout is how long a new flow counts as busy before its first request. A client sends the request one
 	// round trip after the flow has opened; a client that took another server's answer never sends it.
 	ReservationTimeout time.Duration
-	// RecoveryTime is how long after its start an agent does not refuse new flows of patient clients because all servers
-	// are busy, but leaves them to the client's next copy. After a restart of many processes all clients that have
-	// waited come at once, and a client whose flow is refused repeats it at once and soon has no repetition left. In a
-	// lasting overload the copies would only make more requests late.
+	// RecoveryTime is how long after its start an agent queues new flows of patient clients beyond their latency budget.
+	// After a restart of many processes all clients that have waited come at once; one whose flow is refused repeats it
+	// within 50 ms and soon has no repetition left. In a lasting overload a longer queue would only make more requests
+	// late.
 	RecoveryTime time.Duration
-	// MinPatience is the timeout of a route from which its clients count as patient. A client sends copies of an
-	// opening packet for 1.4 s, and needs time for another attempt after that.
+	// MinPatience is the timeout of a route from which its clients count as patient. A client gives up an attempt after
+	// 1.4 s, and needs time for another one after that.
 	MinPatience time.Duration
+	// PatientPart is the part of a patient route's timeout within which the answer must be expected. With a quarter, an
+	// answer that takes three times as long as expected still arrives, and after a wait of a quarter a whole attempt of
+	// 1.4 s still fits into the shortest timeout, MinPatience.
+	PatientPart float64
 	// ShareWindow is the time constant of the offered work by priority. It must span many openings for a server, so that
 	// the shares are steady, and be short against a burst.
 	ShareWindow time.Duration
@@ -83,6 +87,7 @@
 		ReservationTimeout: 100 * time.Millisecond,
 		RecoveryTime:       5 * time.Second,
 		MinPatience:        2800 * time.Millisecond,
+		PatientPart:        0.25,
 		ShareWindow:        2 * time.Second,
 		MinWaitingPart:     0.25,
 		ServerQueue:        8,
