Let no group of callers take the capacity of the others in a shortage

Cause: without a free slot, a client that offers half of an overload got half of the capacity, since each opening packet had the same chance.

Change: admission.Groups measures the work that each of 256 groups (hash of the client address) of a priority offers and gets. If the server's capacity does not suffice, groups that offer more than their max-min fair share and have got it may wait only in the least part of the queue. Free slots are not affected, and neither are groups that offer about the same: the margin covers a quarter, the chance in the number of their requests and groups that share a bucket.

With 20 and 500 equal clients in a twofold overload, less than one refusal in 200 is for the group.

--- a/admission/shares.go
+++ b/admission/shares.go
@@ -33,17 +33,20 @@
 	return &Shares{decay: decay{constant: constant}, floor: floor}
 }
 
-// Offer records that a request is offered, and returns its expected work. Until a request of its priority has finished,
-// that is the assumed service time.
-func (s *Shares) Offer(now time.Duration, priority int, assumed time.Duration) time.Duration {
+// Offer records that a request is offered.
+func (s *Shares) Offer(now time.Duration, priority int, assumed time.Duration) {
 	s.rescale(now)
+	s.offered[Class(priority)] += s.decay.weight(now) * s.Work(priority, assumed).Seconds()
+}
+
+// Work returns the expected work of a request. Until a request of its priority has finished, that is the assumed service
+// time.
+func (s *Shares) Work(priority int, assumed time.Duration) time.Duration {
 	class := Class(priority)
-	work := assumed
-	if s.count[class] > 0 {
-		work = time.Duration(s.served[class] / s.count[class] * float64(time.Second))
+	if s.count[class] == 0 {
+		return assumed
 	}
-	s.offered[class] += s.decay.weight(now) * work.Seconds()
-	return work
+	return time.Duration(s.served[class] / s.count[class] * float64(time.Second))
 }
 
 // Observe records the service time of a finished request.
--- a/flow/accept.go
+++ b/flow/accept.go
@@ -25,7 +25,7 @@
 		return t.pass(request, route, "server accepts no new flows")
 	}
 	t.load.releaseExpired(now)
-	a := t.assess(now, &request, route)
+	a := t.assess(now, p.Key, &request, route)
 	if !t.admits(now, &request, route, &a) {
 		return a.explain(t.pass(request, route, "no free slot"))
 	}
--- a/flow/shortage.go
+++ b/flow/shortage.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bramleyrack/bramleyrack/admission"
 	"github.com/bramleyrack/bramleyrack/registry"
 )
@@ -18,9 +20,11 @@
 	RefusedBusy
 	// RefusedShare means that the rest of the queue is left to more urgent routes.
 	RefusedShare
+	// RefusedGroup means that the client's group has more than its fair share.
+	RefusedGroup
 )
 
-var refusalNames = [...]string{"none", "busy", "share"}
+var refusalNames = [...]string{"none", "busy", "share", "group"}
 
 // String returns the name of the reason in logs and counters.
 func (r Refusal) String() string {
@@ -29,11 +33,52 @@
 
 // shortage decides which part of the waiting budget a new flow may use while no slot is free.
 type shortage struct {
+	config TrackerConfig
 	shares *admission.Shares
+	// groups holds the groups of callers of each priority for which a flow was offered.
+	groups [admission.Priorities]*admission.Groups
 }
 
 func newShortage(config TrackerConfig) shortage {
-	return shortage{shares: admission.NewShares(config.ShareWindow, config.MinWaitingPart)}
+	return shortage{config: config, shares: admission.NewShares(config.ShareWindow, config.MinWaitingPart)}
+}
+
+// group returns the group of a flow's client. The client's address is all that an agent knows about its caller.
+func group(key Key) uint64 {
+	return xxhash.Sum64(key.Client.IP[:])
+}
+
+// offer records that the server is offered a flow. once is set if no other server counts the flow once. assumed is the
+// service time as long as none of the priority was measured. The groups of a priority share what more urgent work leaves.
+func (s *shortage) offer(now time.Duration, key Key, priority int, assumed time.Duration, once bool, slots int) {
+	s.shares.Offer(now, priority, assumed)
+	class := admission.Class(priority)
+	if s.groups[class] == nil {
+		s.groups[class] = admission.NewGroups(s.config.ShareWindow)
+	}
+	s.groups[class].Offer(now, group(key), s.shares.Work(priority, assumed), once, float64(slots)*s.shares.Part(priority))
+}
+
+// part returns the part of its waiting budget that a flow may use, and the reason if it is refused for that part.
+func (s *shortage) part(now time.Duration, key Key, priority int) (float64, Refusal) {
+	part := s.shares.Part(priority)
+	groups := s.groups[admission.Class(priority)]
+	if s.config.MinWaitingPart < part && groups != nil && groups.Exceeds(now, group(key)) {
+		return s.config.MinWaitingPart, RefusedGroup
+	}
+	return part, RefusedShare
+}
+
+// taken records that the server has accepted a flow.
+func (t *Tracker) taken(now time.Duration, key Key) {
+	route := t.routes[key.Service]
+	if route == nil {
+		return
+	}
+	if groups := t.shortage.groups[admission.Class(route.Priority)]; groups != nil {
+		assumed := t.load.serviceTime(latencyBudget(route))
+		groups.Take(now, group(key), t.shortage.shares.Work(route.Priority, assumed))
+	}
 }
 
 // assessment is what applies to one opening packet at one server.
@@ -51,22 +96,25 @@
 
 // assess records an opening packet as offered work and returns what applies to it. A final offer was recorded when the
 // agent made it.
-func (t *Tracker) assess(now time.Duration, request *Request, route *registry.Route) assessment {
+func (t *Tracker) assess(now time.Duration, key Key, request *Request, route *registry.Route) assessment {
 	regular := latencyBudget(route)
 	a := assessment{wait: t.load.expectedTime(regular), budget: t.budget(route), regular: regular, part: 1, refusal: RefusedBusy}
 	if route == nil {
 		return a
 	}
 	if !request.Final {
-		t.shortage.shares.Offer(now, route.Priority, t.load.serviceTime(regular))
+		// A flow counts once where it finds a free slot, or at the last server that is asked. The first one is no measure,
+		// since balancers choose it by load.
+		t.shortage.offer(now, key, route.Priority, t.load.serviceTime(regular), len(request.Remaining) == 0 || !t.load.full(), t.load.slots)
 	}
 	if !t.load.full() {
 		return a
 	}
 	a.limitPatience(t.load.position(), t.config.ServerQueue)
-	a.part = t.shortage.shares.Part(route.Priority)
+	part, refusal := t.shortage.part(now, key, route.Priority)
+	a.part = part
 	if a.part < 1 && float64(t.load.position()) > a.part*t.load.room(a.wait, a.budget, t.config.ServerQueue) {
-		a.excluded, a.refusal = true, RefusedShare
+		a.excluded, a.refusal = true, refusal
 	}
 	return a
 }
--- a/flow/shortage_test.go
+++ b/flow/shortage_test.go
@@ -448,3 +448,61 @@
 		}
 	}
 }
+
+// TestOneClientDoesNotDepriveOthers lets one address offer half of twice the capacity. What the others get must not fall
+// below their max-min fair share.
+func TestOneClientDoesNotDepriveOthers(t *testing.T) {
+	const servers, overload = 39, 2
+	greedy := flow.IP{100, 65, 0, 1}
+	for _, others := range []int{3, 10, 40} {
+		parts := []float64{waitingFloor}
+		if others == 10 {
+			parts = append(parts, 1)
+		}
+		for _, minPart := range parts {
+			route, _ := clochan(0, 0)
+			route.perSecond = overload * servers * shortSlots / route.work.Seconds()
+			route.client = func(rnd *rand.Rand) flow.IP {
+				if rnd.Intn(2) == 0 {
+					return greedy
+				}
+				return flow.IP{100, 64, 0, byte(rnd.Intn(others))}
+			}
+			sim := newShortSim(servers, minPart, route)
+			sim.run()
+			least, offered, served := 1.0, 0, 0
+			for client, counts := range sim.byClient {
+				if client != greedy {
+					least = min(least, float64(counts[1])/float64(counts[0]))
+					offered, served = offered+counts[0], served+counts[1]
+				}
+			}
+			// Each of the others offers half of the overload divided by their number.
+			fair := min(1, 1/float64(others+1)/(overload/2/float64(others)))
+			all := float64(served) / float64(offered)
+			used := sim.worked / (shortRun.Seconds() * servers * shortSlots)
+			t.Logf("%d others, least part %.2f: served %.3f of their requests, at least %.3f of each, fair %.3f; %.3f of those of the one; %.3f of the capacity used; refused %v",
+				others, minPart, all, least, fair, float64(sim.byClient[greedy][1])/float64(sim.byClient[greedy][0]), used, sim.refused)
+			if minPart < 1 && all < fair {
+				t.Errorf("%.3f of the requests of the others were served, want %.3f", all, fair)
+			}
+		}
+	}
+}
+
+// TestEqualGroupsAreTreatedEqually guards clients that offer about the same against a refusal for their group.
+func TestEqualGroupsAreTreatedEqually(t *testing.T) {
+	for _, clients := range []int{20, 500} {
+		route, _ := clochan(0, 0)
+		route.perSecond = 2 * 39 * shortSlots / route.work.Seconds()
+		route.client = func(rnd *rand.Rand) flow.IP {
+			n := rnd.Intn(clients)
+			return flow.IP{100, 64, byte(n >> 8), byte(n)}
+		}
+		sim := newShortSim(39, waitingFloor, route)
+		sim.run()
+		if total := sim.refused[flow.RefusedBusy]; total == 0 || sim.refused[flow.RefusedGroup] > total/200 {
+			t.Errorf("%d equal clients: refused %v, want at most one in 200 for its group", clients, sim.refused)
+		}
+	}
+}
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -333,6 +333,9 @@
 	f.confirmed = f.confirmed || p.Kind != Accepting
 	v := Verdict{Decision: Decision{Action: ToClient}}
 	if (f.state == openingSent || f.state == searchDelivered) && p.Kind != Resetting {
+		if f.state == openingSent {
+			t.taken(now, p.Key)
+		}
 		f.state = open
 		v.Note, v.Balancer = NoteHeld, f.request.Balancer
 	}
