--- a/flow/accept.go
+++ b/flow/accept.go
@@ -31,23 +31,21 @@
 		return t.pass(request, route, "server accepts no new flows")
 	}
 	t.load.releaseExpired(now)
-	if !t.admits(now, &request, route) {
-		return t.pass(request, route, "no free slot")
+	a := t.assess(now, p.Key, &request, route)
+	if !t.admits(now, &request, route, &a) {
+		return a.explain(t.pass(request, route, "no free slot"))
 	}
 	t.accept(now, p, request)
-	return Verdict{Decision: Decision{Action: ToServer}}
+	return a.delivered()
 }
 
 // admits reports whether the server takes a new flow. A server with a free slot takes it immediately. If no server
 // has one, the server with the best offer takes it, so a request that is passed on carries the best offer. A
 // suspect server is occasionally given a flow whose requests are repeatable as a trial; otherwise it makes an
 // offer, in case all other servers are full.
-func (t *Tracker) admits(now time.Duration, request *Request, route *registry.Route) bool {
-	if t.load.queueFull(now) {
-		return false
-	}
-	budget := latencyBudget(route)
-	offer := Offer{Agent: t.config.Address.IP, Wait: t.load.expectedTime(budget), Suspect: t.load.outcomes.suspect}
+func (t *Tracker) admits(now time.Duration, request *Request, route *registry.Route, a *assessment) bool {
+	budget := a.budget
+	offer := a.offer(t.config.Address.IP, t.load.outcomes.suspect, route)
 	switch {
 	case request.Final:
 		return offer.Wait <= budget
@@ -97,7 +95,7 @@
 		return v
 	case request.Final || best == (IP{}):
 		return refuseBusy(request, reason+"; no agent is left to try")
-	case !request.Best.within(latencyBudget(route)):
+	case !request.Best.within(t.budget(route)):
 		return refuseBusy(request, "no server can answer in time")
 	}
 	request.Final = true
@@ -112,23 +110,10 @@
 	return Decision{Action: Forward, To: to, Request: request, Reason: reason}
 }
 
-// lastCopy is the number of the last copy of an opening packet that a client sends.
-const lastCopy = 2
-
-// postpone replaces the refusal of a new flow by dropping its packet if all servers are busy shortly after a start and
-// the client will send another copy.
-func (t *Tracker) postpone(now time.Duration, p *Packet, v Verdict) Verdict {
-	route := t.routes[p.Key.Service]
-	if !v.busy || route == nil || route.Timeout < t.config.MinPatience || p.Copy >= lastCopy || now-t.started > t.config.RecoveryTime {
-		return v
-	}
-	return Verdict{Decision: Decision{Reason: v.Reason + "; left to the client's next copy"}}
-}
-
 // refuseBusy refuses a flow because all servers are busy.
 func refuseBusy(request Request, reason string) Verdict {
 	v := refuse(request, reason)
-	v.busy = true
+	v.Refusal = RefusedBusy
 	return v
 }
 
--- a/flow/load.go
+++ b/flow/load.go
@@ -72,9 +72,16 @@
 	return len(l.requests) + l.expected
 }
 
-// queueFull reports whether the server would reject a new request.
-func (l *load) queueFull(now time.Duration) bool {
-	return l.queue.full(now, l.busy())
+// wouldReject reports whether the server would reject a new request whose answer is expected after the given time.
+func (l *load) wouldReject(now, expected time.Duration) bool {
+	l.queue.probe(now)
+	return l.full() && l.queue.exceeded(l.busy(), l.waitingPart(expected))
+}
+
+// waitingPart returns the time that a new request waits for a slot if its answer is expected after the given time.
+func (l *load) waitingPart(expected time.Duration) time.Duration {
+	rounds := float64(max(0, l.busy()+1-l.slots)) / float64(l.slots)
+	return time.Duration(float64(expected) * rounds / (1 + rounds))
 }
 
 // full reports whether a new request would have to wait for a slot.
@@ -152,10 +159,8 @@
 
 // answer records that the server has begun to answer the request of a flow.
 func (l *load) answer(now time.Duration, f *trackedFlow) {
-	ahead := slices.Index(l.requests, f)
-	if f.work == requested && l.queue.answered(now, now-f.workSince, ahead, l.slots) {
-		l.end(f)
-		return
+	if ahead := slices.Index(l.requests, f); ahead >= l.slots {
+		l.queue.rejected(now, now-f.workSince, ahead)
 	}
 	if l.isRunning(f) && !f.late && l.outcomes.answered(now, now-f.processingSince) {
 		l.recordServiceTime(now, now-f.processingSince)
--- a/flow/load_test.go
+++ b/flow/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -38,7 +39,12 @@
 type workQueue struct {
 	slots, maxWaiting int
 	running           int
-	waiting           []func()
+	waiting           []*queuedRun
+}
+
+// queuedRun is a request that waits for a slot.
+type queuedRun struct {
+	run func()
 }
 
 func (q *workQueue) add(run func()) bool {
@@ -47,7 +53,7 @@
 		q.running++
 		run()
 	case len(q.waiting) < q.maxWaiting:
-		q.waiting = append(q.waiting, run)
+		q.waiting = append(q.waiting, &queuedRun{run: run})
 	default:
 		return false
 	}
@@ -61,7 +67,16 @@
 	}
 	next := q.waiting[0]
 	q.waiting = q.waiting[1:]
-	next()
+	next.run()
+}
+
+// remove removes a request that waits, and reports whether it did.
+func (q *workQueue) remove(waiting *queuedRun) bool {
+	i := slices.Index(q.waiting, waiting)
+	if i >= 0 {
+		q.waiting = slices.Delete(q.waiting, i, i+1)
+	}
+	return i >= 0
 }
 
 type loadSim struct {
@@ -78,7 +93,9 @@
 	lightShare float64
 	// serviceTime is the mean service time.
 	serviceTime time.Duration
-	rejected    int
+	// maxWait is the time after which a server rejects a request that waits, if it is not zero.
+	maxWait  time.Duration
+	rejected int
 	// maxQueued is the largest number of requests that were running or waiting at one server.
 	maxQueued int
 }
@@ -127,11 +144,22 @@
 			q.done()
 		})
 	}
-	if !q.add(run) {
+	reject := func() {
 		sim.rejected++
 		answer()
 		sim.fail(p.Key)
 	}
+	waiting := len(q.waiting)
+	if !q.add(run) {
+		reject()
+	} else if sim.maxWait > 0 && len(q.waiting) > waiting {
+		last := q.waiting[waiting]
+		sim.after(sim.maxWait, func() {
+			if q.remove(last) {
+				reject()
+			}
+		})
+	}
 	sim.maxQueued = max(sim.maxQueued, q.running+len(q.waiting))
 }
 
@@ -225,19 +253,23 @@
 	}
 }
 
-// TestRequestsBeyondTheQueueAreNotAccepted offers twice the capacity in requests so short that the target would allow more
-// of them to wait than a server's queue holds. The server rejects those, which costs their clients another attempt.
-func TestRequestsBeyondTheQueueAreNotAccepted(t *testing.T) {
+// TestServersRejectFewRequests offers twice the capacity in requests so short that the target would allow more of them to
+// wait than a server's queue holds, or for longer than a server lets them wait. Each request that a server rejects costs
+// its client another attempt.
+func TestServersRejectFewRequests(t *testing.T) {
 	const offeredLoad = 2
-	sim := newLoadSim(t, 1)
-	sim.serviceTime = 15 * time.Millisecond
-	perSecond := offeredLoad * loadServers * loadSlots / sim.serviceTime.Seconds()
-	sim.generate(perSecond, 500*time.Millisecond)
-	sim.requests, sim.rejected = nil, 0
-	sim.generate(perSecond, time.Second)
-	sim.run(time.Second)
-	if limit := len(sim.requests) / 50; sim.rejected > limit {
-		t.Errorf("servers rejected %d attempts of %d requests, want at most %d; %.3f were answered in time", sim.rejected, len(sim.requests), limit, sim.inTime())
+	for _, maxWait := range []time.Duration{0, 40 * time.Millisecond} {
+		sim := newLoadSim(t, 1)
+		sim.serviceTime, sim.maxWait = 15*time.Millisecond, maxWait
+		perSecond := offeredLoad * loadServers * loadSlots / sim.serviceTime.Seconds()
+		sim.generate(perSecond, 500*time.Millisecond)
+		sim.requests, sim.rejected = nil, 0
+		sim.generate(perSecond, time.Second)
+		sim.run(time.Second)
+		if limit := len(sim.requests) / 50; sim.rejected > limit {
+			t.Errorf("servers that let requests wait for %v rejected %d attempts of %d requests, want at most %d; %.3f were answered in time",
+				maxWait, sim.rejected, len(sim.requests), limit, sim.inTime())
+		}
 	}
 }
 
--- /dev/null
+++ b/flow/shortage.go
@@ -0,0 +1,164 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramleyrack/bramleyrack/admission"
+	"github.com/bramleyrack/bramleyrack/registry"
+)
+
+// Refusal is the reason why an agent refuses a new flow that its server could take at another time.
+type Refusal uint8
+
+// The reasons of refusals.
+const (
+	// NotRefused means that the flow was not refused, or that no server may take it.
+	NotRefused Refusal = iota
+	// RefusedBusy means that no server can answer in time.
+	RefusedBusy
+	// RefusedShare means that the rest of the queue is left to more urgent routes.
+	RefusedShare
+	// RefusedGroup means that the client's group has more than its fair share.
+	RefusedGroup
+)
+
+var refusalNames = [...]string{"none", "busy", "share", "group"}
+
+// String returns the name of the reason in logs and counters.
+func (r Refusal) String() string {
+	return refusalNames[r]
+}
+
+// shortage decides which part of the waiting budget a new flow may use while no slot is free.
+type shortage struct {
+	config TrackerConfig
+	shares *admission.Shares
+	// groups holds the groups of callers of each priority for which a flow was offered.
+	groups [admission.Priorities]*admission.Groups
+}
+
+func newShortage(config TrackerConfig) shortage {
+	return shortage{config: config, shares: admission.NewShares(config.ShareWindow, config.MinWaitingPart)}
+}
+
+// group returns the group of a flow's client. The client's address is all that an agent knows about its caller.
+func group(key Key) uint64 {
+	return xxhash.Sum64(key.Client.IP[:])
+}
+
+// offer records that the server is offered a flow. once is set if no other server counts the flow once. assumed is the
+// service time as long as none of the priority was measured. The groups of a priority share what more urgent work leaves.
+func (s *shortage) offer(now time.Duration, key Key, priority int, assumed time.Duration, once bool, slots int) {
+	s.shares.Offer(now, priority, assumed)
+	class := admission.Class(priority)
+	if s.groups[class] == nil {
+		s.groups[class] = admission.NewGroups(s.config.ShareWindow)
+	}
+	s.groups[class].Offer(now, group(key), s.shares.Work(priority, assumed), once, float64(slots)*s.shares.Part(priority))
+}
+
+// part returns the part of its waiting budget that a flow may use, and the reason if it is refused for that part.
+func (s *shortage) part(now time.Duration, key Key, priority int) (float64, Refusal) {
+	part := s.shares.Part(priority)
+	groups := s.groups[admission.Class(priority)]
+	if s.config.MinWaitingPart < part && groups != nil && groups.Exceeds(now, group(key)) {
+		return s.config.MinWaitingPart, RefusedGroup
+	}
+	return part, RefusedShare
+}
+
+// taken records that the server has accepted a flow.
+func (t *Tracker) taken(now time.Duration, key Key) {
+	route := t.routes[key.Service]
+	if route == nil {
+		return
+	}
+	if groups := t.shortage.groups[admission.Class(route.Priority)]; groups != nil {
+		assumed := t.load.serviceTime(latencyBudget(route))
+		groups.Take(now, group(key), t.shortage.shares.Work(route.Priority, assumed))
+	}
+}
+
+// assessment is what applies to one opening packet at one server.
+type assessment struct {
+	// wait is the expected time until the answer, and budget the time that it may take. regular is the latency budget of
+	// the route, which budget exceeds if the client is patient.
+	wait, budget, regular time.Duration
+	// part is the part of the waiting budget that the flow may use. excluded is set if the flow would exceed that
+	// or the server's queue.
+	part     float64
+	excluded bool
+	// refusal is the reason if the flow is refused because of this assessment.
+	refusal Refusal
+}
+
+// assess records an opening packet as offered work and returns what applies to it. A final offer was recorded when the
+// agent made it.
+func (t *Tracker) assess(now time.Duration, key Key, request *Request, route *registry.Route) assessment {
+	regular := latencyBudget(route)
+	a := assessment{wait: t.load.expectedTime(regular), budget: t.budget(route), regular: regular, part: 1, refusal: RefusedBusy}
+	if route == nil {
+		return a
+	}
+	if !request.Final {
+		// A flow counts once where it finds a free slot, or at the last server that is asked. The first one is no measure,
+		// since balancers choose it by load.
+		t.shortage.offer(now, key, route.Priority, t.load.serviceTime(regular), len(request.Remaining) == 0 || !t.load.full(), t.load.slots)
+	}
+	if !t.load.full() {
+		return a
+	}
+	a.excluded = t.load.wouldReject(now, a.wait)
+	a.limitPatience(t.load.position(), t.config.ServerQueue)
+	part, refusal := t.shortage.part(now, key, route.Priority)
+	a.part = part
+	if a.part < 1 && float64(t.load.position()) > a.part*t.load.room(a.wait, a.budget, t.config.ServerQueue) {
+		a.excluded, a.refusal = true, refusal
+	}
+	return a
+}
+
+// offer returns the offer that the agent makes for the flow. An offer that the agent would not keep states a wait beyond
+// any budget of the route, so every agent that compares it sees that it is not to be used.
+func (a *assessment) offer(agent IP, suspect bool, route *registry.Route) Offer {
+	offer := Offer{Agent: agent, Wait: a.wait, Suspect: suspect}
+	if a.excluded {
+		offer.Wait += max(a.budget, route.Timeout)
+	}
+	return offer
+}
+
+// explain adds the assessment to the refusal of a flow.
+func (a *assessment) explain(v Verdict) Verdict {
+	if v.Refusal != NotRefused {
+		v.Refusal, v.Part = a.refusal, a.part
+	}
+	return v
+}
+
+// observe records the service time of a request that the server has begun to answer.
+func (t *Tracker) observe(now time.Duration, key Key, f *trackedFlow) {
+	if route := t.routes[key.Service]; route != nil && t.load.isRunning(f) && !f.late {
+		t.shortage.shares.Observe(now, route.Priority, now-f.processingSince)
+	}
+}
+
+// position returns the place in the server's queue that a new request would get, from 1.
+func (l *load) position() int {
+	return max(1, l.busy()+1-l.slots)
+}
+
+// room returns how many requests may wait at the server: as many as the server queues, or fewer if a later one could not
+// be answered within the budget. wait is the expected time until a new request is answered.
+func (l *load) room(wait, budget time.Duration, queue int) float64 {
+	slots := float64(l.slots)
+	waiting := float64(l.queue.waiting(queue, l.slots))
+	service := float64(wait) / (1 + float64(l.position())/slots)
+	if service <= 0 {
+		return waiting
+	}
+	allowed := l.queue.within(budget - time.Duration(service))
+	return min(waiting, slots*float64(allowed)/service)
+}
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -68,8 +68,13 @@
 	Decision
 	Note     Note
 	Balancer IP
-	// busy is set if a new flow was refused only because all servers are busy.
-	busy bool
+	// Refusal is set if a new flow was refused although servers exist that take new flows, and Part is the part of its
+	// waiting budget that the flow could use at this agent's server.
+	Refusal Refusal
+	Part    float64
+	// Patient is set if a new flow was queued at the server although its answer is not expected within the latency budget
+	// of its route.
+	Patient bool
 }
 
 // Tracker makes the decisions of one agent. It is not safe for concurrent use.
@@ -98,11 +103,12 @@
 	resumed  time.Duration
 	probes   []probe
 	versions versionGuard
+	shortage shortage
 }
 
 // NewTracker returns the Tracker of an agent that starts now. The limits in config must be positive.
 func NewTracker(config TrackerConfig, now time.Duration) *Tracker {
-	t := &Tracker{config: config, service: ServiceHash(config.Service), started: now, load: newLoad(config), cold: newColdStart(now, config.RegistrationTime), server: newServerHealth(config)}
+	t := &Tracker{config: config, service: ServiceHash(config.Service), started: now, load: newLoad(config), cold: newColdStart(now, config.RegistrationTime), server: newServerHealth(config), shortage: newShortage(config)}
 	flows, err := simplelru.NewLRU(config.MaxFlows, func(_ Key, f *trackedFlow) { t.end(f) })
 	if err != nil {
 		panic(err)
@@ -217,7 +223,7 @@
 	case request.Wide && !t.holds(p.Key):
 		return t.deny(request, "server is not known to hold the flow")
 	case request.Purpose == PurposeOpen:
-		return t.postpone(now, p, t.openFlow(now, p, request))
+		return t.openFlow(now, p, request)
 	}
 	return t.fromOpenFlow(now, p, raw, request)
 }
@@ -339,11 +345,15 @@
 	v := Verdict{Decision: Decision{Action: ToClient}}
 	if (f.state == openingSent || f.state == searchDelivered) && p.Kind != Resetting {
 		t.cold.found(now, f)
+		if f.state == openingSent {
+			t.taken(now, p.Key)
+		}
 		f.state = open
 		v.Note, v.Balancer = NoteHeld, f.request.Balancer
 	}
 	if f.work == requested && (p.Length > 0 || p.Kind == Closing) {
 		// The packet that closes the flow may overtake the answer.
+		t.observe(now, p.Key, f)
 		t.load.answer(now, f)
 	}
 	if p.Kind == Resetting {
@@ -370,7 +380,11 @@
 	t.flows.Remove(p.Key)
 	switch {
 	case p.Kind == Opening:
-		return t.postpone(now, p, t.pass(request, t.routes[p.Key.Service], "server refused the flow"))
+		if request.Best.Agent == t.config.Address.IP {
+			// The agent can't keep its offer and would send the packet to itself.
+			request.Best = Offer{}
+		}
+		return t.pass(request, t.routes[p.Key.Service], "server refused the flow")
 	case request.Purpose == PurposeOpen:
 		return Verdict{Decision: Decision{Reason: "server does not hold the flow; no balancer to return the packet to"}}
 	}
--- a/flow/turned_away.go
+++ b/flow/turned_away.go
@@ -39,7 +39,7 @@
 func (t *Tracker) passEvacuated(request Request, p *Packet) Verdict {
 	t.turnedAway.Evacuated++
 	v := t.pass(request, t.routes[p.Key.Service], "availability zone is evacuated")
-	v.busy = false
+	v.Refusal = NotRefused
 	return v
 }
 
