--- a/flow/accept.go
+++ b/flow/accept.go
@@ -105,7 +105,7 @@
 // refuseBusy refuses a flow because all servers are busy.
 func refuseBusy(request Request, reason string) Verdict {
 	v := refuse(request, reason)
-	v.Refusal = RefusedBusy
+	v.Refusal, v.Part = RefusedBusy, 1
 	return v
 }
 
--- a/internal/flowagent/counters.go
+++ b/internal/flowagent/counters.go
@@ -14,6 +14,10 @@
 	actions       [flow.Reset + 1]atomic.Uint64
 	held          atomic.Uint64
 	refused       atomic.Uint64
+	// refusals counts the refused flows by reason, and patient the flows that were queued only because their clients are
+	// patient.
+	refusals      [flow.RefusedGroup + 1]atomic.Uint64
+	patient       atomic.Uint64
 	announced     atomic.Uint64
 	lost          atomic.Uint64
 	writeFailures atomic.Uint64
@@ -30,6 +34,7 @@
 		"malformed":      c.malformed.Load(),
 		"held":           c.held.Load(),
 		"refused":        c.refused.Load(),
+		"queued_patient": c.patient.Load(),
 		"announced":      c.announced.Load(),
 		"lost":           c.lost.Load(),
 		"write_failures": c.writeFailures.Load(),
@@ -39,5 +44,19 @@
 	for action := range c.actions {
 		counts["action_"+flow.Action(action).String()] = c.actions[action].Load()
 	}
+	for reason := flow.RefusedBusy; reason <= flow.RefusedGroup; reason++ {
+		counts["refused_"+reason.String()] = c.refusals[reason].Load()
+	}
 	return counts
 }
+
+// record counts a decision.
+func (c *counters) record(v *flow.Verdict) {
+	c.actions[v.Action].Add(1)
+	if v.Refusal != flow.NotRefused {
+		c.refusals[v.Refusal].Add(1)
+	}
+	if v.Patient {
+		c.patient.Add(1)
+	}
+}
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -208,7 +208,7 @@
 
 // apply executes a decision: it sends or drops the packet and sends the note to the balancer.
 func (l *loop) apply(now time.Duration, p *flow.Packet, raw []byte, v flow.Verdict) {
-	l.agent.counts.actions[v.Action].Add(1)
+	l.agent.counts.record(&v)
 	l.logDecision(now, p, &v)
 	if p.Returned && (v.Action == flow.Forward || v.Action == flow.Return) {
 		l.config.Codec.ClearReturned(raw)
@@ -276,6 +276,11 @@
 		l.config.Event("flow_passed", "flow", p.Key, "to", v.To, "busy", status.Busy, "slots", status.Slots, "reason", v.Reason)
 	case v.Action == flow.Forward, v.Action == flow.Return:
 		l.config.Event("packet_passed", "flow", p.Key, "to", v.To, "more", len(v.Request.Remaining), "reason", v.Reason)
+	case v.Patient:
+		l.config.Event("flow_queued", "flow", p.Key, "busy", status.Busy, "slots", status.Slots, "reason", v.Reason)
+	case v.Refusal != flow.NotRefused:
+		l.config.Event("flow_reset", "flow", p.Key, "seq", v.Seq, "reason", v.Reason, "refusal", v.Refusal.String(), "share", v.Part,
+			"busy", status.Busy, "slots", status.Slots, "version", l.tracker.Version())
 	case v.Action == flow.Reset:
 		l.config.Event("flow_reset", "flow", p.Key, "seq", v.Seq, "reason", v.Reason, "version", l.tracker.Version())
 	case v.Note == flow.NoteDenied:
