Choose new flows' agents by expected work per capacity

Cause: the choice compared numbers of open flows of the first two ranks. It ignored how much work the flows cause and how fast the server is, and compared figures of different age alike.

Change: agents report the work that their open flows are expected to cause, in busy slots (mean over 2 s, corrected for the change in the number of long flows). It is sent as an entry with key zero among the route times, which earlier releases ignore. Balancers order the first four ranks of a class by expected work per capacity: the reported work, plus own flows since then, moved towards the mean of the service as the status ages, plus a random part that is derived from the flow's hash and grows with the age. Ranks don't change. The choice between two is removed.

--- a/flow/agents.go
+++ b/flow/agents.go
@@ -26,6 +26,10 @@
 	// share of its requests that count as failed.
 	ServiceTime time.Duration
 	FailureRate float64
+	// Work is the number of slots that the server's open flows are expected to keep busy, or zero if it is unknown.
+	Work float64
+	// Speed is how fast the server processes requests relative to the median of its service, or zero if it is unknown.
+	Speed float64
 	// View is the freshness of the agent's view; its revision is zero if the agent has none.
 	View registry.Freshness
 }
@@ -82,11 +86,6 @@
 	return slots
 }
 
-// load returns the number of flows per unit of capacity if the server is given one more.
-func (a *agent) load(now time.Duration) float64 {
-	return float64(a.status.Flows+a.sentFlows+1) / a.capacity(now)
-}
-
 // service holds the upstreams of one service.
 type service struct {
 	name string
@@ -97,6 +96,7 @@
 	// peers caches the medians over the service's servers, as of peersUpdated.
 	peers        PeerStats
 	peersUpdated time.Duration
+	totals       totals
 }
 
 // ServiceHash returns the hash that identifies a service in messages between processes.
--- a/flow/balance_model_test.go
+++ b/flow/balance_model_test.go
@@ -47,6 +47,11 @@
 	// the beginning of the measured period.
 	burst     float64
 	newcomers int
+	// informed replaces the Directors by one that always knows the request rates of all open long flows and takes the
+	// best server. It shows which unevenness remains because flows are few and end at random times.
+	informed bool
+	// servers is the number of servers, modelServers if it is zero.
+	servers int
 }
 
 // modelResult holds the figures of one run.
@@ -72,16 +77,16 @@
 }
 
 type modelServer struct {
-	number  int
-	speed   float64
-	started bool
-	running int
-	waiting []modelRequest
-	flows   uint32
+	number      int
+	speed, rate float64
+	started     bool
+	running     int
+	waiting     []modelRequest
+	flows       uint32
 	// changed is when the number of running requests last changed, window and total the integral of that number.
 	changed       time.Duration
 	window, total float64
-	status        modelStatus
+	work          flow.WorkMeter
 }
 
 type balanceModel struct {
@@ -169,6 +174,11 @@
 		}
 	}
 	m.opened++
+	if m.informed {
+		load := func(s *modelServer) float64 { return (s.rate + modelFlowRate) / s.speed }
+		m.take(slices.MinFunc(m.servers, func(a, b *modelServer) int { return cmp.Compare(load(a), load(b)) }))
+		return
+	}
 	decision := d.FromClient(m.now, opening(m.opened), nil)
 	var taker *modelServer
 	for _, ip := range append([]flow.IP{decision.To}, decision.Request.Remaining...) {
@@ -181,6 +191,11 @@
 		}
 		m.passed++
 	}
+	m.take(taker)
+}
+
+func (m *balanceModel) take(taker *modelServer) {
+	taker.advance(m.now)
 	taker.flows++
 	if !m.long {
 		m.request(taker, func() { taker.flows-- })
@@ -188,10 +203,13 @@
 	}
 	rate := modelFlowRate * math.Exp(0.5*m.rnd.NormFloat64()-0.125)
 	end := m.now + m.randomTime(modelFlowLife)
+	taker.rate += rate
 	var next func()
 	next = func() {
 		if m.now >= end {
+			taker.advance(m.now)
 			taker.flows--
+			taker.rate -= rate
 			return
 		}
 		m.request(taker, func() {})
@@ -244,7 +262,7 @@
 	busy := float64(s.running) * (now - s.changed).Seconds()
 	s.window += busy
 	s.total += busy
-	s.status.advance(s, now)
+	s.work.Advance(now, s.running+len(s.waiting), int(s.flows))
 	s.changed = now
 }
 
@@ -258,7 +276,7 @@
 		}
 	}
 	if m.measuring && idle {
-		m.avoidable += waiting / modelServers
+		m.avoidable += waiting / float64(len(m.servers))
 	}
 	if m.measuring {
 		m.ticks++
@@ -278,7 +296,7 @@
 			m.swings++
 		}
 		for _, s := range m.servers {
-			m.variance += (s.window/mean - 1) * (s.window/mean - 1) / modelServers
+			m.variance += (s.window/mean - 1) * (s.window/mean - 1) / float64(len(m.servers))
 		}
 	}
 	m.busiest = slices.MaxFunc(m.servers, func(a, b *modelServer) int { return cmp.Compare(a.window, b.window) })
@@ -308,7 +326,7 @@
 		m.balancers = append(m.balancers, flow.NewDirector(config, start))
 	}
 	capacity := 0.0
-	for n := range modelServers {
+	for n := range cmp.Or(c.servers, modelServers) {
 		s := &modelServer{number: n + 1, speed: 1, started: n >= c.newcomers, changed: start}
 		if n%4 == 3 {
 			s.speed = 0.5
@@ -353,44 +371,65 @@
 	return r
 }
 
-// modelStatus is what an agent measures for its status.
-type modelStatus struct{}
-
-func (*modelStatus) advance(*modelServer, time.Duration) {}
-
 func (s *modelServer) statusAt(now time.Duration) flow.AgentStatus {
 	s.advance(now)
 	return flow.AgentStatus{
 		From: agentIP(s.number), Process: 1, Accepting: true, Slots: modelSlots, Flows: s.flows,
-		Busy: uint32(s.running + len(s.waiting)),
+		Busy: uint32(s.running + len(s.waiting)), Work: s.work.Expected(int(s.flows)), Speed: s.speed,
 	}
 }
 
 var modelCases = func() []modelCase {
 	var cases []modelCase
 	for _, long := range []bool{false, true} {
+		cases = append(cases, modelCase{name: "few", servers: 5, long: long})
 		for _, interval := range []time.Duration{0, 300 * time.Millisecond, time.Second, 2 * time.Second} {
 			cases = append(cases, modelCase{name: "steady", interval: interval, long: long})
 		}
 		cases = append(cases,
 			modelCase{name: "lost", interval: time.Second, lost: 0.3, long: long},
 			modelCase{name: "burst", interval: time.Second, burst: 1.8, long: long},
-			modelCase{name: "newcomers", interval: time.Second, newcomers: 12, long: long})
+			modelCase{name: "newcomers", interval: time.Second, newcomers: 12, long: long},
+			modelCase{name: "few", interval: 300 * time.Millisecond, servers: 5, long: long},
+			modelCase{name: "few", interval: 2 * time.Second, servers: 5, long: long})
 	}
-	return cases
+	return append(cases, modelCase{name: "informed", interval: 2 * time.Second, long: true, informed: true})
 }()
 
-// TestLoadIsEven measures the model and logs the figures.
+const modelSeeds = 3
+
+// averageOf runs a case with several seeds and returns the mean figures.
+func averageOf(c modelCase) modelResult {
+	var mean modelResult
+	for seed := range int64(modelSeeds) {
+		r := runBalanceModel(c, seed+1)
+		mean.ratio += r.ratio / modelSeeds
+		mean.p50 += r.p50 / modelSeeds
+		mean.p99 += r.p99 / modelSeeds
+		mean.avoidable += r.avoidable / modelSeeds
+		mean.swings += r.swings / modelSeeds
+		mean.deviation += r.deviation / modelSeeds
+		mean.passes += r.passes / modelSeeds
+	}
+	return mean
+}
+
+// TestLoadIsEven measures the model. It guards against uneven load and oscillation at any age of the load figures. Long
+// flows are too few for an even load, so they are compared with the informed choice, which has a ratio of about 1.25.
 func TestLoadIsEven(t *testing.T) {
 	for _, c := range modelCases {
-		kind := "short"
-		if c.long {
-			kind = "long"
-		}
-		t.Run(fmt.Sprintf("%s/%s/%v", kind, c.name, c.interval), func(t *testing.T) {
-			r := runBalanceModel(c, 1)
+		t.Run(fmt.Sprintf("%s/%v/long=%v", c.name, c.interval, c.long), func(t *testing.T) {
+			t.Parallel()
+			r := averageOf(c)
 			t.Logf("busiest/mean %.2f, wait p50 %v p99 %v, avoidable %.4f, swings %.2f, deviation %.2f, passes %.2f",
-				r.ratio, r.p50.Round(100*time.Microsecond), r.p99.Round(100*time.Microsecond), r.avoidable, r.swings, r.deviation, r.passes)
+				r.ratio, r.p50.Round(time.Millisecond), r.p99.Round(time.Millisecond), r.avoidable, r.swings, r.deviation, r.passes)
+			maxRatio, maxDeviation := 1.15, 0.3
+			if c.long {
+				maxRatio, maxDeviation = 1.5, 0.55
+			}
+			if r.ratio > maxRatio || r.deviation > maxDeviation {
+				t.Errorf("want a ratio of at most %.2f and a deviation of at most %.2f", maxRatio, maxDeviation)
+			}
 		})
 	}
 }
--- a/flow/load.go
+++ b/flow/load.go
@@ -30,6 +30,8 @@
 	outcomes  outcomes
 	// now is the latest time that was passed to advance.
 	now time.Duration
+	// work measures the work for the open flows.
+	work workMeter
 }
 
 // work is the work that the server has to do for a flow.
@@ -64,6 +66,7 @@
 // advance sets the time of the changes that follow, for example of a flow that is evicted. Call it before each of them.
 func (l *load) advance(now time.Duration) {
 	l.now = now
+	l.work.advance(now, l.busy(), l.flows)
 }
 
 // busy returns the number of requests that are running, waiting or expected.
--- a/flow/select.go
+++ b/flow/select.go
@@ -44,7 +44,7 @@
 }
 
 // selectAgents returns the agents for a new flow, the best first. Within a class they are in the flow's rank order,
-// so that a later search finds the owner early; of the first two, the one with the lower load comes first. Free
+// so that a later search finds the owner early, except that the first few are ordered by their expected load. Free
 // slots change faster than balancers learn of them, so the agents themselves check for one and pass the packet on
 // if they have none. Each further copy of an opening packet starts one agent later in the list, because the agents
 // before may be dead or unreachable.
@@ -56,8 +56,8 @@
 		byClass[c] = append(byClass[c], ipFromNumber(number))
 	}
 	locals, remotes := byClass[local], byClass[remote]
-	d.twoChoices(now, locals)
-	d.twoChoices(now, remotes)
+	d.orderByLoad(now, s, p.Key.Hash(), locals)
+	d.orderByLoad(now, s, p.Key.Hash(), remotes)
 	limit := d.config.MaxAlternatives + 1
 	localLimit := min(len(locals), max(limit-d.config.MinRemote, limit-len(remotes)))
 	d.listBuf = append(d.listBuf[:0], locals[:localLimit]...)
@@ -70,13 +70,6 @@
 	return d.listBuf
 }
 
-// twoChoices swaps the first two agents if the second one has the lower load (power of two choices).
-func (d *Director) twoChoices(now time.Duration, list []IP) {
-	if len(list) > 1 && d.agents[list[1]].load(now) < d.agents[list[0]].load(now) {
-		list[0], list[1] = list[1], list[0]
-	}
-}
-
 // rotate moves the first n elements to the end.
 func rotate(list []IP, n int) {
 	for range n {
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -184,6 +184,7 @@
 		Accepting: t.Accepting(now),
 		Busy:      uint32(t.load.busy()), Slots: uint32(t.load.slots), Flows: uint32(t.load.flows),
 		ServiceTime: t.load.mean, FailureRate: t.load.outcomes.failureRate,
+		Work: t.load.work.expected(t.load.flows),
 	}
 }
 
--- a/internal/nodecodec/nodecodec.go
+++ b/internal/nodecodec/nodecodec.go
@@ -26,9 +26,7 @@
 // Decode decodes the header of a datagram into h and returns the packet that follows it, which aliases b. It reuses the
 // memory of h.
 func Decode(b []byte, h *nodev1.Header) (packet []byte, err error) {
-	remaining := h.Remaining
-	h.Reset()
-	h.Remaining = remaining[:0]
+	Clear(h)
 	return frame.Split(b, h)
 }
 
@@ -39,9 +37,9 @@
 
 // Clear resets h but keeps its memory.
 func Clear(h *nodev1.Header) {
-	remaining := h.Remaining
+	remaining, keys, times := h.Remaining, h.RouteKeys, h.RouteTimesUs
 	h.Reset()
-	h.Remaining = remaining[:0]
+	h.Remaining, h.RouteKeys, h.RouteTimesUs = remaining[:0], keys[:0], times[:0]
 }
 
 func packIP(ip flow.IP) uint32 {
@@ -124,6 +122,24 @@
 	h.Process, h.Accepting = s.Process, s.Accepting
 	h.Busy, h.Slots, h.Flows = s.Busy, s.Slots, s.Flows
 	h.ServiceTimeUs, h.Failing = uint32(s.ServiceTime.Microseconds()), float32(s.FailureRate)
+	h.RouteKeys, h.RouteTimesUs = append(h.RouteKeys[:0], workKey), append(h.RouteTimesUs[:0], uint32(1e6*min(s.Work, maxWork)))
+}
+
+// workKey is the key of the entry among the route times that holds the time for which all routes together keep the
+// server's slots busy per second. No route has this key. Processes of earlier releases ignore the entry.
+const workKey = 0
+
+// maxWork is the largest work that a status can state, in slots.
+const maxWork = 4000
+
+// work returns the work that a status states, or zero if it is unknown.
+func work(h *nodev1.Header) float64 {
+	for i, key := range h.RouteKeys[:min(len(h.RouteKeys), len(h.RouteTimesUs))] {
+		if key == workKey {
+			return float64(h.RouteTimesUs[i]) / 1e6
+		}
+	}
+	return 0
 }
 
 // Status returns the status in h, received now from the agent at the given address.
@@ -132,6 +148,7 @@
 		From: from, Process: h.Process, Accepting: h.Accepting,
 		Busy: h.Busy, Slots: h.Slots, Flows: h.Flows, View: Freshness(h, now),
 		ServiceTime: time.Duration(h.ServiceTimeUs) * time.Microsecond, FailureRate: float64(h.Failing),
+		Work: work(h),
 	}
 }
 
--- a/internal/nodecodec/nodecodec_test.go
+++ b/internal/nodecodec/nodecodec_test.go
@@ -63,7 +63,7 @@
 		Client:  flow.EndpointOf(netip.MustParseAddrPort("100.64.0.7:40001")),
 		Service: flow.EndpointOf(netip.MustParseAddrPort("198.18.0.1:443")),
 	}
-	status := flow.AgentStatus{From: flow.IP{10, 0, 0, 1}, Process: 9, Accepting: true, Busy: 3, Slots: 5, Flows: 70, ServiceTime: 43 * time.Millisecond, FailureRate: 0.25}
+	status := flow.AgentStatus{From: flow.IP{10, 0, 0, 1}, Process: 9, Accepting: true, Busy: 3, Slots: 5, Flows: 70, ServiceTime: 43 * time.Millisecond, FailureRate: 0.25, Work: 1.5}
 	freshness := registry.Freshness{Revision: 8, Changed: 7, Confirmed: now - 250*time.Millisecond, ContinuousSince: now - time.Minute, Interrupted: true, Reader: 5, RoutesKnownSince: now - 20*time.Second}
 	status.View = freshness
 	var sent, received nodev1.Header
