--- a/flow/agents.go
+++ b/flow/agents.go
@@ -30,6 +30,8 @@
 	Work float64
 	// Speed is how fast the server processes requests relative to the median of its service, or zero if it is unknown.
 	Speed float64
+	// RouteTimes are the times of its most used routes. Only some answers to heartbeats hold them.
+	RouteTimes RouteTimes
 	// View is the freshness of the agent's view; its revision is zero if the agent has none.
 	View registry.Freshness
 }
@@ -42,9 +44,14 @@
 	incarnation uint64
 	// runSince is when the view first named this run of the server.
 	runSince time.Duration
-	slots    int
-	draining bool
-	warmAt   time.Duration
+	// runChanged is the revision with which the view named this run in place of an earlier one, or zero.
+	runChanged registry.Revision
+	// routeTimes are those that the agent reported last, at routeTimesAt, for this run of the server.
+	routeTimes   RouteTimes
+	routeTimesAt time.Duration
+	slots        int
+	draining     bool
+	warmAt       time.Duration
 	// present is set if the view names the server.
 	present bool
 	// lastHeard is when the agent last sent its status, and waitingSince when it was first sent a message since then
@@ -176,6 +183,9 @@
 		d.agents[ip] = a
 	}
 	if a.incarnation != u.Incarnation {
+		if a.incarnation != 0 {
+			a.startRun(d.view.Changed)
+		}
 		a.incarnation, a.runSince = u.Incarnation, now
 	}
 	a.service, a.place = s.hash, u.Place
@@ -269,6 +279,7 @@
 	a.lastHeard = now
 	a.waitingSince = 0
 	a.leaving = a.leaving && status.Process == a.status.Process
+	a.updateRun(now, d.config.MaxViewLag, &status)
 	a.status = status
 	a.sentFlows = 0
 }
--- a/flow/load.go
+++ b/flow/load.go
@@ -32,6 +32,8 @@
 	now time.Duration
 	// work measures the work for the open flows.
 	work workMeter
+	// speed measures how fast the server is.
+	speed speedMeter
 }
 
 // work is the work that the server has to do for a flow.
@@ -147,12 +149,15 @@
 	l.requests = append(l.requests, f)
 }
 
-// answer records that the server has begun to answer the request of a flow.
-func (l *load) answer(now time.Duration, f *trackedFlow) {
+// answer records that the server has begun to answer the request of a flow. It returns the service time of the request,
+// or zero if it is not known or the answer does not count as good.
+func (l *load) answer(now time.Duration, f *trackedFlow) (took time.Duration) {
 	if l.isRunning(f) && !f.late && l.outcomes.answered(now, now-f.processingSince) {
-		l.recordServiceTime(now, now-f.processingSince)
+		took = now - f.processingSince
+		l.recordServiceTime(now, took)
 	}
 	l.end(f)
+	return took
 }
 
 // isRunning reports whether the server is processing the request of a flow.
@@ -192,8 +197,9 @@
 
 // checkLate counts as failed the requests that have been running for too long.
 func (l *load) checkLate(now time.Duration) {
+	speed := l.speed.speed(now)
 	for _, f := range l.requests[:min(len(l.requests), l.slots)] {
-		if !f.late && l.outcomes.isLate(now-f.processingSince) {
+		if !f.late && l.outcomes.isLate(now-f.processingSince, speed) {
 			f.late = true
 			l.outcomes.failed(now)
 		}
--- a/flow/outcomes.go
+++ b/flow/outcomes.go
@@ -11,6 +11,8 @@
 	ServiceTime time.Duration
 	// FailureRate is the median of their apparent failure rates.
 	FailureRate float64
+	// RouteTimes are the medians of their times per route. Only some heartbeats hold them.
+	RouteTimes RouteTimes
 }
 
 // outcomes detects a failing server from the outcomes of its requests. The payload is opaque, so a request counts
@@ -90,9 +92,10 @@
 	o.record(now, true)
 }
 
-// isLate reports whether a request that has been running for the given time counts as failed.
-func (o *outcomes) isLate(ran time.Duration) bool {
-	return ran > max(minLate, lateFactor*o.peers.ServiceTime)
+// isLate reports whether a request that has been running for the given time at a server of the given speed counts as
+// failed.
+func (o *outcomes) isLate(ran time.Duration, speed float64) bool {
+	return ran > lateLimit(o.peers.ServiceTime, speed)
 }
 
 func (o *outcomes) record(now time.Duration, bad bool) {
--- a/flow/peers.go
+++ b/flow/peers.go
@@ -21,6 +21,9 @@
 	s := d.byHash[a.service]
 	if s.peersUpdated == 0 || now-s.peersUpdated >= peersTTL {
 		s.peers, s.peersUpdated = d.medians(s), now
+		if routeTimesDue(now) {
+			s.peers.RouteTimes = d.routeMedians(now, s)
+		}
 	}
 	return s.peers
 }
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -119,6 +119,9 @@
 			t.entry = u
 		}
 	}
+	if previous != nil && t.entry != nil && previous.Incarnation != t.entry.Incarnation {
+		t.load.speed.forget()
+	}
 	t.gone = t.entry == nil && (t.gone || previous != nil)
 	if t.entry != nil {
 		t.load.slots = t.entry.Slots
@@ -184,13 +187,14 @@
 		Accepting: t.Accepting(now),
 		Busy:      uint32(t.load.busy()), Slots: uint32(t.load.slots), Flows: uint32(t.load.flows),
 		ServiceTime: t.load.mean, FailureRate: t.load.outcomes.failureRate,
-		Work: t.load.work.expected(t.load.flows),
+		Work: t.load.work.expected(t.load.flows), Speed: t.load.speed.speed(now),
 	}
 }
 
 // SetPeers handles the medians over the service's servers that a balancer sent.
 func (t *Tracker) SetPeers(now time.Duration, peers PeerStats) {
 	t.load.outcomes.setPeers(now, peers)
+	t.load.speed.setMedians(peers.RouteTimes)
 }
 
 // Suspect reports whether the server fails more of its requests than its peers.
@@ -333,7 +337,7 @@
 	}
 	if f.work == requested && (p.Length > 0 || p.Kind == Closing) {
 		// The packet that closes the flow may overtake the answer.
-		t.load.answer(now, f)
+		t.recordSpeed(now, p.Key.Service, t.load.answer(now, f))
 	}
 	if p.Kind == Resetting {
 		t.load.reset(now, f)
@@ -389,5 +393,6 @@
 	}
 	t.flows.Purge()
 	t.server.stopped()
+	t.load.speed.forget()
 	return lost
 }
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -293,7 +293,10 @@
 
 // putStatus stores the status of the agent, its server and its view in outHeader.
 func (l *loop) putStatus(now time.Duration) {
-	status := l.tracker.Status(now)
+	l.putStatusOf(now, l.tracker.Status(now))
+}
+
+func (l *loop) putStatusOf(now time.Duration, status flow.AgentStatus) {
 	status.Process = l.config.ProcessID
 	nodecodec.PutStatus(&l.outHeader, status)
 	l.outHeader.ConfigVersion = l.tracker.Version()
@@ -307,7 +310,11 @@
 	nodecodec.Clear(&l.outHeader)
 	l.outHeader.Kind = kind
 	l.outHeader.Probe = probe
-	l.putStatus(now)
+	status := l.tracker.Status(now)
+	if probe != 0 {
+		status.RouteTimes = l.tracker.RouteTimes(now)
+	}
+	l.putStatusOf(now, status)
 	l.send(to, nil)
 }
 
--- a/internal/nodecodec/nodecodec.go
+++ b/internal/nodecodec/nodecodec.go
@@ -123,6 +123,31 @@
 	h.Busy, h.Slots, h.Flows = s.Busy, s.Slots, s.Flows
 	h.ServiceTimeUs, h.Failing = uint32(s.ServiceTime.Microseconds()), float32(s.FailureRate)
 	h.RouteKeys, h.RouteTimesUs = append(h.RouteKeys[:0], workKey), append(h.RouteTimesUs[:0], uint32(1e6*min(s.Work, maxWork)))
+	h.Speed = float32(s.Speed)
+	putRouteTimes(h, s.RouteTimes)
+}
+
+// putRouteTimes adds route times to h.
+func putRouteTimes(h *nodev1.Header, times flow.RouteTimes) {
+	for _, r := range times {
+		if r.Key != 0 {
+			h.RouteKeys = append(h.RouteKeys, r.Key)
+			h.RouteTimesUs = append(h.RouteTimesUs, uint32(min(r.Time.Microseconds(), math.MaxUint32)))
+		}
+	}
+}
+
+// routeTimes returns the first route times in h.
+func routeTimes(h *nodev1.Header) (times flow.RouteTimes) {
+	n := 0
+	for i, key := range h.RouteKeys[:min(len(h.RouteKeys), len(h.RouteTimesUs))] {
+		if key == workKey || n == len(times) {
+			continue
+		}
+		times[n] = flow.RouteTime{Key: key, Time: time.Duration(h.RouteTimesUs[i]) * time.Microsecond}
+		n++
+	}
+	return times
 }
 
 // workKey is the key of the entry among the route times that holds the time for which all routes together keep the
@@ -148,18 +173,23 @@
 		From: from, Process: h.Process, Accepting: h.Accepting,
 		Busy: h.Busy, Slots: h.Slots, Flows: h.Flows, View: Freshness(h, now),
 		ServiceTime: time.Duration(h.ServiceTimeUs) * time.Microsecond, FailureRate: float64(h.Failing),
-		Work: work(h),
+		Work: work(h), Speed: float64(h.Speed), RouteTimes: routeTimes(h),
 	}
 }
 
 // PutPeerStats stores the medians over the servers of a service in h, in the fields that also hold an agent's status.
 func PutPeerStats(h *nodev1.Header, p flow.PeerStats) {
 	h.ServiceTimeUs, h.Failing = uint32(p.ServiceTime.Microseconds()), float32(p.FailureRate)
+	h.RouteKeys, h.RouteTimesUs = h.RouteKeys[:0], h.RouteTimesUs[:0]
+	putRouteTimes(h, p.RouteTimes)
 }
 
 // PeerStats returns the medians over the servers of a service in h.
 func PeerStats(h *nodev1.Header) flow.PeerStats {
-	return flow.PeerStats{ServiceTime: time.Duration(h.ServiceTimeUs) * time.Microsecond, FailureRate: float64(h.Failing)}
+	return flow.PeerStats{
+		ServiceTime: time.Duration(h.ServiceTimeUs) * time.Microsecond, FailureRate: float64(h.Failing),
+		RouteTimes: routeTimes(h),
+	}
 }
 
 // PutFreshness stores the freshness of a view in h. Times are sent as ages, since the clocks of two processes start at
