--- a/flow/balance_model_test.go
+++ b/flow/balance_model_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand"
@@ -91,10 +90,8 @@
 
 type balanceModel struct {
 	modelCase
-	rnd       *rand.Rand
-	now       time.Duration
-	queue     simQueue
-	order     int
+	// simulation provides the virtual time; its processes are not used.
+	simulation
 	servers   []*modelServer
 	balancers []*flow.Director
 	demand    float64
@@ -110,21 +107,6 @@
 	variance  float64
 }
 
-func (m *balanceModel) after(d time.Duration, run func()) {
-	m.order++
-	heap.Push(&m.queue, simEvent{at: m.now + d, order: m.order, run: run})
-}
-
-func (m *balanceModel) run(d time.Duration) {
-	end := m.now + d
-	for len(m.queue) > 0 && m.queue[0].at <= end {
-		e := heap.Pop(&m.queue).(simEvent)
-		m.now = e.at
-		e.run()
-	}
-	m.now = end
-}
-
 func (m *balanceModel) randomTime(mean time.Duration) time.Duration {
 	return time.Duration(m.rnd.ExpFloat64() * float64(mean))
 }
@@ -319,7 +301,7 @@
 }
 
 func runBalanceModel(c modelCase, seed int64) modelResult {
-	m := &balanceModel{modelCase: c, rnd: rand.New(rand.NewSource(seed)), now: start}
+	m := &balanceModel{modelCase: c, simulation: simulation{rnd: rand.New(rand.NewSource(seed)), now: start}}
 	config := flow.DefaultDirectorConfig("here")
 	config.UnresponsiveAfter = time.Hour
 	for range modelBalancers {
