--- a/flow/agents.go
+++ b/flow/agents.go
@@ -29,6 +29,12 @@
 	// ColdRate is how many new flows the server may get in the next second because it has not warmed up, or zero if
 	// there is no limit.
 	ColdRate float64
+	// Work is the number of slots that the server's open flows are expected to keep busy, or zero if it is unknown.
+	Work float64
+	// Speed is how fast the server processes requests relative to the median of its service, or zero if it is unknown.
+	Speed float64
+	// RouteTimes are the times of its most used routes. Only some answers to heartbeats hold them.
+	RouteTimes RouteTimes
 	// View is the freshness of the agent's view; its revision is zero if the agent has none.
 	View registry.Freshness
 }
@@ -41,11 +47,16 @@
 	incarnation uint64
 	// runSince is when the view first named this run of the server.
 	runSince time.Duration
-	slots    int
-	draining bool
-	warmAt   time.Duration
 	// coldRate is the limit on the new flows per second until the server has warmed up, or zero if there is none.
 	coldRate float64
+	// runChanged is the revision with which the view named this run in place of an earlier one, or zero.
+	runChanged registry.Revision
+	// routeTimes are those that the agent reported last, at routeTimesAt, for this run of the server.
+	routeTimes   RouteTimes
+	routeTimesAt time.Duration
+	slots        int
+	draining     bool
+	warmAt       time.Duration
 	// present is set if the view names the server.
 	present bool
 	// lastHeard is when the agent last sent its status, and waitingSince when it was first sent a message since then
@@ -90,11 +101,6 @@
 	return slots
 }
 
-// load returns the number of flows per unit of capacity if the server is given one more.
-func (a *agent) load(now time.Duration) float64 {
-	return float64(a.status.Flows+a.sentFlows+1) / a.capacity(now)
-}
-
 // service holds the upstreams of one service.
 type service struct {
 	name string
@@ -105,6 +111,7 @@
 	// peers caches the medians over the service's servers, as of peersUpdated.
 	peers        PeerStats
 	peersUpdated time.Duration
+	totals       totals
 }
 
 // ServiceHash returns the hash that identifies a service in messages between processes.
@@ -185,6 +192,9 @@
 		d.agents[ip] = a
 	}
 	if a.incarnation != u.Incarnation {
+		if a.incarnation != 0 {
+			a.startRun(d.view.Changed)
+		}
 		a.incarnation, a.runSince = u.Incarnation, now
 	}
 	a.service, a.place = s.hash, u.Place
@@ -278,6 +288,7 @@
 	a.lastHeard = now
 	a.waitingSince = 0
 	a.leaving = a.leaving && status.Process == a.status.Process
+	a.updateRun(now, d.config.MaxViewLag, &status)
 	a.status = status
 	a.sentFlows = 0
 }
--- a/flow/load.go
+++ b/flow/load.go
@@ -31,6 +31,10 @@
 	queue     queueLimit
 	// now is the latest time that was passed to advance.
 	now time.Duration
+	// work measures the work for the open flows.
+	work workMeter
+	// speed measures how fast the server is.
+	speed speedMeter
 }
 
 // work is the work that the server has to do for a flow.
@@ -65,6 +69,7 @@
 // advance sets the time of the changes that follow, for example of a flow that is evicted. Call it before each of them.
 func (l *load) advance(now time.Duration) {
 	l.now = now
+	l.work.advance(now, l.busy(), l.flows)
 }
 
 // busy returns the number of requests that are running, waiting or expected.
@@ -157,15 +162,18 @@
 	l.requests = append(l.requests, f)
 }
 
-// answer records that the server has begun to answer the request of a flow.
-func (l *load) answer(now time.Duration, f *trackedFlow) {
+// answer records that the server has begun to answer the request of a flow. It returns the service time of the request,
+// or zero if it is not known or the answer does not count as good.
+func (l *load) answer(now time.Duration, f *trackedFlow) (took time.Duration) {
 	if ahead := slices.Index(l.requests, f); ahead >= l.slots {
 		l.queue.rejected(now, now-f.workSince, ahead)
 	}
 	if l.isRunning(f) && !f.late && l.outcomes.answered(now, now-f.processingSince) {
-		l.recordServiceTime(now, now-f.processingSince)
+		took = now - f.processingSince
+		l.recordServiceTime(now, took)
 	}
 	l.end(f)
+	return took
 }
 
 // isRunning reports whether the server is processing the request of a flow.
@@ -205,8 +213,9 @@
 
 // checkLate counts as failed the requests that have been running for too long.
 func (l *load) checkLate(now time.Duration) {
+	speed := l.speed.speed(now)
 	for _, f := range l.requests[:min(len(l.requests), l.slots)] {
-		if !f.late && l.outcomes.isLate(now-f.processingSince) {
+		if !f.late && l.outcomes.isLate(now-f.processingSince, speed) {
 			f.late = true
 			l.outcomes.failed(now)
 		}
--- a/internal/nodecodec/nodecodec.go
+++ b/internal/nodecodec/nodecodec.go
@@ -26,9 +26,7 @@
 // Decode decodes the header of a datagram into h and returns the packet that follows it, which aliases b. It reuses the
 // memory of h.
 func Decode(b []byte, h *nodev1.Header) (packet []byte, err error) {
-	remaining := h.Remaining
-	h.Reset()
-	h.Remaining = remaining[:0]
+	Clear(h)
 	return frame.Split(b, h)
 }
 
@@ -39,9 +37,9 @@
 
 // Clear resets h but keeps its memory.
 func Clear(h *nodev1.Header) {
-	remaining := h.Remaining
+	remaining, keys, times := h.Remaining, h.RouteKeys, h.RouteTimesUs
 	h.Reset()
-	h.Remaining = remaining[:0]
+	h.Remaining, h.RouteKeys, h.RouteTimesUs = remaining[:0], keys[:0], times[:0]
 }
 
 func packIP(ip flow.IP) uint32 {
@@ -125,6 +123,32 @@
 	h.Busy, h.Slots, h.Flows = s.Busy, s.Slots, s.Flows
 	h.ServiceTimeUs, h.Failing = uint32(s.ServiceTime.Microseconds()), float32(s.FailureRate)
 	h.ColdRate = float32(s.ColdRate)
+	h.Work = float32(s.Work)
+	h.Speed = float32(s.Speed)
+	putRouteTimes(h, s.RouteTimes)
+}
+
+// putRouteTimes adds route times to h.
+func putRouteTimes(h *nodev1.Header, times flow.RouteTimes) {
+	for _, r := range times {
+		if r.Key != 0 {
+			h.RouteKeys = append(h.RouteKeys, r.Key)
+			h.RouteTimesUs = append(h.RouteTimesUs, uint32(min(r.Time.Microseconds(), math.MaxUint32)))
+		}
+	}
+}
+
+// routeTimes returns the first route times in h.
+func routeTimes(h *nodev1.Header) (times flow.RouteTimes) {
+	n := 0
+	for i, key := range h.RouteKeys[:min(len(h.RouteKeys), len(h.RouteTimesUs))] {
+		if key == 0 || n == len(times) {
+			continue
+		}
+		times[n] = flow.RouteTime{Key: key, Time: time.Duration(h.RouteTimesUs[i]) * time.Microsecond}
+		n++
+	}
+	return times
 }
 
 // Status returns the status in h, received now from the agent at the given address.
@@ -134,17 +158,23 @@
 		Busy: h.Busy, Slots: h.Slots, Flows: h.Flows, View: Freshness(h, now),
 		ServiceTime: time.Duration(h.ServiceTimeUs) * time.Microsecond, FailureRate: float64(h.Failing),
 		ColdRate: float64(h.ColdRate),
+		Work:     float64(h.Work), Speed: float64(h.Speed), RouteTimes: routeTimes(h),
 	}
 }
 
 // PutPeerStats stores the medians over the servers of a service in h, in the fields that also hold an agent's status.
 func PutPeerStats(h *nodev1.Header, p flow.PeerStats) {
 	h.ServiceTimeUs, h.Failing = uint32(p.ServiceTime.Microseconds()), float32(p.FailureRate)
+	h.RouteKeys, h.RouteTimesUs = h.RouteKeys[:0], h.RouteTimesUs[:0]
+	putRouteTimes(h, p.RouteTimes)
 }
 
 // PeerStats returns the medians over the servers of a service in h.
 func PeerStats(h *nodev1.Header) flow.PeerStats {
-	return flow.PeerStats{ServiceTime: time.Duration(h.ServiceTimeUs) * time.Microsecond, FailureRate: float64(h.Failing)}
+	return flow.PeerStats{
+		ServiceTime: time.Duration(h.ServiceTimeUs) * time.Microsecond, FailureRate: float64(h.Failing),
+		RouteTimes: routeTimes(h),
+	}
 }
 
 // PutFreshness stores the freshness of a view in h. Times are sent as ages, since the clocks of two processes start at
