--- a/cmd/bramley-flow-agent/main.go
+++ b/cmd/bramley-flow-agent/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/bramleyrack/bramleyrack/flow"
 	"github.com/bramleyrack/bramleyrack/internal/flowagent"
+	"github.com/bramleyrack/bramleyrack/internal/nodestatus"
 	"github.com/bramleyrack/bramleyrack/internal/options"
 	"github.com/bramleyrack/bramleyrack/internal/telemetry"
 	"github.com/bramleyrack/bramleyrack/platform"
@@ -66,5 +67,6 @@
 		return errors.Trace(err)
 	}
 	telemetry.Gauge("agent", func() any { return a.Counters() })
+	telemetry.Gauge(nodestatus.ServerVariable, func() any { return a.ServerStatus() })
 	return p.Run(stopCtx, operator, a.Ready, a.Run)
 }
--- /dev/null
+++ b/flow/server_state.go
@@ -0,0 +1,35 @@
+package flow
+
+import "time"
+
+// ServerState is the state of the server beside an agent, for operators.
+type ServerState struct {
+	// Accepting is set if the server takes new flows, apart from evacuation, the cold rate and its load.
+	Accepting bool
+	// Draining is set if the server drains or is gone from the view, and Evacuated if its place gets no new flows.
+	Draining, Evacuated bool
+	// Suspect is set if the server fails more of its requests than its peers.
+	Suspect bool
+	// WarmAt is when the server is expected to be warm, or zero if that is not known.
+	WarmAt time.Duration
+	// Busy is the number of requests that are running, waiting or expected, and Flows the number of open flows.
+	Busy, Slots, Flows int
+}
+
+// ServerState returns the state of the server. It changes nothing, so unlike Status it also counts reservations that
+// have expired since the last decision.
+func (t *Tracker) ServerState(now time.Duration) ServerState {
+	s := ServerState{
+		Accepting: t.Accepting(now),
+		Draining:  t.leaving(),
+		Evacuated: t.evacuated,
+		Suspect:   t.Suspect(),
+		Busy:      t.load.busy(),
+		Slots:     t.load.slots,
+		Flows:     t.load.flows,
+	}
+	if t.entry != nil {
+		s.WarmAt = t.entry.WarmAt
+	}
+	return s
+}
--- a/internal/flowagent/flowagent.go
+++ b/internal/flowagent/flowagent.go
@@ -79,6 +79,7 @@
 	server  *udp.Socket
 	leaving atomic.Bool
 	counts  counters
+	state   atomic.Pointer[serverSnapshot]
 }
 
 // New opens the sockets.
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -101,6 +101,7 @@
 	}
 	l.content = view.Content
 	l.tracker.SetView(view)
+	l.publishServer(now)
 	l.config.Event("view_in_force", "version", view.Version(), "revision", view.Revision, "age", now-view.Confirmed)
 	l.logAccepting(now)
 }
--- /dev/null
+++ b/internal/flowagent/status.go
@@ -0,0 +1,47 @@
+package flowagent
+
+import (
+	"time"
+
+	"github.com/bramleyrack/bramleyrack/flow"
+	"github.com/bramleyrack/bramleyrack/internal/nodestatus"
+)
+
+// serverSnapshot is the state of the server at a time.
+type serverSnapshot struct {
+	flow.ServerState
+	taken    time.Duration
+	coldRate float64
+}
+
+// publishServer makes the state of the server available to ServerStatus.
+func (l *loop) publishServer(now time.Duration) {
+	s := &serverSnapshot{ServerState: l.tracker.ServerState(now), taken: now}
+	if view := l.config.View.Current(); view != nil && view.Configuration != nil {
+		s.coldRate = view.Configuration.Services[l.config.Tracker.Service].ColdRate
+	}
+	l.agent.state.Store(s)
+}
+
+// ServerStatus returns the state of the server as the event loop last published it, about once a second. It is nil
+// before the first time. It may be called from any goroutine.
+func (a *Agent) ServerStatus() *nodestatus.Server {
+	s := a.state.Load()
+	if s == nil {
+		return nil
+	}
+	now := a.config.Clock.Now()
+	return &nodestatus.Server{
+		Service:   a.config.Tracker.Service,
+		Accepting: s.Accepting,
+		Draining:  s.Draining,
+		Evacuated: s.Evacuated,
+		Suspect:   s.Suspect,
+		ColdMs:    max(0, (s.WarmAt - now).Milliseconds()),
+		ColdRate:  s.coldRate,
+		Busy:      s.Busy,
+		Slots:     s.Slots,
+		Flows:     s.Flows,
+		AgeMs:     (now - s.taken).Milliseconds(),
+	}
+}
--- /dev/null
+++ b/internal/flowagent/status_test.go
@@ -0,0 +1,59 @@
+package flowagent
+
+import (
+	"math/rand"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/bramleyrack/bramleyrack/flow"
+	"github.com/bramleyrack/bramleyrack/internal/clock"
+	"github.com/bramleyrack/bramleyrack/registry"
+)
+
+// fixedView is a View that never changes.
+type fixedView struct {
+	view *registry.View
+}
+
+func (v fixedView) Current() *registry.View                  { return v.view }
+func (fixedView) Updates() <-chan struct{}                   { return nil }
+func (fixedView) Observe(registry.Freshness, netip.AddrPort) {}
+func newTestLoop(t *testing.T, upstream registry.Upstream) *loop {
+	t.Helper()
+	view := &registry.View{
+		Freshness: registry.Freshness{Revision: 9, Changed: 9},
+		Content: &registry.Content{
+			Configuration: &registry.Configuration{Version: 3, Services: map[string]registry.Service{"orders": {ColdRate: 2.5}}},
+			Upstreams:     []registry.Upstream{upstream},
+			Evacuations:   []registry.Evacuation{{Place: "a", Revision: 8}},
+		},
+	}
+	return newLoop(&Agent{config: Config{
+		View: fixedView{view}, Clock: clock.New(), Server: upstream.Address,
+		Tracker: flow.DefaultTrackerConfig("orders", flow.EndpointOf(upstream.Address)),
+		Rand:    rand.New(rand.NewSource(1)), Event: func(string, ...any) {},
+	}})
+}
+
+// TestServerStatusShowsWhyAServerGetsNoFlows guards against a state that operators see only after the next sweep, and
+// against a remaining time that does not decrease between two sweeps.
+func TestServerStatusShowsWhyAServerGetsNoFlows(t *testing.T) {
+	upstream := registry.Upstream{
+		ID: "s1", Service: "orders", Place: "a", Slots: 4, Draining: true, WarmAt: time.Hour,
+		Address: netip.MustParseAddrPort("127.0.0.1:8000"),
+	}
+	l := newTestLoop(t, upstream)
+	if l.agent.ServerStatus() != nil {
+		t.Fatal("got a state before the first view")
+	}
+	l.updateView(l.config.Clock.Now())
+	got := l.agent.ServerStatus()
+	if got.Accepting || !got.Draining || !got.Evacuated || got.ColdRate != 2.5 || got.Slots != 4 || got.Service != "orders" {
+		t.Fatalf("got %+v", got)
+	}
+	time.Sleep(3 * time.Millisecond)
+	if later := l.agent.ServerStatus(); later.ColdMs >= got.ColdMs || later.AgeMs <= got.AgeMs || got.ColdMs == 0 {
+		t.Fatalf("got %+v and later %+v", got, later)
+	}
+}
