Add bramleyctl nodes, which shows views, evacuations and servers

The state that flow processes publish had to be read process by process.

"bramleyctl nodes" queries operator addresses in parallel, each for at most 2 s and 1 MiB, and prints role, place, era, revision, version, age, evacuations and the server of each process as a table or JSON, and one line per evacuation. Unreachable processes are listed with the error. It exits with 1 if a process lags or is unreachable, like status.

--- a/cmd/bramleyctl/main.go
+++ b/cmd/bramleyctl/main.go
@@ -36,6 +36,7 @@
 	commander.Register(&diffCommand{term: term}, "settings trees")
 	commander.Register(newExplainCommand(term), "settings trees")
 	commander.Register(newStatusCommand(term), "running processes")
+	commander.Register(&nodesCommand{term: term}, "running processes")
 	commander.Register(&flowCommand{term: term}, "logs")
 	commander.Register(&replayCommand{term: term}, "traces")
 	commander.Register(&keygenCommand{term: term}, "secrets")
--- a/cmd/bramleyctl/main_test.go
+++ b/cmd/bramleyctl/main_test.go
@@ -131,6 +131,8 @@
 		{"explain", "--service", "orders", "--connection-id", "zz", exampleFile},
 		{"status"},
 		{"status", "--processes", "127.0.0.1:1", "--tree", exampleFile},
+		{"nodes"},
+		{"nodes", "--operator", "127.0.0.1:1", "--timeout", "0s"},
 		{"replay"},
 		{"keygen"},
 	} {
