Let operators ask running processes where a flow would go now

Why a zone or server gets no new flows had to be derived from the logs of many processes, and only after a flow had been decided.

Director.Explain and Tracker.Explain let the decision itself run on a copy of the state that it changes, so an explanation can't diverge from the decision. They return the view, route, service, evacuations, the candidates with rank, class, reported load, its age and capacity, the known owner, and what is not known; and for an agent whether it would take the flow, pass it on or refuse it, with and without further agents. GET /explain at the operator address puts the question into a bounded queue that the event loop answers; without an answer within 1 s it returns 503. "bramleyctl explain-flow" asks one balancer and any agents in parallel.

Over 25 random histories each, the explanation equals the decision that follows, the decisions equal those of a process that was not asked, and a description of the whole state by reflection is unchanged.

--- a/cmd/bramley-flow-agent/main.go
+++ b/cmd/bramley-flow-agent/main.go
@@ -68,5 +68,5 @@
 	}
 	telemetry.Gauge("agent", func() any { return a.Counters() })
 	telemetry.Gauge(nodestatus.ServerVariable, func() any { return a.ServerStatus() })
-	return p.Run(stopCtx, operator, a.Ready, a.Run)
+	return p.Run(stopCtx, operator, a.Ready, a.Run, a.ExplainEndpoint())
 }
--- a/cmd/bramley-flow-balancer/main.go
+++ b/cmd/bramley-flow-balancer/main.go
@@ -80,5 +80,5 @@
 		return errors.Trace(err)
 	}
 	telemetry.Gauge("balancer", func() any { return b.Counters() })
-	return p.Run(stopCtx, c.operator, b.Ready, b.Run)
+	return p.Run(stopCtx, c.operator, b.Ready, b.Run, b.ExplainEndpoint())
 }
--- a/cmd/bramleyctl/main.go
+++ b/cmd/bramleyctl/main.go
@@ -37,6 +37,7 @@
 	commander.Register(newExplainCommand(term), "settings trees")
 	commander.Register(newStatusCommand(term), "running processes")
 	commander.Register(&nodesCommand{term: term}, "running processes")
+	commander.Register(&explainFlowCommand{term: term}, "running processes")
 	commander.Register(&flowCommand{term: term}, "logs")
 	commander.Register(&replayCommand{term: term}, "traces")
 	commander.Register(&keygenCommand{term: term}, "secrets")
--- a/cmd/bramleyctl/main_test.go
+++ b/cmd/bramleyctl/main_test.go
@@ -133,6 +133,8 @@
 		{"status", "--processes", "127.0.0.1:1", "--tree", exampleFile},
 		{"nodes"},
 		{"nodes", "--operator", "127.0.0.1:1", "--timeout", "0s"},
+		{"explain-flow", "--balancer", "127.0.0.1:1", "--flow", "100.64.0.1:1"},
+		{"explain-flow", "--balancer", "localhost", "--flow", "100.64.0.1:1,198.18.0.1:443"},
 		{"replay"},
 		{"keygen"},
 	} {
--- a/cmd/bramleyctl/nodes.go
+++ b/cmd/bramleyctl/nodes.go
@@ -111,11 +111,16 @@
 	return strings.Join(names, ",")
 }
 
-// serverText returns the state of a server on one line, the conditions under which it gets no or fewer new flows first.
+// serverText returns the state and load of a server on one line.
 func serverText(s *nodestatus.Server) string {
 	if s == nil {
 		return "-"
 	}
+	return fmt.Sprintf("%s %s %d/%d busy, %d flows", s.Service, serverStates(s), s.Busy, s.Slots, s.Flows)
+}
+
+// serverStates returns whether a server gets new flows, and the conditions under which it gets none or fewer.
+func serverStates(s *nodestatus.Server) string {
 	var states []string
 	for _, state := range []struct {
 		name string
@@ -131,7 +136,7 @@
 	if s.ColdMs > 0 {
 		states = append(states, "cold "+durationText(s.ColdMs)+coldRateText(s.ColdRate))
 	}
-	return fmt.Sprintf("%s %s %d/%d busy, %d flows", s.Service, strings.Join(states, ","), s.Busy, s.Slots, s.Flows)
+	return strings.Join(states, ",")
 }
 
 func coldRateText(perSecond float64) string {
--- a/internal/flowagent/flowagent.go
+++ b/internal/flowagent/flowagent.go
@@ -16,6 +16,7 @@
 
 	"github.com/bramleyrack/bramleyrack/flow"
 	"github.com/bramleyrack/bramleyrack/internal/clock"
+	"github.com/bramleyrack/bramleyrack/internal/explain"
 	"github.com/bramleyrack/bramleyrack/internal/packetreader"
 	"github.com/bramleyrack/bramleyrack/internal/udp"
 	"github.com/bramleyrack/bramleyrack/registry"
@@ -80,6 +81,8 @@
 	leaving atomic.Bool
 	counts  counters
 	state   atomic.Pointer[serverSnapshot]
+	// questions are those of operators, which the event loop answers.
+	questions explain.Questions[flow.AgentExplanation]
 }
 
 // New opens the sockets.
@@ -93,7 +96,7 @@
 		nodes.Close()
 		return nil, errors.Annotatef(err, "listening for the server on %s", config.OutboundAddress)
 	}
-	return &Agent{config: config, nodes: nodes, server: server}, nil
+	return &Agent{config: config, nodes: nodes, server: server, questions: explain.NewQuestions[flow.AgentExplanation]()}, nil
 }
 
 // Ready returns nil if the agent can decide on flows, or else the reason why not.
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -72,6 +72,8 @@
 			l.broadcastStatus(l.config.Clock.Now(), nodev1.Kind_KIND_ANSWER)
 		case <-ticker.C:
 			l.tick(ctx)
+		case q := <-l.agent.questions:
+			l.answer(q)
 		case running := <-l.checker.results:
 			l.handleProcessCheck(running)
 		case <-stopped:
--- a/internal/flowagent/status.go
+++ b/internal/flowagent/status.go
@@ -5,6 +5,7 @@
 
 	"github.com/bramleyrack/bramleyrack/flow"
 	"github.com/bramleyrack/bramleyrack/internal/nodestatus"
+	"github.com/bramleyrack/bramleyrack/registry"
 )
 
 // serverSnapshot is the state of the server at a time.
@@ -17,12 +18,18 @@
 // publishServer makes the state of the server available to ServerStatus.
 func (l *loop) publishServer(now time.Duration) {
 	s := &serverSnapshot{ServerState: l.tracker.ServerState(now), taken: now}
-	if view := l.config.View.Current(); view != nil && view.Configuration != nil {
-		s.coldRate = view.Configuration.Services[l.config.Tracker.Service].ColdRate
-	}
+	s.coldRate = l.coldRate(l.config.View.Current())
 	l.agent.state.Store(s)
 }
 
+// coldRate returns the limit on the new flows per second of a cold server, or zero if there is none.
+func (l *loop) coldRate(view *registry.View) float64 {
+	if view == nil || view.Configuration == nil {
+		return 0
+	}
+	return view.Configuration.Services[l.config.Tracker.Service].ColdRate
+}
+
 // ServerStatus returns the state of the server as the event loop last published it, about once a second. It is nil
 // before the first time. It may be called from any goroutine.
 func (a *Agent) ServerStatus() *nodestatus.Server {
--- a/internal/flowbalancer/flowbalancer.go
+++ b/internal/flowbalancer/flowbalancer.go
@@ -15,6 +15,7 @@
 
 	"github.com/bramleyrack/bramleyrack/flow"
 	"github.com/bramleyrack/bramleyrack/internal/clock"
+	"github.com/bramleyrack/bramleyrack/internal/explain"
 	"github.com/bramleyrack/bramleyrack/internal/packetreader"
 	"github.com/bramleyrack/bramleyrack/internal/udp"
 	"github.com/bramleyrack/bramleyrack/registry"
@@ -77,6 +78,8 @@
 	nodes   *udp.Socket
 	leaving atomic.Bool
 	counts  counters
+	// questions are those of operators, which the event loop answers.
+	questions explain.Questions[flow.Explanation]
 }
 
 // New opens the sockets.
@@ -90,7 +93,7 @@
 		clients.Close()
 		return nil, errors.Annotatef(err, "listening for agents and balancers on %s", config.PeerAddress)
 	}
-	return &Balancer{config: config, clients: clients, nodes: nodes}, nil
+	return &Balancer{config: config, clients: clients, nodes: nodes, questions: explain.NewQuestions[flow.Explanation]()}, nil
 }
 
 // Ready returns nil if clients may send packets to this process, or else the reason why not.
--- a/internal/flowbalancer/loop.go
+++ b/internal/flowbalancer/loop.go
@@ -66,6 +66,8 @@
 			l.director.HeartbeatAll()
 		case <-ticker.C:
 			l.tick()
+		case q := <-l.balancer.questions:
+			l.answer(q)
 		case <-stopped:
 			stopped = nil
 			stopTime = l.config.Clock.Now()
--- a/internal/telemetry/operator.go
+++ b/internal/telemetry/operator.go
@@ -19,10 +19,19 @@
 	operatorStopTimeout = time.Second
 )
 
-// OperatorHandler serves the metrics at /debug/vars, liveness at /healthz and readiness at /readyz. /readyz answers
-// with status 503 and the error while ready returns one.
-func OperatorHandler(ready func() error) http.Handler {
+// Endpoint is a page of the operator address that a program adds. The pattern is that of an http.ServeMux.
+type Endpoint struct {
+	Pattern string
+	Handler http.Handler
+}
+
+// OperatorHandler serves the metrics at /debug/vars, liveness at /healthz, readiness at /readyz, and the given
+// endpoints. /readyz answers with status 503 and the error while ready returns one.
+func OperatorHandler(ready func() error, endpoints ...Endpoint) http.Handler {
 	mux := http.NewServeMux()
+	for _, endpoint := range endpoints {
+		mux.Handle(endpoint.Pattern, endpoint.Handler)
+	}
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		fmt.Fprintln(w, "ok")
@@ -38,7 +47,7 @@
 }
 
 // ServeOperator serves OperatorHandler at addr until ctx is done. With the zero address, it only waits for ctx.
-func ServeOperator(ctx context.Context, addr netip.AddrPort, ready func() error) error {
+func ServeOperator(ctx context.Context, addr netip.AddrPort, ready func() error, endpoints ...Endpoint) error {
 	if !addr.IsValid() {
 		<-ctx.Done()
 		return nil
@@ -48,7 +57,7 @@
 		return errors.Annotatef(err, "listening on the operator address %s", addr)
 	}
 	Event("operator_listening", "addr", listener.Addr())
-	server := &http.Server{Handler: OperatorHandler(ready), ReadHeaderTimeout: operatorHeaderTimeout}
+	server := &http.Server{Handler: OperatorHandler(ready, endpoints...), ReadHeaderTimeout: operatorHeaderTimeout}
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
