--- a/flow/explain.go
+++ b/flow/explain.go
@@ -219,16 +219,17 @@
 	return candidates
 }
 
-// name returns the name of the class in explanations.
+// name returns the name of the class in explanations. Agents of the classes after unresponsive take no new flows; the
+// reason tells them apart.
 func (c class) name() string {
-	switch c {
-	case local:
+	switch {
+	case c == local:
 		return "local"
-	case remote:
+	case c == remote:
 		return "remote"
-	case unresponsive:
+	case c == unresponsive:
 		return "unresponsive"
-	case unavailable:
+	case c > unresponsive:
 		return "unavailable"
 	}
 	return fmt.Sprintf("class %d", c)
--- a/internal/flowagent/tick.go
+++ b/internal/flowagent/tick.go
@@ -28,6 +28,7 @@
 	}
 	if now-l.lastSweep >= sweepInterval {
 		l.sweep(now)
+		l.publishServer(now)
 	}
 }
 
@@ -63,7 +64,6 @@
 	status := l.tracker.Status(now)
 	l.agent.counts.flows.Store(int64(status.Flows))
 	l.agent.counts.busy.Store(int64(status.Busy))
-	l.publishServer(now)
 	for key, sent := range l.openingSentAt {
 		if now-sent > sweepInterval {
 			delete(l.openingSentAt, key)
