--- a/admission/groups.go
+++ b/admission/groups.go
@@ -60,6 +60,13 @@
 	return &Groups{decay: decay{constant: constant}, computed: -levelInterval, sorted: make([]float64, 0, GroupBuckets)}
 }
 
+// Clone returns a copy that shares no state with the original.
+func (g *Groups) Clone() *Groups {
+	c := *g
+	c.sorted = make([]float64, 0, GroupBuckets)
+	return &c
+}
+
 // Offer records that a group offers work to an upstream that has a number of slots for them. A request may
 // be offered to several upstreams; once must be set at one of them only, for example the last.
 func (g *Groups) Offer(now time.Duration, group uint64, work time.Duration, once bool, slots float64) {
--- a/admission/shares.go
+++ b/admission/shares.go
@@ -33,6 +33,12 @@
 	return &Shares{decay: decay{constant: constant}, floor: floor}
 }
 
+// Clone returns a copy that shares no state with the original.
+func (s *Shares) Clone() *Shares {
+	c := *s
+	return &c
+}
+
 // Offer records that a request is offered.
 func (s *Shares) Offer(now time.Duration, priority int, assumed time.Duration) {
 	s.rescale(now)
--- a/cmd/bramleyctl/main_test.go
+++ b/cmd/bramleyctl/main_test.go
@@ -131,6 +131,10 @@
 		{"explain", "--service", "orders", "--connection-id", "zz", exampleFile},
 		{"status"},
 		{"status", "--processes", "127.0.0.1:1", "--tree", exampleFile},
+		{"nodes"},
+		{"nodes", "--operator", "127.0.0.1:1", "--timeout", "0s"},
+		{"explain-flow", "--balancer", "127.0.0.1:1", "--flow", "100.64.0.1:1"},
+		{"explain-flow", "--balancer", "localhost", "--flow", "100.64.0.1:1,198.18.0.1:443"},
 		{"replay"},
 		{"keygen"},
 	} {
--- a/flow/shortage.go
+++ b/flow/shortage.go
@@ -43,6 +43,18 @@
 	return shortage{config: config, shares: admission.NewShares(config.ShareWindow, config.MinWaitingPart)}
 }
 
+// clone returns a copy that shares no state with the original.
+func (s *shortage) clone() shortage {
+	c := *s
+	c.shares = s.shares.Clone()
+	for class, groups := range s.groups {
+		if groups != nil {
+			c.groups[class] = groups.Clone()
+		}
+	}
+	return c
+}
+
 // group returns the group of a flow's client. The client's address is all that an agent knows about its caller.
 func group(key Key) uint64 {
 	return xxhash.Sum64(key.Client.IP[:])
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -76,6 +76,8 @@
 			l.broadcastStatus(l.config.Clock.Now(), nodev1.Kind_KIND_ANSWER)
 		case <-ticker.C:
 			l.tick(ctx)
+		case q := <-l.agent.questions:
+			l.answer(q)
 		case running := <-l.checker.results:
 			l.handleProcessCheck(running)
 		case <-stopped:
@@ -109,6 +111,7 @@
 	}
 	l.content = view.Content
 	l.tracker.SetView(view)
+	l.publishServer(now)
 	l.config.Event("view_in_force", "version", view.Version(), "revision", view.Revision, "age", now-view.Confirmed)
 	l.logEvacuations(now, view.Evacuations)
 	l.logAccepting(now)
--- a/internal/flowagent/tick.go
+++ b/internal/flowagent/tick.go
@@ -31,6 +31,7 @@
 	}
 	if now-l.lastSweep >= sweepInterval {
 		l.sweep(now)
+		l.publishServer(now)
 	}
 }
 
