--- a/flow/server_state.go
+++ b/flow/server_state.go
@@ -10,8 +10,8 @@
 	Draining, Evacuated bool
 	// Suspect is set if the server fails more of its requests than its peers.
 	Suspect bool
-	// WarmAt is when the server is expected to be warm, or zero if it is warm. ColdRate is the limit on its new flows per
-	// second until then, or zero if there is none.
+	// WarmAt is when the server is expected to be warm, or zero if it is warm. ColdRate is the limit on the new flows per
+	// second of a cold server, or zero if there is none.
 	WarmAt   time.Duration
 	ColdRate float64
 	// Busy is the number of requests that are running, waiting or expected, and Flows the number of open flows.
@@ -30,8 +30,10 @@
 		Slots:     t.load.slots,
 		Flows:     t.load.flows,
 	}
-	if rate, remaining, cold := t.Cold(now); cold {
-		s.WarmAt, s.ColdRate = now+remaining, rate
+	rate, remaining, cold := t.Cold(now)
+	s.ColdRate = rate
+	if cold {
+		s.WarmAt = now + remaining
 	}
 	return s
 }
