Test eras and evacuations in the view, and mend the faults found

Cause: the code that orders views by the store's era had few tests. New ones showed these faults: - A restored store brought back a removed server in its last state or an earlier run, and an earlier run of a known server at a second read of the same copy. - A process that read the restored store itself took entries missing from the copy for removed as soon as it heard of a process that had started later. A new process did not treat a peer in an earlier era as proof of an interruption. - A new process did not learn of entries that the store had lost, nor of evacuations if its seed had not, and gave up after an answer of a process that knew as little. - A process that only peers inform never learned that an evacuation had been written again, and ended it after 15 s. - A request that a copy states although it was taken back came into force again by way of a peer. - A process that was cut off for more than a minute never learned that an evacuation had ended. - A configuration that the store had lost did not reach a process whose only informed peer was always ahead. - A restore between two pages of a read counted as an outage (1.26 s until the next change was known instead of 50 ms). - The start of an evacuation before a process's own start was moved to its start, so that it was phased in again.

A request that a restored store states although it was taken back is in force only if operators have not taken it back again after EraRetention; before, processes could disagree about it for a minute.

--- a/internal/nodecodec/nodecodec_test.go
+++ b/internal/nodecodec/nodecodec_test.go
@@ -64,7 +64,7 @@
 		Service: flow.EndpointOf(netip.MustParseAddrPort("198.18.0.1:443")),
 	}
 	status := flow.AgentStatus{From: flow.IP{10, 0, 0, 1}, Process: 9, Accepting: true, Busy: 3, Slots: 5, Flows: 70, ServiceTime: 43 * time.Millisecond, FailureRate: 0.25}
-	freshness := registry.Freshness{Revision: 8, Changed: 7, Confirmed: now - 250*time.Millisecond, ContinuousSince: now - time.Minute, Interrupted: true, Reader: 5, RoutesKnownSince: now - 20*time.Second}
+	freshness := registry.Freshness{Revision: registry.NewRevision(3, 8), Changed: 1<<64 - 1, ConfigurationVersion: 1 << 40, Confirmed: now - 250*time.Millisecond, ContinuousSince: now - time.Minute, Interrupted: true, Reader: 5, RoutesKnownSince: now - 20*time.Second}
 	status.View = freshness
 	var sent, received nodev1.Header
 	nodecodec.PutKey(&sent, key)
@@ -96,19 +96,25 @@
 
 func TestDeltaRoundTrip(t *testing.T) {
 	want := registry.Delta{
-		From:      3,
-		Freshness: registry.Freshness{Revision: 8, Changed: 7, Confirmed: now - time.Second, ContinuousSince: now - time.Minute, Reader: 5, RoutesKnownSince: now - 30*time.Second},
+		From:      registry.NewRevision(65535, 3),
+		Freshness: registry.Freshness{Revision: registry.NewRevision(65535, 8), Changed: registry.NewRevision(65535, 7), ConfigurationVersion: 12, Confirmed: now - time.Second, ContinuousSince: now - time.Minute, Reader: 5, RoutesKnownSince: now - 30*time.Second},
 		Former:    []registry.FormerShare{{Address: netip.MustParseAddrPort("198.18.0.1:443"), Service: "b", Until: now - 10*time.Second}},
 		Configuration: &registry.Configuration{Version: 12, IdleTimeout: 15 * time.Second, Routes: []registry.Route{{
 			Address: netip.MustParseAddrPort("198.18.0.1:443"), Shares: []registry.Share{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}},
 			Repeatable: true, Target: 200 * time.Millisecond, Timeout: 4 * time.Second, Priority: 2,
-		}}},
+		}}, Services: map[string]registry.Service{"a": {ColdStart: 7500 * time.Millisecond, ColdRate: 12.5}, "b": {}}},
 		Upstreams: []registry.Upstream{
-			{ID: "x", Service: "a", Address: netip.MustParseAddrPort("10.0.0.1:80"), Place: "north", Slots: 5, Incarnation: 7},
+			{ID: "x", Service: "a", Address: netip.MustParseAddrPort("10.0.0.1:80"), Place: "north", Slots: 5, Incarnation: 7, Sequence: 9, Created: registry.NewRevision(65535, 4)},
 			{ID: "y", Service: "b", Address: netip.MustParseAddrPort("10.0.0.2:80"), Place: "south", Slots: 2, Draining: true, WarmAt: now + time.Second},
 		},
 		Lapsed:  []bool{false, true},
 		Removed: []string{"z"},
+		Evacuations: []registry.Evacuation{
+			{Place: "north", Revision: registry.NewRevision(65535, 5), Started: now - 3*time.Second},
+			{Place: "south", Revision: registry.NewRevision(65534, 9), Ended: true},
+			// The request is older than the process, whose clock started at zero.
+			{Place: "west", Revision: 4, Started: -time.Minute},
+		},
 	}
 	encoded, err := nodecodec.EncodeDelta(now, want).MarshalVT()
 	if err != nil {
@@ -123,6 +129,17 @@
 	}
 }
 
+// TestStartOfAnEvacuationIsNotLost guards against a new process that takes an old evacuation for one that has just begun,
+// or one that begins when its clock starts for one of unknown age.
+func TestStartOfAnEvacuationIsNotLost(t *testing.T) {
+	sent := registry.Delta{Evacuations: []registry.Evacuation{{Place: "north", Revision: 5, Started: now - time.Minute}}}
+	for received, want := range map[time.Duration]time.Duration{100 * time.Millisecond: 100*time.Millisecond - time.Minute, time.Minute: 1} {
+		if got := nodecodec.DecodeDelta(received, nodecodec.EncodeDelta(now, sent)).Evacuations[0].Started; got != want {
+			t.Errorf("received at %v: started at %v, want %v", received, got, want)
+		}
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	var h nodev1.Header
 	r := exampleRequest(3)
--- a/internal/storeview/loop.go
+++ b/internal/storeview/loop.go
@@ -36,8 +36,8 @@
 	// fetchAll is set if the next fetch must return the whole state, because the peer knows more of the past than the
 	// changes show: former routes, or what a restored store has lost.
 	fetchAll bool
-	// askPeerAfterRestore is set once this process has read a restored store itself, until a peer has delivered its
-	// whole state.
+	// askPeerAfterRestore is set if the first view of this process comes from a restored store, until a peer that may have
+	// known the store before has delivered its whole state.
 	askPeerAfterRestore bool
 	lastSeedFetch       time.Duration
 	nextSeed            int
@@ -216,10 +216,22 @@
 // newer configuration, or requests and entries from before the restore.
 func (l *loop) lacksWhatStoreLost(peer registry.Freshness) bool {
 	own := l.registry.Freshness()
-	if own.Revision == 0 || peer.Revision == 0 || peer.Revision > own.Revision {
+	if own.Revision == 0 || peer.Revision == 0 {
 		return false
 	}
-	return peer.ConfigurationVersion > own.ConfigurationVersion || l.askPeerAfterRestore
+	return l.askPeerAfterRestore && l.knowsTimeBeforeRestore(peer) || peer.Revision <= own.Revision && peer.ConfigurationVersion > own.ConfigurationVersion
+}
+
+// knowsTimeBeforeRestore reports whether a peer may know the store from before its restore. A peer that has not heard of an
+// interruption has started after it.
+func (l *loop) knowsTimeBeforeRestore(peer registry.Freshness) bool {
+	return peer.Revision > 0 && (peer.Interrupted || peer.Revision.Era() < l.registry.Freshness().Revision.Era())
+}
+
+// askAfterFirstView arranges that a process asks a peer for what a restored store has lost. A store that has answered
+// the peers for longer than EraRetention has been written again.
+func (l *loop) askAfterFirstView(f registry.Freshness) {
+	l.askPeerAfterRestore = f.Revision.Era() > 0 && f.Confirmed-f.ContinuousSince < l.config.Registry.EraRetention
 }
 
 // noteConfirmation reports to the pacer by whom the view of a peer was confirmed.
@@ -234,7 +246,10 @@
 func (l *loop) finishRead(r *readResult) {
 	l.reading = false
 	now := l.config.Clock.Now()
-	if errors.Is(r.err, ErrHistoryLost) {
+	if errors.Is(r.err, ErrHistoryLost) || errors.Is(r.err, ErrRestored) {
+		if errors.Is(r.err, ErrRestored) {
+			l.registry.ReadFailed()
+		}
 		l.readAll = true
 		l.config.Event("store_history_lost", "revision", l.registry.Freshness().Revision, "error", r.err)
 		return
@@ -271,9 +286,10 @@
 	if r.snapshot != nil {
 		l.readAll = false
 		l.noteEra(r.snapshot.Revision)
-		if l.registry.Replace(*r.snapshot) {
-			l.publish("store", "")
-			return
+		first := l.registry.Freshness().Revision == 0
+		l.registry.Replace(*r.snapshot)
+		if first {
+			l.askAfterFirstView(l.registry.Freshness())
 		}
 	} else if _, err := l.registry.Apply(*r.changes); err != nil {
 		// A peer has already delivered a newer state, which is kept.
@@ -282,14 +298,12 @@
 	l.publish("store", "")
 }
 
-// noteEra handles the era of a whole state that was read from the store. A process that knew the previous era keeps what
-// the store has lost; another one asks a peer for it.
+// noteEra logs that the store is in a new era.
 func (l *loop) noteEra(revision registry.Revision) {
 	known := l.registry.Freshness().Revision
 	if revision.Era() <= known.Era() {
 		return
 	}
-	l.askPeerAfterRestore = known == 0
 	l.config.Event("store_era", "era", revision.Era(), "previous", known.Era(), "revision", revision, "known_revision", known)
 }
 
@@ -307,11 +321,19 @@
 		return
 	}
 	l.skipSeeds = l.skipSeeds || f.delta.Revision == 0 && !l.config.FirstStart
-	if f.delta.From == 0 && f.delta.Revision > 0 {
+	if f.delta.From == 0 && l.knowsTimeBeforeRestore(f.delta.Freshness) {
 		l.askPeerAfterRestore = false
 	}
 	l.noteConfirmation(f.delta.Freshness)
+	first := l.registry.Freshness().Revision == 0
 	l.registry.Merge(f.delta)
+	if first {
+		l.askAfterFirstView(f.delta.Freshness)
+	}
+	if f.delta.From > 0 && f.delta.ConfigurationVersion > l.registry.Freshness().ConfigurationVersion {
+		// The peer has had the configuration since before the restore, so the changes do not include it.
+		l.hintedPeer, l.fetchAll = f.peer, true
+	}
 	l.publish("peer", f.peer.String())
 }
 
--- a/internal/storeview/peers.go
+++ b/internal/storeview/peers.go
@@ -85,7 +85,7 @@
 		defer link.Close()
 		answer, err := nodev1.NewDRPCViewServiceClient(link).Fetch(ctx, &nodev1.FetchRequest{Revision: uint64(revision)})
 		if err != nil {
-			return registry.Delta{}, errors.Annotatef(err, "ViewService of peer %s: fetching changes after revision %d", peer, revision)
+			return registry.Delta{}, errors.Annotatef(err, "ViewService of peer %s: fetching changes after revision %v", peer, revision)
 		}
 		return nodecodec.DecodeDelta(c.Now(), answer), nil
 	}
--- a/internal/storeview/storeview_test.go
+++ b/internal/storeview/storeview_test.go
@@ -6,6 +6,7 @@
 	"math/rand"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -36,6 +37,10 @@
 	revision registry.Revision
 	version  uint64
 	entries  map[string]registry.Upstream
+	// writes counts the writes of each server, which a restore of the store does not undo.
+	writes map[string]uint64
+	// evacuations holds the requests in force by place.
+	evacuations map[string]registry.Evacuation
 	// log holds the changed keys by revision. The empty key stands for the configuration.
 	log               map[registry.Revision]string
 	compactedRevision registry.Revision
@@ -46,22 +51,30 @@
 	stalledWatches bool
 	// cutWatches is set while waiting watches end without a change when they are woken.
 	cutWatches bool
-	calls      int
+	// failNextRead is the error of the next read of the whole state.
+	failNextRead error
+	calls        int
 }
 
 func newFakeStore() *fakeStore {
 	noProcess := func(int) bool { return false }
 	return &fakeStore{
 		revision: 1, version: 1, entries: map[string]registry.Upstream{}, log: map[registry.Revision]string{},
+		writes: map[string]uint64{}, evacuations: map[string]registry.Evacuation{},
 		changed: make(chan struct{}), refuse: noProcess, ignore: noProcess,
 	}
 }
 
-func (s *fakeStore) put(id string) {
+func (s *fakeStore) put(id string) { s.write(registry.Upstream{ID: id}) }
+
+// write writes the entry of a server with the next sequence.
+func (s *fakeStore) write(u registry.Upstream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.entries[id] = registry.Upstream{ID: id, Service: "orders", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 5}
-	s.record(id)
+	s.writes[u.ID]++
+	u.Service, u.Address, u.Slots, u.Sequence = "orders", netip.MustParseAddrPort("10.0.0.1:80"), 5, s.writes[u.ID]
+	s.entries[u.ID] = u
+	s.record(u.ID)
 }
 
 func (s *fakeStore) remove(id string) {
@@ -132,10 +145,18 @@
 	}
 	s.store.mu.Lock()
 	defer s.store.mu.Unlock()
+	if err := s.store.failNextRead; err != nil {
+		s.store.failNextRead = nil
+		return registry.Snapshot{}, err
+	}
 	snapshot := registry.Snapshot{Revision: s.store.revision, Configuration: &registry.Configuration{Version: s.store.version}}
 	for _, u := range s.store.entries {
 		snapshot.Upstreams = append(snapshot.Upstreams, u)
 	}
+	for _, e := range s.store.evacuations {
+		e.Revision = registry.NewRevision(s.store.revision.Era(), e.Revision.Number())
+		snapshot.Evacuations = append(snapshot.Evacuations, e)
+	}
 	return snapshot, nil
 }
 
@@ -172,14 +193,18 @@
 }
 
 func (s *fakeStore) since(after registry.Revision) (registry.Changes, error) {
-	if after < s.compactedRevision {
+	if after < s.compactedRevision || after > s.revision {
 		return registry.Changes{}, storeview.ErrHistoryLost
 	}
 	changes := registry.Changes{After: after, Revision: s.revision}
 	for revision := after + 1; revision <= s.revision; revision++ {
 		key := s.log[revision]
 		u, ok := s.entries[key]
+		place, isEvacuation := strings.CutPrefix(key, evacuationPrefix)
 		switch {
+		case isEvacuation:
+			_, inForce := s.evacuations[place]
+			changes.Evacuations = append(changes.Evacuations, registry.Evacuation{Place: place, Revision: revision, Ended: !inForce, Started: time.Second})
 		case key == "":
 			changes.Configuration = &registry.Configuration{Version: s.version}
 		case ok:
@@ -205,6 +230,8 @@
 	fetchesHang atomic.Bool
 	// isolated is the process that exchanges no gossip with the others, or -1.
 	isolated atomic.Int32
+	// pause is the additional time between two gossip messages of a process.
+	pause atomic.Int64
 	// firstStart is set while processes start for the first time.
 	firstStart bool
 }
@@ -292,7 +319,7 @@
 
 func (f *fleet) gossip(ctx context.Context) {
 	for ctx.Err() == nil {
-		time.Sleep(gossipInterval)
+		time.Sleep(gossipInterval + time.Duration(f.pause.Load()))
 		f.mu.Lock()
 		views := slices.Clone(f.views)
 		f.mu.Unlock()
@@ -351,6 +378,8 @@
 	return -1
 }
 
+// TestChangeReachesAllProcesses guards against a process that misses a change, also one of two evacuations in quick
+// succession, while other processes, the store or watches fail.
 func TestChangeReachesAllProcesses(t *testing.T) {
 	for name, inject := range map[string]func(f *fleet){
 		"none":                 func(*fleet) {},
@@ -372,6 +401,11 @@
 				f.await("server b", hasUpstream("b"))
 				f.store.remove("a")
 				f.await("removal of server a", func(v *registry.View) bool { return !hasUpstream("a")(v) })
+				f.store.evacuate("north", true)
+				f.store.evacuate("south", true)
+				f.await("evacuations", func(v *registry.View) bool { return evacuated("north")(v) && evacuated("south")(v) })
+				f.store.evacuate("north", false)
+				f.await("end of one evacuation", func(v *registry.View) bool { return !evacuated("north")(v) && evacuated("south")(v) })
 				f.store.compact()
 				f.awaitVersion(f.store.configure())
 			})
--- a/registry/delta.go
+++ b/registry/delta.go
@@ -54,12 +54,15 @@
 	if f.Revision == 0 {
 		return false
 	}
+	older := f.Revision < r.freshness.Revision
+	if older {
+		r.observeOlder(f)
+	}
 	if f.ConfigurationVersion > r.configuration.version() {
 		// This holds for an older revision too: the store may have been restored with an older configuration.
 		return true
 	}
-	if f.Revision < r.freshness.Revision {
-		r.observeOlder(f)
+	if older {
 		return false
 	}
 	if f.Changed > r.freshness.Revision {
@@ -71,10 +74,10 @@
 
 // observeOlder evaluates the freshness of a peer with an older revision. If the peer's last
 // confirmation is long before the current period of confirmations of this process, the store may have
-// been unavailable in between.
+// been unavailable in between. If the peer is in an earlier era, the store was restored.
 func (r *Registry) observeOlder(f Freshness) {
 	own := &r.freshness
-	own.Interrupted = own.Interrupted || own.ContinuousSince-f.Confirmed > r.config.InterruptedAfter
+	own.Interrupted = own.Interrupted || f.Revision.Era() < own.Revision.Era() || own.ContinuousSince-f.Confirmed > r.config.InterruptedAfter
 }
 
 // adoptConfirmation merges the confirmation of a peer that has the same content.
@@ -98,8 +101,8 @@
 		own.ContinuousSince, own.Interrupted = f.ContinuousSince, true
 	case gap || f.ContinuousSince < own.ContinuousSince:
 		// The process with the longer period of confirmations knows whether an interruption preceded
-		// it.
-		own.ContinuousSince, own.Interrupted = f.ContinuousSince, f.Interrupted
+		// it. A process that started after a restore of the store does not know of that.
+		own.ContinuousSince, own.Interrupted = f.ContinuousSince, f.Interrupted || own.Interrupted && own.Revision.Era() > 0
 	case f.Interrupted && f.ContinuousSince-own.ContinuousSince < r.config.InterruptedAfter:
 		// The peer knows of an interruption that ended when this process first reached the store.
 		own.Interrupted = true
@@ -122,7 +125,7 @@
 		r.mergeOlder(d)
 		return before == nil || r.content == nil
 	}
-	newEra := r.entersEra(d.Revision)
+	settling := r.entersEra(d.Revision) || r.settling()
 	if d.From == 0 {
 		// A whole state does not show entries that were added and removed in between.
 		r.completeSince = d.Revision
@@ -133,7 +136,7 @@
 	present := make(map[string]bool, len(d.Upstreams))
 	for i := range d.Upstreams {
 		present[d.Upstreams[i].ID] = true
-		r.mergeUpstream(&d.Upstreams[i], d.Lapsed[i], d.Changed, newEra)
+		r.mergeUpstream(&d.Upstreams[i], d.Lapsed[i], d.Changed, settling)
 	}
 	r.adoptConfirmation(d.Freshness)
 	for _, id := range d.Removed {
@@ -157,12 +160,35 @@
 	hadConfiguration := r.configuration != nil
 	r.adoptConfiguration(d.Configuration, r.freshness.Revision, d.Confirmed)
 	r.mergeHistory(d, hadConfiguration)
+	r.observeOlder(d.Freshness)
 	r.putEvacuations(d.Evacuations)
+	if d.Revision.Era() < r.freshness.Revision.Era() && r.settling() {
+		for i := range d.Upstreams {
+			r.mergeLost(&d.Upstreams[i])
+		}
+	}
+}
+
+// mergeLost adopts the entry of a peer from before the restore of the store, if the store lacks it or states an earlier
+// write or run. The next write of the server decides.
+func (r *Registry) mergeLost(u *Upstream) {
+	e, revision := r.upstreams[u.ID], r.freshness.Revision
+	if _, gone := r.removed[u.ID]; gone {
+		return
+	}
+	switch {
+	case e == nil:
+		r.putUpstream(u, revision)
+		r.markLapsed(r.upstreams[u.ID], revision)
+	case e.Incarnation < u.Incarnation, e.staleAfter(u.Incarnation, u.Sequence):
+		r.putUpstream(u, revision)
+	}
 }
 
-// mergeUpstream adds or replaces an entry of a peer. newEra is set if the peer's store was restored meanwhile.
-func (r *Registry) mergeUpstream(u *Upstream, lapsed bool, changed Revision, newEra bool) {
-	r.putFromWhole(u, changed, newEra)
+// mergeUpstream adds or replaces an entry of a peer. settling is set if servers may not have written to the peer's store
+// since it was restored.
+func (r *Registry) mergeUpstream(u *Upstream, lapsed bool, changed Revision, settling bool) {
+	r.putFromWhole(u, changed, settling)
 	if e := r.upstreams[u.ID]; lapsed && e != nil {
 		r.markLapsed(e, changed)
 	}
@@ -179,7 +205,7 @@
 // putEvacuations adopts the later ones of the requests of a peer.
 func (r *Registry) putEvacuations(list []Evacuation) {
 	for _, e := range list {
-		if r.evacuations.put(e, r.freshness.Revision, r.freshness.Confirmed) {
+		if r.evacuations.putFromWhole(e, r.freshness.Revision, r.freshness.Confirmed) {
 			r.markChanged(r.freshness.Revision)
 		}
 	}
--- a/registry/evacuations.go
+++ b/registry/evacuations.go
@@ -27,12 +27,15 @@
 	changed Revision
 	// since is when the request was taken back, or when a restored store was first read that may have lost it.
 	since time.Duration
+	// stated is the revision at which a restored store states the request although it was taken back, or zero.
+	stated Revision
 }
 
 // evacuations holds the requests in force, by place, and those taken back for as long as a peer may not know of it.
 type evacuations map[string]*evacuation
 
-// put adopts the state of a request unless a later one is known, and reports whether the requests in force differ.
+// put adopts the state of a request unless a later one is known, and reports whether it did. A state without a difference
+// still counts as a change: peers must learn that a restored store has not lost the request.
 func (e evacuations) put(next Evacuation, changed Revision, at time.Duration) bool {
 	known := e[next.Place]
 	if known == nil {
@@ -43,42 +46,47 @@
 	if next.Revision <= known.Revision {
 		return false
 	}
-	differs := known.Ended != next.Ended
-	if !differs {
+	if known.Ended == next.Ended {
 		// The same state read again keeps its start.
 		next.Started = known.Started
 	}
 	if !next.Ended {
 		known.requested = next.Revision
 	}
-	known.Evacuation, known.changed, known.since = next, changed, at
-	return differs
+	known.Evacuation, known.changed, known.since, known.stated = next, changed, at, 0
+	return true
 }
 
-// replace adopts the requests of a whole state at a revision. It reports whether those in force differ.
-func (e evacuations) replace(found []Evacuation, revision Revision, at time.Duration) bool {
-	differs := false
+// replace adopts the requests of a whole state at a revision, and reports whether there was a later one than known.
+func (e evacuations) replace(found []Evacuation, revision Revision, at time.Duration) (changed bool) {
 	present := make(map[string]bool, len(found))
 	for _, next := range found {
 		present[next.Place] = true
-		if !e.outdated(next) {
-			differs = e.put(next, revision, at) || differs
-		}
+		changed = e.putFromWhole(next, revision, at) || changed
 	}
 	for place, known := range e {
+		if !present[place] {
+			known.stated = 0
+		}
 		// A store that was restored may have lost a request of an earlier era.
 		lost := known.Revision.Era() < revision.Era()
 		if !known.Ended && !present[place] && !lost {
-			differs = e.put(Evacuation{Place: place, Revision: max(revision, known.Revision+1), Ended: true}, revision, at) || differs
+			changed = e.put(Evacuation{Place: place, Revision: max(revision, known.Revision+1), Ended: true}, revision, at) || changed
 		}
 	}
-	return differs
+	return changed
 }
 
-// outdated reports whether a restored store states a request that was taken back in an earlier era.
-func (e evacuations) outdated(next Evacuation) bool {
+// putFromWhole adopts a request of a whole state or of a peer, except one that a restored store states although it was
+// taken back in an earlier era. Operators take it back again; only if they have not after the retention, it is in force.
+func (e evacuations) putFromWhole(next Evacuation, changed Revision, at time.Duration) bool {
 	known := e[next.Place]
-	return known != nil && known.Ended && !next.Ended && known.Revision.Era() < next.Revision.Era() && known.requested.Number() == next.Revision.Number()
+	if known != nil && known.Ended && !next.Ended && next.Started == 0 &&
+		known.Revision.Era() < next.Revision.Era() && known.requested.Number() == next.Revision.Number() {
+		known.stated = next.Revision
+		return false
+	}
+	return e.put(next, changed, at)
 }
 
 // enterEra starts the retention of the requests that the store may have lost when it was restored.
@@ -88,20 +96,23 @@
 	}
 }
 
-// expire takes back the requests of earlier eras that a restored store did not state within lostRetention, and removes
-// those taken back before endedRetention. It reports whether the requests in force differ.
-func (e evacuations) expire(revision Revision, now, lostRetention, endedRetention time.Duration) bool {
-	differs := false
+// expire lets the statement of a restored store count after EraRetention, and removes the requests that were taken back
+// before RemovedRetention. It reports whether the requests in force differ, and the last revision at which a removed one
+// became known.
+func (e evacuations) expire(revision Revision, now time.Duration, c Config) (differs bool, forgotten Revision) {
 	for place, known := range e {
 		age := now - known.since
 		switch {
-		case known.Ended && age > endedRetention:
+		case known.stated > 0 && age > c.EraRetention:
+			differs = e.put(Evacuation{Place: place, Revision: known.stated}, revision, now) || differs
+		case known.Ended && age > c.RemovedRetention:
 			delete(e, place)
-		case !known.Ended && known.Revision.Era() < revision.Era() && age > lostRetention:
+			forgotten = max(forgotten, known.changed)
+		case !known.Ended && known.Revision.Era() < revision.Era() && age > c.EraRetention:
 			differs = e.put(Evacuation{Place: place, Revision: revision, Ended: true}, revision, now) || differs
 		}
 	}
-	return differs
+	return differs, forgotten
 }
 
 // list returns the states that changed after a revision, sorted by place, with those taken back if withEnded is set.
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -132,7 +132,6 @@
 		r.completeSince = s.Revision
 		r.freshness.Changed = s.Revision
 	}
-	newEra := r.entersEra(s.Revision)
 	r.confirm(s.Revision, s.Confirmed)
 	before := r.content
 	if r.configuration.version() < s.Configuration.version() {
@@ -143,7 +142,7 @@
 	present := make(map[string]bool, len(s.Upstreams))
 	for i := range s.Upstreams {
 		present[s.Upstreams[i].ID] = true
-		r.putFromWhole(&s.Upstreams[i], s.Revision, newEra)
+		r.putFromWhole(&s.Upstreams[i], s.Revision, r.settling())
 	}
 	for id := range r.upstreams {
 		if !present[id] {
@@ -219,10 +218,19 @@
 	r.markChanged(revision)
 }
 
-// putFromWhole adds or replaces an entry of a whole state. A store that was restored may state an earlier run of a
-// server; the next write of the server decides.
-func (r *Registry) putFromWhole(u *Upstream, revision Revision, newEra bool) {
-	if e := r.upstreams[u.ID]; newEra && e != nil && u.Incarnation < e.Incarnation {
+// settling reports whether servers may not have written their entries again since the store was restored.
+func (r *Registry) settling() bool {
+	return r.freshness.Revision.Era() > 0 && !r.freshness.MissingMeansRemoved(r.config)
+}
+
+// putFromWhole adds or replaces an entry of a whole state or of a peer. A store that was restored may state a removed
+// server or, while it is settling, an earlier run of a server; the next write of the server decides.
+func (r *Registry) putFromWhole(u *Upstream, revision Revision, settling bool) {
+	if gone, ok := r.removed[u.ID]; ok && gone.changed.Era() < revision.Era() &&
+		(u.Incarnation == gone.incarnation && u.Sequence <= gone.sequence || settling && u.Incarnation < gone.incarnation) {
+		return
+	}
+	if e := r.upstreams[u.ID]; settling && e != nil && e.Created.Era() < revision.Era() && u.Incarnation < e.Incarnation {
 		u = &e.Upstream
 	}
 	r.putUpstream(u, revision)
@@ -308,10 +316,12 @@
 		r.content = nil
 		expired = true
 	}
-	if r.evacuations.expire(r.freshness.Revision, r.freshness.Confirmed, r.config.EraRetention, r.config.RemovedRetention) {
+	differs, forgotten := r.evacuations.expire(r.freshness.Revision, r.freshness.Confirmed, r.config)
+	if differs {
 		r.markChanged(r.freshness.Revision)
 		expired = true
 	}
+	r.completeSince = max(r.completeSince, forgotten)
 	for id, removed := range r.removed {
 		if r.freshness.Confirmed-removed.removedAt > r.config.RemovedRetention {
 			delete(r.removed, id)
