Read the number of store calls under its lock in the storeview tests

Cause: two tests read the counter of the stand-in store without its lock. The race detector reported it and stopped a run with -count=8.

Change: they read it under the lock; the limits are unchanged.

--- a/internal/storeview/storeview_test.go
+++ b/internal/storeview/storeview_test.go
@@ -115,6 +115,11 @@
 	change(s)
 }
 
+func (s *fakeStore) callCount() (calls int) {
+	s.set(func(s *fakeStore) { calls = s.calls })
+	return calls
+}
+
 // source is the store as seen by one process.
 type source struct {
 	store   *fakeStore
@@ -441,8 +446,8 @@
 		time.Sleep(10 * time.Second)
 		f.store.set(func(s *fakeStore) { s.calls = 0 })
 		time.Sleep(30 * time.Second)
-		if most := int(30 * time.Second / dissemination.DefaultPacerConfig().WatchTimeout); f.store.calls > most {
-			t.Fatalf("%d calls in 30 s, want at most %d", f.store.calls, most)
+		if most, calls := int(30*time.Second/dissemination.DefaultPacerConfig().WatchTimeout), f.store.callCount(); calls > most {
+			t.Fatalf("%d calls in 30 s, want at most %d", calls, most)
 		}
 	})
 }
@@ -471,8 +476,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 100, true)
 		f.await("the first view", func(*registry.View) bool { return true })
-		if f.store.calls > 10 {
-			t.Errorf("%d reads of the store until all processes have a view, want at most 10", f.store.calls)
+		if calls := f.store.callCount(); calls > 10 {
+			t.Errorf("%d reads of the store until all processes have a view, want at most 10", calls)
 		}
 	})
 }
