--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -14,6 +14,9 @@
   further/hikari-kyushu
   further-grown/hikari-kyushu-grown
   large/adqs-dosif-large
+  shifted/adqs-dosif-now-grown
+  demands/clochan-render-grown
+  demands/takakopa-lb-grown
 )
 
 : "${BENCH:?set BENCH to the program of the bench}"
