Let opening packets of patient clients wait at the agent after a start

Cause: after a restart of many processes all clients that have waited come at once. A server's queue holds 8 requests; all other flows were refused. A refused client repeats its flow within 50 ms and has two repetitions, so it failed within 100 ms although slots became free soon after.

Change: for RecoveryTime after its start, the last agent lets the opening packet of a patient route wait instead of refusing it because servers are busy, if a slot of its server is expected within a part of the route's timeout, at most 1.2 s after the client's first copy. The queue holds 256 packets, by priority and arrival. A packet is decided again when a slot is free and the cold rate allows it, and refused at once if it has waited for too long or can't be served any more. As long as flows wait, a patient flow that is not more urgent is not queued at the server before them; otherwise no slot would become free for those that wait. After the server has returned a packet, none is released for about a service time, since the agent may count a free slot that is none. VERDICT_WAITING stops the hedges of the balancer.

Three checks stated the former rule and are replaced by stricter ones: TestPatientClientsAreQueuedAfterARestart demanded a refusal of each flow beyond the server's queue; it now demands the exact number of waiting flows for each copy, and a refusal of all others. TestReturnedOpeningIsPassedOnOrRefused demanded a refusal after the server returned the packet; it still does without a queue, and with one demands that the packet waits, is not released at once and is refused at its limit. TestExplainAgreesWithTheTracker knows the outcome "wait", which must occur at least 10 times.

--- a/flow/accept.go
+++ b/flow/accept.go
@@ -71,6 +71,9 @@
 	f := t.track(now, p, openingSent)
 	f.request = cloneRequest(request)
 	f.counted = true
+	if f.arrived == 0 {
+		f.arrived = now
+	}
 	t.cold.sent(now)
 	t.load.reserve(now, f)
 	t.server.sentOpening(now)
--- a/flow/director.go
+++ b/flow/director.go
@@ -136,9 +136,11 @@
 	Return
 	// Reset sends the client a reset for the flow.
 	Reset
+	// Wait keeps an opening packet at the agent until its server has a free slot.
+	Wait
 )
 
-var actionNames = [...]string{"drop", "forward", "to_server", "to_client", "return", "reset"}
+var actionNames = [...]string{"drop", "forward", "to_server", "to_client", "return", "reset", "wait"}
 
 // String returns the name of the action in logs and counters.
 func (a Action) String() string {
--- a/flow/explain.go
+++ b/flow/explain.go
@@ -25,6 +25,8 @@
 	OutcomeRefuse = "refuse"
 	// OutcomeDrop means that nothing would be sent.
 	OutcomeDrop = "drop"
+	// OutcomeWait means that the packet would wait at an agent for a free slot of its server.
+	OutcomeWait = "wait"
 )
 
 // Explanation is what a balancer would do now with the first copy of an opening packet, and why.
--- a/flow/explain_agent.go
+++ b/flow/explain_agent.go
@@ -20,8 +20,8 @@
 	View    *nodestatus.View `json:"view"`
 	// Route is set if the configuration directs new flows to the address to the server's service.
 	Route bool `json:"route"`
-	// Outcome is OutcomeTake, OutcomePass, OutcomeRefuse or OutcomeDrop if there are further agents to try, and
-	// LastOutcome if there are none.
+	// Outcome is OutcomeTake, OutcomePass, OutcomeRefuse or OutcomeDrop if there are further agents to try. LastOutcome
+	// is one of these or OutcomeWait, if there are none.
 	Outcome     string `json:"outcome"`
 	Reason      string `json:"reason,omitempty"`
 	LastOutcome string `json:"last_outcome"`
@@ -79,6 +79,8 @@
 		return OutcomePass, v.Reason
 	case Reset:
 		return OutcomeRefuse, v.Reason
+	case Wait:
+		return OutcomeWait, v.Reason
 	}
 	return OutcomeDrop, v.Reason
 }
@@ -90,6 +92,7 @@
 	c.versions.applied = slices.Clone(t.versions.applied)
 	c.probes = slices.Clone(t.probes)
 	c.shortage = t.shortage.clone()
+	c.waiting.queue = slices.Clone(t.waiting.queue)
 	c.load.requests = slices.Clone(t.load.requests)
 	// Expired reservations are released before a decision.
 	c.load.reserved = make([]*trackedFlow, len(t.load.reserved))
--- a/flow/explain_test.go
+++ b/flow/explain_test.go
@@ -219,7 +219,7 @@
 func changeTracker(rnd *rand.Rand, tr *Tracker, now time.Duration, step int) {
 	key := randomKey(rnd)
 	request := Request{Purpose: PurposeOpen, Service: tr.service, Version: uint64(step + rnd.Intn(3)), Balancer: IP{10, 9, 0, 1}}
-	switch rnd.Intn(9) {
+	switch rnd.Intn(10) {
 	case 0:
 		if rnd.Intn(3) == 0 {
 			tr.SetView(randomView(rnd, now, uint64(step+1)))
@@ -240,6 +240,12 @@
 			tr.ServerDown()
 		}
 		tr.Sweep(now)
+	case 9:
+		for {
+			if _, p, _ := tr.NextWaiting(now); p == nil {
+				break
+			}
+		}
 	}
 }
 
@@ -274,7 +280,7 @@
 			if !reflect.DeepEqual(got, want) {
 				t.Fatalf("seed %d, step %d: got %+v after explanations, and %+v without", seed, step, got, want)
 			}
-			if decided := map[Action]string{ToServer: OutcomeTake, Forward: OutcomePass, Reset: OutcomeRefuse, Drop: OutcomeDrop}[got.Action]; decided != outcome || got.Reason != reason {
+			if decided := map[Action]string{ToServer: OutcomeTake, Forward: OutcomePass, Reset: OutcomeRefuse, Drop: OutcomeDrop, Wait: OutcomeWait}[got.Action]; decided != outcome || got.Reason != reason {
 				t.Fatalf("seed %d, step %d: explained %s %q, decided %s %q", seed, step, outcome, reason, decided, got.Reason)
 			}
 			outcomes[outcome]++
@@ -282,8 +288,8 @@
 			plainRnd.Intn(60)
 		}
 	}
-	for _, outcome := range []string{OutcomeTake, OutcomePass, OutcomeRefuse} {
-		if outcomes[outcome] < 30 {
+	for outcome, least := range map[string]int{OutcomeTake: 30, OutcomePass: 30, OutcomeRefuse: 30, OutcomeWait: 10} {
+		if outcomes[outcome] < least {
 			t.Errorf("only %d of the outcomes are %q", outcomes[outcome], outcome)
 		}
 	}
--- a/flow/load.go
+++ b/flow/load.go
@@ -96,9 +96,12 @@
 
 // expectedTime returns the expected time until a new request is answered, including its wait for a slot.
 func (l *load) expectedTime(budget time.Duration) time.Duration {
-	service := max(l.serviceTime(budget), time.Duration(minPeerFraction*float64(l.outcomes.peers.ServiceTime)))
-	rounds := float64(max(0, l.busy()+1-l.slots)) / float64(l.slots)
-	return service + time.Duration(rounds*float64(service))
+	return l.roundTime(budget) + l.waitForSlot(budget, l.busy())
+}
+
+// roundTime returns the expected time until a running request frees its slot.
+func (l *load) roundTime(budget time.Duration) time.Duration {
+	return max(l.serviceTime(budget), time.Duration(minPeerFraction*float64(l.outcomes.peers.ServiceTime)))
 }
 
 // serviceTime returns the expected service time of a request. After a start, when servers are cold and few requests
--- a/flow/patience.go
+++ b/flow/patience.go
@@ -10,11 +10,15 @@
 // budget returns the time within which the answer to a new flow must be expected. For RecoveryTime after the agent's
 // start, routes with patient clients have a part of their timeout instead of their latency budget.
 func (t *Tracker) budget(route *registry.Route) time.Duration {
-	regular := latencyBudget(route)
+	return max(latencyBudget(route), t.patience(route))
+}
+
+// patience returns the time for which a new flow of a patient client may wait now, or zero.
+func (t *Tracker) patience(route *registry.Route) time.Duration {
 	if route == nil || route.Timeout < t.config.MinPatience || t.load.now-t.started > t.config.RecoveryTime {
-		return regular
+		return 0
 	}
-	return max(regular, time.Duration(t.config.PatientPart*float64(route.Timeout)))
+	return time.Duration(t.config.PatientPart * float64(route.Timeout))
 }
 
 // limitPatience excludes a flow that would have to wait for longer than its latency budget in a queue that is longer
--- a/flow/server_health.go
+++ b/flow/server_health.go
@@ -108,6 +108,7 @@
 		t.probes[i].checks++
 	}
 	t.load.checkLate(now)
+	t.waiting.recheck = true
 	return t.server.check(now)
 }
 
--- a/flow/shortage.go
+++ b/flow/shortage.go
@@ -124,6 +124,7 @@
 	}
 	a.excluded = t.load.wouldReject(now, a.wait)
 	a.limitPatience(t.load.position(), t.config.ServerQueue)
+	a.excluded = a.excluded || t.overtakes(route)
 	part, refusal := t.shortage.part(now, key, route.Priority)
 	a.part = part
 	if a.part < 1 && float64(t.load.position()) > a.part*t.load.room(a.wait, a.budget, t.config.ServerQueue) {
--- a/flow/shortage_test.go
+++ b/flow/shortage_test.go
@@ -36,6 +36,7 @@
 	endpoint        flow.Endpoint
 	perSecond       float64
 	work, target    time.Duration
+	timeout         time.Duration
 	priority        int
 	client          func(rnd *rand.Rand) flow.IP
 	offered, served int
@@ -69,6 +70,8 @@
 	byClient map[flow.IP]*[2]int
 	// refused counts the refusals by their reason.
 	refused map[flow.Refusal]int
+	// waiting holds the requests whose opening packets wait at an agent.
+	waiting map[flow.Key]*shortRequest
 }
 
 // shortRequest is a request of a client with its current attempt.
@@ -80,18 +83,25 @@
 	key      flow.Key
 	opened   bool
 	done     bool
+	// answered is set once an agent has reported that the flow waits, so that it is not hedged.
+	answered bool
 }
 
 func newShortSim(servers int, minPart float64, routes ...*shortRoute) *shortSim {
+	return newShortSimWith(servers, start-time.Hour, func(c *flow.TrackerConfig) { c.MinWaitingPart = minPart }, routes...)
+}
+
+// newShortSimWith returns a model whose agents were started at the given time, with changed settings.
+func newShortSimWith(servers int, began time.Duration, change func(*flow.TrackerConfig), routes ...*shortRoute) *shortSim {
 	sim := &shortSim{
 		rnd: rand.New(rand.NewSource(1)), faults: rand.New(rand.NewSource(2)), now: start, started: start, byIP: map[flow.IP]*shortAgent{}, routes: routes,
-		byClient: map[flow.IP]*[2]int{}, refused: map[flow.Refusal]int{},
+		byClient: map[flow.IP]*[2]int{}, refused: map[flow.Refusal]int{}, waiting: map[flow.Key]*shortRequest{},
 	}
 	view := viewAt(start, 5)
 	view.Configuration.Routes = nil
 	for _, r := range routes {
 		view.Configuration.Routes = append(view.Configuration.Routes, registry.Route{
-			Address: r.endpoint.AddrPort(), Shares: []registry.Share{{Service: "desk", Weight: 1}}, Target: r.target, Priority: r.priority,
+			Address: r.endpoint.AddrPort(), Shares: []registry.Share{{Service: "desk", Weight: 1}}, Target: r.target, Timeout: r.timeout, Priority: r.priority,
 		})
 	}
 	for i := range servers {
@@ -102,8 +112,8 @@
 	}
 	for i := range servers {
 		config := flow.DefaultTrackerConfig("desk", flow.EndpointOf(view.Upstreams[i].Address))
-		config.MinWaitingPart = minPart
-		a := &shortAgent{ip: config.Address.IP, tracker: flow.NewTracker(config, start-time.Hour), queue: workQueue{slots: shortSlots, maxWaiting: math.MaxInt}}
+		change(&config)
+		a := &shortAgent{ip: config.Address.IP, tracker: flow.NewTracker(config, began), queue: workQueue{slots: shortSlots, maxWaiting: math.MaxInt}}
 		a.tracker.SetView(view)
 		sim.agents = append(sim.agents, a)
 		sim.byIP[a.ip] = a
@@ -172,14 +182,14 @@
 func (sim *shortSim) attempt(r *shortRequest) {
 	sim.port++
 	r.attempts++
-	r.opened = false
+	r.opened, r.answered = false, false
 	r.key = flow.Key{Client: flow.Endpoint{IP: r.client, Port: uint16(sim.port)}, Service: r.route.endpoint}
 	key := r.key
 	for _, copied := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
 		list := sim.list()
 		for hedge := range 4 {
 			sim.after(copied+time.Duration(hedge)*40*time.Millisecond, func() {
-				if r.key == key && !r.opened && !r.done {
+				if r.key == key && !r.opened && !r.done && (hedge == 0 || !r.answered) {
 					left := sim.responsiveFirst(list[hedge:])
 					sim.toAgent(r, key, left[0], request(flow.PurposeOpen, left[1:]...))
 				}
@@ -249,6 +259,22 @@
 		}
 		a.tracker.FromServer(sim.now, &flow.Packet{Key: key, Kind: flow.Accepting})
 		sim.hop(func() { sim.accepted(r, key, a) })
+	case flow.Wait:
+		sim.waiting[key] = r
+	}
+	if v.Note == flow.NoteWaiting {
+		sim.hop(func() { r.answered = r.answered || r.key == key })
+	}
+}
+
+// release lets an agent decide on the opening packets that wait for a slot.
+func (sim *shortSim) release(a *shortAgent) {
+	for {
+		v, p, _ := a.tracker.NextWaiting(sim.now)
+		if p == nil {
+			return
+		}
+		sim.apply(sim.waiting[p.Key], p.Key, a, v)
 	}
 }
 
@@ -283,6 +309,7 @@
 	a.tracker.FromServer(sim.now, &flow.Packet{Key: key, Length: 100})
 	a.tracker.FromServer(sim.now, &flow.Packet{Key: key, Kind: flow.Closing})
 	a.queue.done()
+	sim.release(a)
 	r.done = true
 	if sim.measuring() {
 		sim.worked += work.Seconds()
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -42,7 +42,10 @@
 	// opened the flow here and not at another server that received a copy of the opening packet.
 	confirmed bool
 	// counted is set if the opening packet was counted against the cold rate for the first request as well.
-	counted  bool
+	counted bool
+	// arrived is when the opening packet arrived, and waited is set if it has waited for a slot.
+	arrived  time.Duration
+	waited   bool
 	lastSeen time.Duration
 }
 
@@ -61,6 +64,8 @@
 	NoteRefused
 	// NoteDenied reports that none of the agents in a search's list holds the flow.
 	NoteDenied
+	// NoteWaiting reports that the new flow waits at the agent for a slot.
+	NoteWaiting
 )
 
 // Verdict is the decision of an agent, with the note for a balancer.
@@ -75,6 +80,8 @@
 	// Patient is set if a new flow was queued at the server although its answer is not expected within the latency budget
 	// of its route.
 	Patient bool
+	// Place describes the wait of a new flow with the action Wait.
+	Place WaitingPlace
 }
 
 // Tracker makes the decisions of one agent. It is not safe for concurrent use.
@@ -104,6 +111,7 @@
 	probes   []probe
 	versions versionGuard
 	shortage shortage
+	waiting  waitingOpenings
 }
 
 // NewTracker returns the Tracker of an agent that starts now. The limits in config must be positive.
@@ -141,6 +149,7 @@
 	t.evacuation, t.evacuated = view.Evacuation(t.place())
 	t.setCold(view)
 	t.setRoutes(view.Configuration)
+	t.waiting.recheck = true
 }
 
 func (t *Tracker) setRoutes(c *registry.Configuration) {
@@ -227,8 +236,14 @@
 		return t.deny(request, "server belongs to another service")
 	case request.Wide && !t.holds(p.Key):
 		return t.deny(request, "server is not known to hold the flow")
+	case request.Purpose == PurposeOpen && t.waiting.index(p.Key) >= 0:
+		return Verdict{Decision: Decision{Reason: "a copy of the opening packet waits for a free slot"}, Note: NoteWaiting, Balancer: request.Balancer}
 	case request.Purpose == PurposeOpen:
-		return t.openFlow(now, p, request)
+		v := t.waitInstead(now, now, p, request, t.openFlow(now, p, request))
+		if v.Action == Wait {
+			t.waiting.counts.Total++
+		}
+		return v
 	}
 	return t.fromOpenFlow(now, p, raw, request)
 }
@@ -381,7 +396,7 @@
 	if f.state == ended || f.state == open && p.Kind == Opening {
 		return Verdict{Decision: Decision{Reason: "server returned a packet of a flow that it has answered"}}
 	}
-	request := f.request
+	request, arrived, waited := f.request, f.arrived, f.waited
 	t.flows.Remove(p.Key)
 	switch {
 	case p.Kind == Opening:
@@ -389,7 +404,13 @@
 			// The agent can't keep its offer and would send the packet to itself.
 			request.Best = Offer{}
 		}
-		return t.pass(request, t.routes[p.Key.Service], "server refused the flow")
+		// A free slot that the agent counts is not one. The server's next slot becomes free after about a service time.
+		t.waiting.blockedUntil = now + t.load.roundTime(latencyBudget(t.routes[p.Key.Service]))
+		v := t.waitInstead(now, arrived, p, request, t.pass(request, t.routes[p.Key.Service], "server refused the flow"))
+		if v.Action == Wait && !waited {
+			t.waiting.counts.Total++
+		}
+		return v
 	case request.Purpose == PurposeOpen:
 		return Verdict{Decision: Decision{Reason: "server does not hold the flow; no balancer to return the packet to"}}
 	}
@@ -410,7 +431,7 @@
 }
 
 // ServerDown removes all flows and returns the open ones, with the sequence number that each reset must carry. Call it
-// when the server is known not to be running.
+// when the server is known not to be running, and NextWaiting after it.
 func (t *Tracker) ServerDown() map[Key]uint32 {
 	lost := map[Key]uint32{}
 	for _, key := range t.flows.Keys() {
@@ -420,6 +441,7 @@
 	}
 	t.flows.Purge()
 	t.server.stopped()
+	t.waiting.recheck = true
 	t.cold.serverDown(max(t.started, t.load.now), t.entry)
 	t.load.speed.forget()
 	return lost
--- a/flow/tracker_config.go
+++ b/flow/tracker_config.go
@@ -53,6 +53,11 @@
 	// answer that takes three times as long as expected still arrives, and after a wait of a quarter a whole attempt of
 	// 1.4 s still fits into the shortest timeout, MinPatience.
 	PatientPart float64
+	// MaxWait bounds the time, from its client's first packet on, for which an opening packet waits at the agent for a
+	// slot. The client gives up the attempt after 1.4 s; the rest is left for the way to the client and the tick.
+	MaxWait time.Duration
+	// MaxWaiting bounds the opening packets that wait at the agent. One takes up to 2 KB.
+	MaxWaiting int
 	// ShareWindow is the time constant of the offered work by priority. It must span many openings for a server, so that
 	// the shares are steady, and be short against a burst.
 	ShareWindow time.Duration
@@ -92,6 +97,8 @@
 		RecoveryTime:       5 * time.Second,
 		MinPatience:        2800 * time.Millisecond,
 		PatientPart:        0.25,
+		MaxWait:            1200 * time.Millisecond,
+		MaxWaiting:         256,
 		ShareWindow:        2 * time.Second,
 		MinWaitingPart:     0.25,
 		ServerQueue:        8,
--- a/flow/tracker_test.go
+++ b/flow/tracker_test.go
@@ -776,8 +776,8 @@
 
 // TestPatientClientsAreQueuedAfterARestart covers the requests of a service that waited while all processes were down
 // and come at once. Refused clients would repeat them at once and use up their repetitions; dropped packets would leave
-// clients in doubt. A flow is queued only if it can be answered within a quarter of the timeout, and otherwise refused at
-// once, whatever copy of the opening packet arrives.
+// clients in doubt. A flow is queued at the server or waits at the agent only if it can be answered, or gets a slot, within
+// a quarter of the timeout after its first copy, and is otherwise refused at once, whatever copy arrives.
 func TestPatientClientsAreQueuedAfterARestart(t *testing.T) {
 	config := flow.DefaultTrackerConfig("", flow.Endpoint{})
 	for _, c := range []struct {
@@ -786,11 +786,13 @@
 		age     time.Duration
 		// queued are the flows that wait beyond the 4 slots, and patient those that wait only for their patience.
 		queued, patient int
+		// waiting are the flows that wait at the agent, by the number of the copy: a slot becomes free every 20.25 ms.
+		waiting [3]int
 	}{
-		{"patient client", 4 * time.Second, 0, 8, 4},
-		{"just patient client", config.MinPatience, 0, 8, 4},
-		{"impatient client", config.MinPatience - time.Millisecond, 0, 4, 0},
-		{"lasting overload", 4 * time.Second, config.RecoveryTime + time.Second, 4, 0},
+		{"patient client", 4 * time.Second, 0, 8, 4, [3]int{41, 31, 11}},
+		{"just patient client", config.MinPatience, 0, 8, 4, [3]int{26, 16, 0}},
+		{"impatient client", config.MinPatience - time.Millisecond, 0, 4, 0, [3]int{}},
+		{"lasting overload", 4 * time.Second, config.RecoveryTime + time.Second, 4, 0, [3]int{}},
 	} {
 		for copies := range uint32(3) {
 			t.Run(fmt.Sprint(c.name, ", copy ", copies), func(t *testing.T) {
@@ -798,7 +800,7 @@
 				view.Configuration.Routes[0].Timeout = c.timeout
 				tracker := newTracker(view)
 				now := start + c.age
-				accepted, patient := 0, 0
+				accepted, patient, waiting := 0, 0, 0
 				for n := range 100 {
 					p := opening(n)
 					p.Copy = copies
@@ -812,6 +814,11 @@
 						if v.Patient != strings.Contains(v.Reason, "answer expected in") {
 							t.Fatalf("patient %v, but the reason is %q", v.Patient, v.Reason)
 						}
+					case v.Action == flow.Wait && v.Note == flow.NoteWaiting && accepted+waiting == n:
+						waiting++
+						if v.Place.Position != waiting || v.Place.Expected > v.Place.Limit || v.Patient || v.Refusal != flow.NotRefused {
+							t.Fatalf("got %+v at position %d", v, waiting)
+						}
 					case v.Action != flow.Reset || v.Note != flow.NoteRefused || v.Refusal != flow.RefusedBusy || v.Patient:
 						t.Fatalf("got %+v, want the flow refused at once", v)
 					}
@@ -819,6 +826,9 @@
 				if accepted != 4+c.queued || patient != c.patient {
 					t.Fatalf("%d flows on 4 slots, %d of them queued for patience; want %d and %d", accepted, patient, 4+c.queued, c.patient)
 				}
+				if want := c.waiting[copies]; waiting != want {
+					t.Fatalf("%d flows wait at the agent, want %d", waiting, want)
+				}
 			})
 		}
 	}
@@ -851,12 +861,20 @@
 }
 
 // TestReturnedOpeningIsPassedOnOrRefused covers an opening packet that was accepted for patience and that the server
-// returns because its queue is full. Its agent must not send it to itself because of its own offer.
+// returns because its queue is full. Its agent must not send it to itself because of its own offer. It may let the packet
+// wait, but must neither give it to the server at once again nor keep it when its limit has passed.
 func TestReturnedOpeningIsPassedOnOrRefused(t *testing.T) {
 	view := orderView(5)
 	view.Configuration.Routes[0].Timeout = 4 * time.Second
-	for _, remaining := range [][]flow.IP{nil, {agentIP(3)}} {
-		tracker := newTracker(view)
+	for _, c := range []struct {
+		remaining  []flow.IP
+		maxWaiting int
+	}{{nil, 0}, {nil, 256}, {[]flow.IP{agentIP(3)}, 0}, {[]flow.IP{agentIP(3)}, 256}} {
+		config := flow.DefaultTrackerConfig("orders", flow.Endpoint{IP: agentIP(1), Port: simPort})
+		config.MaxWaiting = c.maxWaiting
+		tracker := flow.NewTracker(config, start)
+		tracker.SetView(view)
+		remaining := c.remaining
 		for n := range 8 {
 			acceptFlow(t, tracker, start, n)
 			sendRequest(tracker, start, n)
@@ -867,7 +885,20 @@
 		returned := opening(20)
 		returned.Returned = true
 		v := tracker.FromServer(start, returned)
-		if len(remaining) == 0 {
+		if len(remaining) == 0 && c.maxWaiting > 0 {
+			wantAction(t, v, flow.Wait, flow.NoteWaiting)
+			for n := range 8 {
+				sendAnswer(tracker, start, n)
+			}
+			if v, p, _ := tracker.NextWaiting(start); p != nil {
+				t.Fatalf("got %v at once after the server returned the packet", v.Action)
+			}
+			v, p, _ := tracker.NextWaiting(start + time.Second)
+			wantAction(t, v, flow.Reset, flow.NoteRefused)
+			if p.Returned || p.Key != opening(20).Key {
+				t.Fatalf("refused %+v", p)
+			}
+		} else if len(remaining) == 0 {
 			wantAction(t, v, flow.Reset, flow.NoteRefused)
 		} else if v.Action != flow.Forward || v.To != agentIP(3) {
 			t.Fatalf("got %v to %v, want it passed on", v.Action, v.To)
--- a/internal/flowagent/counters.go
+++ b/internal/flowagent/counters.go
@@ -11,7 +11,7 @@
 	nodePackets   atomic.Uint64
 	serverPackets atomic.Uint64
 	malformed     atomic.Uint64
-	actions       [flow.Reset + 1]atomic.Uint64
+	actions       [flow.Wait + 1]atomic.Uint64
 	held          atomic.Uint64
 	refused       atomic.Uint64
 	// refusals counts the refused flows by reason, and patient the flows that were queued only because their clients are
@@ -23,8 +23,12 @@
 	writeFailures atomic.Uint64
 	evacuated     atomic.Uint64
 	cold          atomic.Uint64
-	flows         atomic.Int64
-	busy          atomic.Int64
+	// waiting counts the opening packets that wait for a slot now, waited those that have waited, and waitedTooLong those
+	// that were refused after it.
+	waiting               atomic.Int64
+	waited, waitedTooLong atomic.Uint64
+	flows                 atomic.Int64
+	busy                  atomic.Int64
 }
 
 // Counters returns the counts since the start and the current gauges, by metric name.
@@ -42,6 +46,9 @@
 		"write_failures":        c.writeFailures.Load(),
 		"turned_away_evacuated": c.evacuated.Load(),
 		"turned_away_cold":      c.cold.Load(),
+		"waiting":               uint64(c.waiting.Load()),
+		"waited":                c.waited.Load(),
+		"waited_too_long":       c.waitedTooLong.Load(),
 		"flows":                 uint64(c.flows.Load()),
 		"busy":                  uint64(c.busy.Load()),
 	}
@@ -54,6 +61,13 @@
 	return counts
 }
 
+// recordWaiting publishes the counts of the opening packets that wait for a slot.
+func (c *counters) recordWaiting(w flow.WaitingCounts) {
+	c.waiting.Store(int64(w.Now))
+	c.waited.Store(w.Total)
+	c.waitedTooLong.Store(w.TooLong)
+}
+
 // record counts a decision.
 func (c *counters) record(v *flow.Verdict) {
 	c.actions[v.Action].Add(1)
--- a/internal/flowagent/counters_test.go
+++ b/internal/flowagent/counters_test.go
@@ -15,9 +15,12 @@
 		}
 	}
 	a.counts.record(&flow.Verdict{Decision: flow.Decision{Action: flow.ToServer}, Patient: true})
+	a.counts.record(&flow.Verdict{Decision: flow.Decision{Action: flow.Wait}})
+	a.counts.recordWaiting(flow.WaitingCounts{Now: 1, Total: 7, TooLong: 5})
 	got := a.Counters()
 	for name, want := range map[string]uint64{
 		"action_reset": 10, "action_to_server": 1, "refused_busy": 2, "refused_share": 3, "refused_group": 4, "queued_patient": 1,
+		"action_wait": 1, "waiting": 1, "waited": 7, "waited_too_long": 5,
 	} {
 		if got[name] != want {
 			t.Errorf("%s is %d, want %d", name, got[name], want)
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -73,6 +73,7 @@
 			batch.Release()
 		case <-l.config.View.Updates():
 			l.updateView(l.config.Clock.Now())
+			l.handleWaiting(l.config.Clock.Now())
 			l.broadcastStatus(l.config.Clock.Now(), nodev1.Kind_KIND_ANSWER)
 		case <-ticker.C:
 			l.tick(ctx)
@@ -95,6 +96,8 @@
 	now := l.config.Clock.Now()
 	l.agent.leaving.Store(true)
 	l.broadcastStatus(now, nodev1.Kind_KIND_LEAVE)
+	l.tracker.CloseWaiting()
+	l.handleWaiting(now)
 	l.config.Event("stopping", "balancers", len(l.balancers.Active(now)), "flows", l.agent.counts.flows.Load())
 	return time.After(lingerTime)
 }
@@ -144,6 +147,7 @@
 		raw := m.Buffers[0][:m.N]
 		if batch.Source == sourceServer {
 			l.handleServerPacket(now, raw)
+			l.handleWaiting(now)
 			continue
 		}
 		if from, ok := m.Addr.(*net.UDPAddr); ok && from.IP.To4() != nil {
@@ -224,7 +228,7 @@
 func (l *loop) apply(now time.Duration, p *flow.Packet, raw []byte, v flow.Verdict) {
 	l.agent.counts.record(&v)
 	l.logDecision(now, p, &v)
-	if p.Returned && (v.Action == flow.Forward || v.Action == flow.Return) {
+	if p.Returned && (v.Action == flow.Forward || v.Action == flow.Return || v.Action == flow.Wait) {
 		l.config.Codec.ClearReturned(raw)
 	}
 	switch v.Action {
@@ -248,10 +252,24 @@
 		l.send(v.To, raw)
 	case flow.Reset:
 		l.sendReset(p.Key, v.Seq)
+	case flow.Wait:
+		l.tracker.KeepRaw(p.Key, raw)
 	}
 	l.sendNote(now, p, &v)
 }
 
+// handleWaiting releases or refuses the opening packets that have waited for a slot, as far as that is due.
+func (l *loop) handleWaiting(now time.Duration) {
+	for {
+		v, p, raw := l.tracker.NextWaiting(now)
+		if p == nil {
+			break
+		}
+		l.apply(now, p, raw, v)
+	}
+	l.agent.counts.recordWaiting(l.tracker.Waiting())
+}
+
 // sendNote sends the note of a decision, if there is one, to the balancer that received the client's packet.
 func (l *loop) sendNote(now time.Duration, p *flow.Packet, v *flow.Verdict) {
 	if v.Note == flow.NoNote || v.Balancer == (flow.IP{}) {
@@ -271,6 +289,9 @@
 		l.agent.counts.refused.Add(1)
 		l.outHeader.Kind, l.outHeader.Verdict = nodev1.Kind_KIND_REPORT, nodev1.Verdict_VERDICT_REFUSED
 		nodecodec.PutKey(&l.outHeader, p.Key)
+	case flow.NoteWaiting:
+		l.outHeader.Kind, l.outHeader.Verdict = nodev1.Kind_KIND_REPORT, nodev1.Verdict_VERDICT_WAITING
+		nodecodec.PutKey(&l.outHeader, p.Key)
 	case flow.NoteDenied:
 		l.outHeader.Kind, l.outHeader.Verdict = nodev1.Kind_KIND_REPORT, nodev1.Verdict_VERDICT_DENIED
 		l.outHeader.Search, l.outHeader.Outdated = v.Request.SearchID, v.Request.Outdated()
@@ -290,7 +311,10 @@
 		l.config.Event("flow_passed", "flow", p.Key, "to", v.To, "busy", status.Busy, "slots", status.Slots, "reason", v.Reason)
 	case v.Action == flow.Forward, v.Action == flow.Return:
 		l.config.Event("packet_passed", "flow", p.Key, "to", v.To, "more", len(v.Request.Remaining), "reason", v.Reason)
-	case v.Patient:
+	case v.Action == flow.Wait:
+		l.config.Event("flow_waits", "flow", p.Key, "expected", v.Place.Expected, "limit", v.Place.Limit, "position", v.Place.Position,
+			"busy", status.Busy, "slots", status.Slots)
+	case v.Action == flow.ToServer && v.Reason != "":
 		l.config.Event("flow_queued", "flow", p.Key, "busy", status.Busy, "slots", status.Slots, "reason", v.Reason)
 	case v.Refusal != flow.NotRefused:
 		l.config.Event("flow_reset", "flow", p.Key, "seq", v.Seq, "reason", v.Reason, "refusal", v.Refusal.String(), "share", v.Part,
--- a/internal/flowagent/tick.go
+++ b/internal/flowagent/tick.go
@@ -24,6 +24,7 @@
 	l.logSuspect(now)
 	l.logCold(now)
 	l.checkServer(now)
+	l.handleWaiting(now)
 	l.announce(now)
 	l.contactSeed(now)
 	if l.tracker.NeedsProcessCheck(now) {
@@ -83,6 +84,7 @@
 		return
 	}
 	l.resetLostFlows("server_down", l.tracker.ServerDown())
+	l.handleWaiting(l.config.Clock.Now())
 }
 
 // processChecker checks in a separate goroutine whether the server process is running.
--- a/internal/flowbalancer/nodes.go
+++ b/internal/flowbalancer/nodes.go
@@ -61,7 +61,7 @@
 		delete(l.openingSentAt, key)
 		l.config.RecordReportTime(now - sent)
 	}
-	if !held {
+	if h.Verdict == nodev1.Verdict_VERDICT_REFUSED {
 		l.config.Event("flow_refused", "flow", key, "agent", from, "agent_version", h.ConfigVersion)
 	}
 }
