Let flows that are refused for their share wait at an agent after a start

After the loss of all VMs 1,099 flows were refused within a second, nearly all because the last place of the server's queue is left to more urgent routes; such flows did not wait at the agent, although it releases urgent ones first.

Change: they wait under the same conditions as those refused because all servers are busy.

--- a/flow/waiting.go
+++ b/flow/waiting.go
@@ -94,7 +94,7 @@
 	route := t.routes[p.Key.Service]
 	limit := min(t.patience(route), t.config.MaxWait)
 	switch {
-	case v.Action != Reset || v.Refusal != RefusedBusy || limit <= 0 || int(p.Copy) >= len(copyAges):
+	case v.Action != Reset || v.Refusal != RefusedBusy && v.Refusal != RefusedShare || limit <= 0 || int(p.Copy) >= len(copyAges):
 		return v
 	case !t.mayWait(now) || len(t.waiting.queue) >= t.config.MaxWaiting || !p.Returned && !t.load.full():
 		return v
--- a/flow/waiting_test.go
+++ b/flow/waiting_test.go
@@ -259,3 +259,13 @@
 		t.Errorf("released %d flows, at most %d in a second, and refused %d", len(sent), got, refused)
 	}
 }
+
+// TestOpeningRefusedForItsShareWaits guards against refusing the clients of a less urgent route after a restart, only because
+// the rest of the server's queue is left to more urgent ones: these leave the agent's queue first in any case.
+func TestOpeningRefusedForItsShareWaits(t *testing.T) {
+	tracker := newWaitingTracker(t)
+	for n := range 3 {
+		wait(t, tracker, start, urgentOpening(20+n))
+	}
+	wait(t, tracker, start, opening(30))
+}
