Raise the learned limits of a server also while it is not full

Cause: queueLimit.probe raised the limits by one step whenever it was called after 2 s without a rejection, but it is called only if an opening packet finds no free slot. After hours of light load the first burst found the limits of the last shortage. In an overload of about 9 minutes without a rejection, the raised wait overflowed and became negative, and no limit on the wait was learned again.

Change: probe raises the limits for each interval since it was last called, and discards them after 90 of them (3 min).

--- a/flow/queue_limit.go
+++ b/flow/queue_limit.go
@@ -17,6 +17,9 @@
 	// minRejectTime separates a rejection on arrival, for which the queue has no room, from one after a wait. The agent is
 	// on the same VM, so this is far more than a round trip.
 	minRejectTime = 5 * time.Millisecond
+	// maxLimitProbes is the number of intervals without a rejection, 3 minutes, after which the limits are discarded. By
+	// then they would be far beyond what any route waits for.
+	maxLimitProbes = 90
 )
 
 // queueLimit learns from the requests that a server rejects how many it holds at once and how long it lets them wait. The
@@ -27,7 +30,9 @@
 	requests int
 	wait     time.Duration
 	recent   [rejections]rejection
-	changed  time.Duration
+	// changed is when the limits were last learned or raised, and probes how often they were raised since they were learned.
+	changed time.Duration
+	probes  int
 }
 
 // rejection is a request that was rejected after a wait, beside earlier ones that had no answer.
@@ -44,7 +49,7 @@
 	if oldest := q.recent[rejections-1]; oldest.at == 0 || now-oldest.at > rejectWindow {
 		return
 	}
-	q.changed = now
+	q.changed, q.probes = now, 0
 	byWait := func(a, b rejection) int { return int(a.waited - b.waited) }
 	longest := slices.MaxFunc(q.recent[:], byWait)
 	if longest.waited <= minRejectTime {
@@ -58,16 +63,19 @@
 	}
 }
 
-// probe raises the limits after a time without a rejection.
+// probe raises the limits once for each interval without a rejection since it was last called.
 func (q *queueLimit) probe(now time.Duration) {
-	if now-q.changed < limitProbeInterval {
-		return
+	for q.probes < maxLimitProbes && now-q.changed >= limitProbeInterval {
+		q.changed += limitProbeInterval
+		q.probes++
+		if q.requests > 0 {
+			q.requests++
+		}
+		q.wait = time.Duration(limitProbeFactor * float64(q.wait))
 	}
-	q.changed = now
-	if q.requests > 0 {
-		q.requests++
+	if q.probes == maxLimitProbes {
+		q.requests, q.wait = 0, 0
 	}
-	q.wait = time.Duration(limitProbeFactor * float64(q.wait))
 }
 
 // exceeded reports whether the server would reject a new request that finds the given number of others and would wait
--- a/flow/tracker_test.go
+++ b/flow/tracker_test.go
@@ -960,3 +960,61 @@
 		})
 	}
 }
+
+// rejectRequests lets a server with the given number of outstanding requests answer four later ones out of order, as if it
+// had rejected them after the given time. It returns the time of the last answer.
+func rejectRequests(t *testing.T, tracker *flow.Tracker, now time.Duration, outstanding int, waited time.Duration) time.Duration {
+	t.Helper()
+	for n := range outstanding {
+		acceptFlow(t, tracker, now, n)
+		sendRequest(tracker, now, n)
+	}
+	for n := outstanding; n < outstanding+4; n++ {
+		acceptFlow(t, tracker, now, n)
+		sendRequest(tracker, now, n)
+		now += waited
+		sendAnswer(tracker, now, n)
+	}
+	return now
+}
+
+// closeFlows lets the server answer and close the given number of flows.
+func closeFlows(tracker *flow.Tracker, now time.Duration, flows int) {
+	for n := range flows {
+		tracker.FromServer(now, &flow.Packet{Key: opening(n).Key, Kind: flow.Closing, Length: 100})
+	}
+}
+
+// TestQueueLimitIsRaisedWhileTheServerIsNotFull guards against a limit that stays in force for hours because no shortage
+// occurs in which it would be raised. The next burst would then be refused although the server has room.
+func TestQueueLimitIsRaisedWhileTheServerIsNotFull(t *testing.T) {
+	tracker := newTracker(orderView(5))
+	const outstanding = 6
+	now := rejectRequests(t, tracker, start, outstanding, time.Millisecond)
+	wantAction(t, tracker.FromNode(now, opening(20), nil, request(flow.PurposeOpen)), flow.Reset, flow.NoteRefused)
+	closeFlows(tracker, now, outstanding+4)
+	now += time.Minute
+	for n := 30; n < 30+outstanding+4; n++ {
+		acceptFlow(t, tracker, now, n)
+		sendRequest(tracker, now, n)
+	}
+}
+
+// TestQueueLimitIsLearnedAgainAfterALongOverload guards against a limit that is raised until it overflows. A later one
+// would then never be learned.
+func TestQueueLimitIsLearnedAgainAfterALongOverload(t *testing.T) {
+	tracker := newTracker(orderView(5))
+	const outstanding, waited = 6, 6 * time.Millisecond
+	now := rejectRequests(t, tracker, start, outstanding, 40*time.Millisecond)
+	closeFlows(tracker, now, outstanding+4)
+	for range 400 {
+		now += 2 * time.Second
+		for n := range outstanding - 1 {
+			acceptFlow(t, tracker, now, n)
+			sendRequest(tracker, now, n)
+		}
+		closeFlows(tracker, now+10*time.Millisecond, outstanding)
+	}
+	now = rejectRequests(t, tracker, now+time.Second, outstanding, waited)
+	wantAction(t, tracker.FromNode(now, opening(20), nil, request(flow.PurposeOpen)), flow.Reset, flow.NoteRefused)
+}
