Do not count requests that are still being uploaded as waiting before others

Cause: the agent counts a request from its first packet on, but a server begins it when it has received all of it. Short requests that are answered while slow uploads fill the counted slots looked like rejections, so four of them within a second taught the agent a wrong limit of the server, and it refused flows that the server would have taken.

Change: load.answer compares with the earlier requests of which no packet arrived after the answered one.

Result: TestSlowUploadsAreNotCountedAsWaiting failed before and passes now, as do the other tests of the package flow.

--- a/flow/load.go
+++ b/flow/load.go
@@ -151,7 +151,7 @@
 // start records a packet of a request. The server begins to process a request when it has received all of it and
 // has a free slot.
 func (l *load) start(now time.Duration, f *trackedFlow) {
-	f.hasRequested = true
+	f.hasRequested, f.received = true, now
 	if f.work == requested {
 		if l.isRunning(f) {
 			f.processingSince = now
@@ -168,7 +168,7 @@
 // answer records that the server has begun to answer the request of a flow. It returns the service time of the request,
 // or zero if it is not known or the answer does not count as good.
 func (l *load) answer(now time.Duration, f *trackedFlow) (took time.Duration) {
-	if ahead := slices.Index(l.requests, f); ahead >= l.slots {
+	if ahead := l.receivedBefore(f); ahead >= l.slots {
 		l.queue.rejected(now, now-f.workSince, ahead)
 	}
 	if l.isRunning(f) && !f.late && l.outcomes.answered(now, now-f.processingSince) {
@@ -179,6 +179,21 @@
 	return took
 }
 
+// receivedBefore returns how many unanswered requests the server received before the request of a flow, apart from those
+// that it may not have received completely by then.
+func (l *load) receivedBefore(f *trackedFlow) int {
+	ahead := 0
+	for _, other := range l.requests {
+		if other == f {
+			break
+		}
+		if other.received <= f.received {
+			ahead++
+		}
+	}
+	return ahead
+}
+
 // isRunning reports whether the server is processing the request of a flow.
 func (l *load) isRunning(f *trackedFlow) bool {
 	return f.work == requested && slices.Index(l.requests, f) < l.slots
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -33,6 +33,8 @@
 	// when the server began to process the request.
 	work                       work
 	workSince, processingSince time.Duration
+	// received is when the latest packet of the request arrived.
+	received time.Duration
 	// late is set once the running request has been counted as failed because it has been running for too long.
 	late bool
 	// hasRequested is set once the client has sent a request. answerOwed is set if the server was given a packet of
--- a/flow/tracker_test.go
+++ b/flow/tracker_test.go
@@ -1018,3 +1018,28 @@
 	now = rejectRequests(t, tracker, now+time.Second, outstanding, waited)
 	wantAction(t, tracker.FromNode(now, opening(20), nil, request(flow.PurposeOpen)), flow.Reset, flow.NoteRefused)
 }
+
+// TestSlowUploadsAreNotCountedAsWaiting guards against a queue limit that is learned although the server rejected
+// nothing: a server begins a request when it has received all of it, so a short request is answered while earlier ones
+// are still being uploaded.
+func TestSlowUploadsAreNotCountedAsWaiting(t *testing.T) {
+	tracker := newTracker(orderView(5))
+	const uploads = 6
+	for n := range uploads {
+		acceptFlow(t, tracker, start, n)
+		sendRequest(tracker, start, n)
+	}
+	now := start
+	for n := uploads; n < uploads+4; n++ {
+		acceptFlow(t, tracker, now, n)
+		sendRequest(tracker, now, n)
+		for range 4 {
+			now += time.Millisecond
+			for upload := range uploads {
+				sendRequest(tracker, now, upload)
+			}
+		}
+		sendAnswer(tracker, now, n)
+	}
+	wantAction(t, tracker.FromNode(now, opening(20), nil, request(flow.PurposeOpen)), flow.ToServer, flow.NoNote)
+}
