Count a restarted server's entry once the store still states it later

Cause: after a server was found to be down, the entry of its next run is ignored if it could be that of an earlier run: if the view is older than that, or if the entry states no time of the cold start. The entry was examined only when the content of the view changed, so the server counted as down, and balancers sent it no flows, until any other entry changed.

Change: Tracker.Confirm examines the entry again. The loop confirms only a view whose content is in force, since the time says nothing about the entry of the view before.

Result: TestEntryCountsOnceTheStoreConfirmsIt failed before and passes now, as do the packages flow and internal/flowagent.

--- a/flow/cold.go
+++ b/flow/cold.go
@@ -220,15 +220,16 @@
 	if view.Configuration != nil {
 		t.cold.service = view.Configuration.Services[t.config.Service]
 	}
-	if t.entry != nil && t.cold.observe(view.Confirmed, t.entry) {
-		t.server.restarted()
-	}
 	t.Confirm(view.Confirmed)
 	t.cold.update(max(t.started, t.load.now))
 }
 
-// Confirm records that the store held the view in force at the given time.
+// Confirm records that the store held the view in force at the given time. The server's entry is examined again, since one
+// that was ignored counts if the store still states it later.
 func (t *Tracker) Confirm(confirmed time.Duration) {
+	if t.entry != nil && t.cold.observe(confirmed, t.entry) {
+		t.server.restarted()
+	}
 	t.cold.confirm(confirmed)
 }
 
--- a/flow/cold_test.go
+++ b/flow/cold_test.go
@@ -163,6 +163,35 @@
 	wantCold(tracker, answers, true)
 }
 
+// TestEntryCountsOnceTheStoreConfirmsIt guards against a server that was down and gets no flows again: the entry of its new
+// run was ignored because it could be that of an earlier run, and the view did not change afterwards.
+func TestEntryCountsOnceTheStoreConfirmsIt(t *testing.T) {
+	down := start + time.Second
+	for name, c := range map[string]struct {
+		view *registry.View
+		// confirmed is when the store still states the entry, so that it is that of the present run.
+		confirmed time.Duration
+	}{
+		"without the time of the cold start": {coldView(down+time.Second, 10, 2, 0), down + coldStartTime},
+		"without cold starts":                {viewAt(down-time.Millisecond, 5, coldView(down, 10, 2, 0).Upstreams[0]), down},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := newColdTracker(coldView(start, 10, 1, 0))
+			tracker.Check(down)
+			tracker.ServerDown()
+			tracker.SetView(c.view)
+			tracker.Confirm(c.confirmed - 1)
+			if tracker.Accepting(c.confirmed) {
+				t.Fatal("the entry counts although it may be that of an earlier run")
+			}
+			tracker.Confirm(c.confirmed)
+			if !tracker.Accepting(c.confirmed) {
+				t.Fatal("the server gets no flows although the store still states its entry")
+			}
+		})
+	}
+}
+
 // TestServerMayHaveStartedWithItsAgent guards against a server that counts as warm after a power failure of its VM because
 // the view still shows the run before, and against an agent that restarts alone and holds flows back for long.
 func TestServerMayHaveStartedWithItsAgent(t *testing.T) {
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -108,8 +108,8 @@
 	if view == nil {
 		return
 	}
-	l.tracker.Confirm(view.Confirmed)
 	if view.Content == l.content {
+		l.tracker.Confirm(view.Confirmed)
 		return
 	}
 	l.content = view.Content
