Do not count lost requests as running before others

Cause: a request that was lost, for example because its server restarted without the agent noticing, keeps counting as running for up to 5 s. Requests that were answered meanwhile looked like rejections, so four of them within a second taught the agent a wrong limit of the server.

Change: a request that has been running for three times the mean service time no longer counts as earlier. A long request that is taken for a lost one only delays the learning of a limit.

--- a/flow/load.go
+++ b/flow/load.go
@@ -64,6 +64,9 @@
 	minPeerFraction = 0.5
 	// meanDecay is the time constant with which the mean loses weight relative to a new sample.
 	meanDecay = time.Second
+	// lostFactor is the multiple of the mean service time after which a running request may be lost. A long request that
+	// is taken for a lost one only delays the learning of a queue limit.
+	lostFactor = 3
 )
 
 // advance sets the time of the changes that follow, for example of a flow that is evicted. Call it before each of them.
@@ -168,7 +171,7 @@
 // answer records that the server has begun to answer the request of a flow. It returns the service time of the request,
 // or zero if it is not known or the answer does not count as good.
 func (l *load) answer(now time.Duration, f *trackedFlow) (took time.Duration) {
-	if ahead := l.receivedBefore(f); ahead >= l.slots {
+	if ahead := l.receivedBefore(now, f); ahead >= l.slots {
 		l.queue.rejected(now, now-f.workSince, ahead)
 	}
 	if l.isRunning(f) && !f.late && l.outcomes.answered(now, now-f.processingSince) {
@@ -180,14 +183,15 @@
 }
 
 // receivedBefore returns how many unanswered requests the server received before the request of a flow, apart from those
-// that it may not have received completely by then.
-func (l *load) receivedBefore(f *trackedFlow) int {
+// that it may not have received completely by then and those that have been running for so long that they may be lost.
+func (l *load) receivedBefore(now time.Duration, f *trackedFlow) int {
 	ahead := 0
-	for _, other := range l.requests {
+	for i, other := range l.requests {
 		if other == f {
 			break
 		}
-		if other.received <= f.received {
+		lost := i < l.slots && l.samples >= minSamples && now-other.processingSince > lostFactor*l.mean
+		if other.received <= f.received && !lost {
 			ahead++
 		}
 	}
--- a/flow/tracker_test.go
+++ b/flow/tracker_test.go
@@ -1043,3 +1043,31 @@
 	}
 	wantAction(t, tracker.FromNode(now, opening(20), nil, request(flow.PurposeOpen)), flow.ToServer, flow.NoNote)
 }
+
+// TestLostRequestsAreNotCountedAsRunning guards against a queue limit that is learned although the server rejected
+// nothing: requests that were lost, for example because the server restarted, keep counting as running for a while, and
+// every request that is answered in that time looks like a rejection.
+func TestLostRequestsAreNotCountedAsRunning(t *testing.T) {
+	tracker := newTracker(orderView(5))
+	const slots, took = 4, 15 * time.Millisecond
+	now := start
+	serve := func(first, requests int) {
+		for n := first; n < first+requests; n++ {
+			acceptFlow(t, tracker, now, n)
+			sendRequest(tracker, now, n)
+			now += took
+			sendAnswer(tracker, now, n)
+		}
+	}
+	serve(0, 25)
+	for n := 30; n < 30+slots; n++ {
+		acceptFlow(t, tracker, now, n)
+		sendRequest(tracker, now, n)
+	}
+	now += 100 * time.Millisecond
+	serve(40, 4)
+	for n := 50; n < 56; n++ {
+		acceptFlow(t, tracker, now, n)
+		sendRequest(tracker, now, n)
+	}
+}
