--- a/flow/load.go
+++ b/flow/load.go
@@ -64,6 +64,9 @@
 	minPeerFraction = 0.5
 	// meanDecay is the time constant with which the mean loses weight relative to a new sample.
 	meanDecay = time.Second
+	// lostFactor is the multiple of the mean service time after which a running request may be lost. A long request that
+	// is taken for a lost one only delays the learning of a queue limit.
+	lostFactor = 3
 )
 
 // advance sets the time of the changes that follow, for example of a flow that is evicted. Call it before each of them.
@@ -151,7 +154,7 @@
 // start records a packet of a request. The server begins to process a request when it has received all of it and
 // has a free slot.
 func (l *load) start(now time.Duration, f *trackedFlow) {
-	f.hasRequested = true
+	f.hasRequested, f.received = true, now
 	if f.work == requested {
 		if l.isRunning(f) {
 			f.processingSince = now
@@ -168,7 +171,7 @@
 // answer records that the server has begun to answer the request of a flow. It returns the service time of the request,
 // or zero if it is not known or the answer does not count as good.
 func (l *load) answer(now time.Duration, f *trackedFlow) (took time.Duration) {
-	if ahead := slices.Index(l.requests, f); ahead >= l.slots {
+	if ahead := l.receivedBefore(now, f); ahead >= l.slots {
 		l.queue.rejected(now, now-f.workSince, ahead)
 	}
 	if l.isRunning(f) && !f.late && l.outcomes.answered(now, now-f.processingSince) {
@@ -179,6 +182,22 @@
 	return took
 }
 
+// receivedBefore returns how many unanswered requests the server received before the request of a flow, apart from those
+// that it may not have received completely by then and those that have been running for so long that they may be lost.
+func (l *load) receivedBefore(now time.Duration, f *trackedFlow) int {
+	ahead := 0
+	for i, other := range l.requests {
+		if other == f {
+			break
+		}
+		lost := i < l.slots && l.samples >= minSamples && now-other.processingSince > lostFactor*l.mean
+		if other.received <= f.received && !lost {
+			ahead++
+		}
+	}
+	return ahead
+}
+
 // isRunning reports whether the server is processing the request of a flow.
 func (l *load) isRunning(f *trackedFlow) bool {
 	return f.work == requested && slices.Index(l.requests, f) < l.slots
