Find out by itself that a server which was down is up again

Cause: a server found to be down, whose entry is that of its present run (it registered before it listened, or the check was handled after the entry), got no flows any more: its agent reports that it takes none, so balancers send none, and the process was not checked while it counted as down.

Change: the agent goes on checking once a second. An accepted connection shows that the server is up; it then counts as cold from that moment. An attempt that times out shows neither.

Result: the new test fails without ServerUp, as the tracker refused all flows; tests of flow and flowagent pass.

--- a/flow/server_health.go
+++ b/flow/server_health.go
@@ -94,10 +94,25 @@
 	s.down, s.silent = false, false
 }
 
-// NeedsProcessCheck reports whether the caller should check if the server process is running.
+// NeedsProcessCheck reports whether the caller should check if the server process is running. It does so while the server
+// is down, because nothing else may show that it is up again: balancers send no flows to a server that takes none, and its
+// entry may be that of the run that was over when the server was found to be down.
 func (t *Tracker) NeedsProcessCheck(now time.Duration) bool {
 	s := &t.server
-	return !s.down && (s.waitingSince > 0 && now-s.waitingSince > s.config.AnswerTimeout || s.silent)
+	return s.down || s.waitingSince > 0 && now-s.waitingSince > s.config.AnswerTimeout || s.silent
+}
+
+// IsServerDown reports whether the server was found not to be running and has not been found to be up since.
+func (t *Tracker) IsServerDown() bool {
+	return t.server.down
+}
+
+// ServerUp records that a server that was down runs again. It counts as cold from now on.
+func (t *Tracker) ServerUp(now time.Duration) {
+	t.load.advance(now)
+	t.cold.answered(now)
+	t.cold.update(now)
+	t.server.restarted()
 }
 
 // Check must be called at regular intervals. It reports whether the server has just become silent.
--- a/flow/tracker_test.go
+++ b/flow/tracker_test.go
@@ -1071,3 +1071,21 @@
 		sendRequest(tracker, now, n)
 	}
 }
+
+// TestServerThatIsUpAgainGetsFlows guards against a server that was found to be down after its entry had been read: the
+// entry then counts as that of the run that is over, and no packet shows that the server is up.
+func TestServerThatIsUpAgainGetsFlows(t *testing.T) {
+	tracker := newTracker(orderView(5))
+	acceptFlow(t, tracker, start, 1)
+	tracker.ServerDown()
+	now := start + time.Second
+	tracker.SetView(orderView(6))
+	if tracker.Accepting(now) || !tracker.NeedsProcessCheck(now) {
+		t.Fatal("the server takes flows, or nobody would find out that it is up")
+	}
+	tracker.ServerUp(now)
+	wantAction(t, tracker.FromNode(now, opening(2), nil, request(flow.PurposeOpen)), flow.ToServer, flow.NoNote)
+	if tracker.IsServerDown() || tracker.NeedsProcessCheck(now) {
+		t.Error("the server still counts as down")
+	}
+}
--- a/internal/flowagent/flowagent.go
+++ b/internal/flowagent/flowagent.go
@@ -71,6 +71,8 @@
 	processCheckTimeout = 300 * time.Millisecond
 	// processCheckInterval is the minimum time between two such checks.
 	processCheckInterval = 300 * time.Millisecond
+	// downCheckInterval is that time while the server is known not to be running.
+	downCheckInterval = time.Second
 )
 
 // Agent is the daemon beside one server.
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -79,8 +79,8 @@
 			l.tick(ctx)
 		case q := <-l.agent.questions:
 			l.answer(q)
-		case running := <-l.checker.results:
-			l.handleProcessCheck(running)
+		case state := <-l.checker.results:
+			l.handleProcessCheck(state)
 		case <-stopped:
 			stopped = nil
 			lingerEnd = l.announceLeave()
--- a/internal/flowagent/tick.go
+++ b/internal/flowagent/tick.go
@@ -28,7 +28,11 @@
 	l.announce(now)
 	l.contactSeed(now)
 	if l.tracker.NeedsProcessCheck(now) {
-		l.checker.start(ctx, now)
+		interval := processCheckInterval
+		if l.tracker.IsServerDown() {
+			interval = downCheckInterval
+		}
+		l.checker.start(ctx, now, interval)
 	}
 	if now-l.lastSweep >= sweepInterval {
 		l.sweep(now)
@@ -78,29 +82,47 @@
 	}
 }
 
-// handleProcessCheck resets the flows of a server that is not running, so that their clients can retry immediately.
-func (l *loop) handleProcessCheck(running bool) {
-	if running {
-		return
+// handleProcessCheck handles the state of the server process. If the process is not running, it resets the server's flows,
+// so that their clients can retry immediately.
+func (l *loop) handleProcessCheck(state processState) {
+	now := l.config.Clock.Now()
+	switch {
+	case state == processRunning && l.tracker.IsServerDown():
+		l.tracker.ServerUp(now)
+		l.config.Event("server_up")
+		l.logAccepting(now)
+	case state == processNotRunning && !l.tracker.IsServerDown():
+		l.resetLostFlows("server_down", l.tracker.ServerDown())
+		l.handleWaiting(now)
 	}
-	l.resetLostFlows("server_down", l.tracker.ServerDown())
-	l.handleWaiting(l.config.Clock.Now())
 }
 
+// processState is what an attempt to connect to the server shows about its process.
+type processState uint8
+
+const (
+	// processUnknown means that the attempt failed otherwise, for example by its timeout.
+	processUnknown processState = iota
+	// processRunning means that the server accepted the connection.
+	processRunning
+	// processNotRunning means that the connection was refused.
+	processNotRunning
+)
+
 // processChecker checks in a separate goroutine whether the server process is running.
 type processChecker struct {
 	address   string
-	results   chan bool
+	results   chan processState
 	lastStart time.Duration
 }
 
 func newProcessChecker(server netip.AddrPort) processChecker {
-	return processChecker{address: server.String(), results: make(chan bool, 1)}
+	return processChecker{address: server.String(), results: make(chan processState, 1)}
 }
 
-// start opens a TCP connection to the server. Only a refused connection proves that the server is not running.
-func (c *processChecker) start(ctx context.Context, now time.Duration) {
-	if now-c.lastStart < processCheckInterval {
+// start opens a TCP connection to the server, unless the last attempt was less than interval ago.
+func (c *processChecker) start(ctx context.Context, now, interval time.Duration) {
+	if now-c.lastStart < interval {
 		return
 	}
 	c.lastStart = now
@@ -110,11 +132,16 @@
 		defer cancel()
 		var dialer net.Dialer
 		conn, err := dialer.DialContext(ctx, "tcp", address)
-		if err == nil {
+		state := processUnknown
+		switch {
+		case err == nil:
 			conn.Close()
+			state = processRunning
+		case errors.Is(err, syscall.ECONNREFUSED):
+			state = processNotRunning
 		}
 		select {
-		case results <- !errors.Is(err, syscall.ECONNREFUSED):
+		case results <- state:
 		default:
 		}
 	}()
