End a lost evacuation in time also in processes that learn of it late

Cause: a process that learned from a peer of an evacuation which a restored store may have lost kept it for the whole EraRetention from then on. Processes that start one after the other could pass it on for ever, and the zone stayed empty longer than the documented 15 s after the restore.

Change: the retention of such a request counts from when the restored store is known to have been read first.

Result: TestLostEvacuationLearnedLateEndsInTime fails on the previous code in both cases (zone still evacuated 17 s after the restore) and passes now. Tests of registry pass.

--- a/registry/delta.go
+++ b/registry/delta.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 )
 
 // Delta holds the changes after revision From, or the whole state if From is zero.
@@ -161,9 +162,13 @@
 	r.adoptConfiguration(d.Configuration, r.freshness.Revision, d.Confirmed)
 	r.mergeHistory(d, hadConfiguration)
 	r.observeOlder(d.Freshness)
+	eraKnownSince := r.freshness.ContinuousSince
+	if d.Revision.Era() == r.freshness.Revision.Era() {
+		eraKnownSince = min(eraKnownSince, d.ContinuousSince)
+	}
 	r.putEvacuations(slices.DeleteFunc(slices.Clone(d.Evacuations), func(e Evacuation) bool {
 		return e.Revision.Era() == r.freshness.Revision.Era()
-	}))
+	}), eraKnownSince)
 	if d.Revision.Era() < r.freshness.Revision.Era() && r.settling() {
 		for i := range d.Upstreams {
 			r.mergeLost(&d.Upstreams[i])
@@ -198,16 +203,22 @@
 
 // mergeEvacuations applies the requests of a delta. A whole state that lacks one shows that it was taken back.
 func (r *Registry) mergeEvacuations(d Delta) {
-	r.putEvacuations(d.Evacuations)
+	r.putEvacuations(d.Evacuations, r.freshness.ContinuousSince)
 	if d.From == 0 && r.evacuations.replace(d.Evacuations, d.Changed, d.Confirmed) {
 		r.markChanged(d.Changed)
 	}
 }
 
-// putEvacuations adopts the later ones of the requests of a peer.
-func (r *Registry) putEvacuations(list []Evacuation) {
+// putEvacuations adopts the later ones of the requests of a peer. The retention of a request that a restored store may
+// have lost counts from eraKnownSince, when the restored store was first read. Otherwise a request would be kept for ever
+// if processes that start one after the other learn of it from each other.
+func (r *Registry) putEvacuations(list []Evacuation, eraKnownSince time.Duration) {
 	for _, e := range list {
-		if r.evacuations.putFromWhole(e, r.freshness.Revision, r.freshness.Confirmed) {
+		at := r.freshness.Confirmed
+		if !e.Ended && e.Revision.Era() < r.freshness.Revision.Era() {
+			at = eraKnownSince
+		}
+		if r.evacuations.putFromWhole(e, r.freshness.Revision, at) {
 			r.markChanged(r.freshness.Revision)
 		}
 	}
--- a/registry/era_test.go
+++ b/registry/era_test.go
@@ -251,3 +251,28 @@
 	exchange(cutOff, r)
 	wantStates(t, cutOff, "")
 }
+
+// TestLostEvacuationLearnedLateEndsInTime guards against an evacuation that the store has lost and that passes from process
+// to process for ever, because each one that learns of it keeps it for the whole retention again.
+func TestLostEvacuationLearnedLateEndsInTime(t *testing.T) {
+	retention := registry.DefaultConfig(1).EraRetention
+	for name, learn := range map[string]func(newcomer, old *registry.Registry){
+		"first view from a peer": func(newcomer, old *registry.Registry) { newcomer.Merge(old.Since(0)) },
+		"first view from the store": func(newcomer, old *registry.Registry) {
+			s := snapshot(second(81), old.Freshness().Confirmed)
+			newcomer.Replace(s)
+			newcomer.Merge(old.Since(0))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			old, newcomer := lastKnown(t), registry.New(registry.DefaultConfig(2))
+			apply(t, old, registry.Changes{Revision: first(101), Evacuations: []registry.Evacuation{evacuation(first(101), false)}})
+			old.Replace(restored())
+			confirmUntil(t, old, time.Minute+retention-time.Second)
+			learn(newcomer, old)
+			wantStates(t, newcomer, "evacuate north")
+			confirmUntil(t, newcomer, time.Minute+retention+2*time.Second)
+			wantStates(t, newcomer, "")
+		})
+	}
+}
