Show the age of an evacuation that began before the process started

Cause: times count from the start of the process, so an earlier start of an evacuation is negative. The description for operators took every start that is not positive for unknown.

Change: only zero means unknown, as elsewhere.

Result: TestEvacuationBeforeTheStartOfTheClock fails on the previous code (no age) and passes now. Tests of internal/nodestatus pass.

--- a/internal/nodestatus/nodestatus.go
+++ b/internal/nodestatus/nodestatus.go
@@ -98,7 +98,7 @@
 // NewEvacuation returns the description of a request.
 func NewEvacuation(now time.Duration, e registry.Evacuation) Evacuation {
 	described := Evacuation{Place: e.Place, Era: e.Revision.Era(), Revision: e.Revision.Number()}
-	if e.Started > 0 {
+	if e.Started != 0 {
 		age := (now - e.Started).Milliseconds()
 		described.AgeMs = &age
 	}
--- a/internal/nodestatus/nodestatus_test.go
+++ b/internal/nodestatus/nodestatus_test.go
@@ -35,3 +35,12 @@
 		t.Fatalf("got revision %v", id)
 	}
 }
+
+// TestEvacuationBeforeTheStartOfTheClock guards against an age that is shown as unknown because the evacuation began
+// before the process started, so that its start is negative on the clock of the process.
+func TestEvacuationBeforeTheStartOfTheClock(t *testing.T) {
+	e := NewEvacuation(time.Second, registry.Evacuation{Place: "a", Started: -9 * time.Second})
+	if e.AgeMs == nil || *e.AgeMs != 10000 {
+		t.Fatalf("got %+v, want an age of 10 s", e)
+	}
+}
