Stop asking peers for what a restored store lost after the retention

Cause: a process that started within 15 s of a restore fetched the whole state from each peer that it heard of until one fetch succeeded, without a limit in time. If the whole state does not arrive within the time-out of a fetch, as on a slow link, it continued for ever. A process whose peers knew nothing at first would have asked again at any later interruption of the store.

Change: the process stops asking once the store has answered for EraRetention, since what a peer knows of the time before has expired by then.

--- a/internal/storeview/era_test.go
+++ b/internal/storeview/era_test.go
@@ -230,3 +230,24 @@
 		}
 	})
 }
+
+// TestFetchesAfterARestoreEnd guards against a process that fetches the whole state over and over because it has started
+// shortly after a restore and no fetch succeeds, for example on a slow link. Once the lost requests have expired, a peer
+// has nothing to add.
+func TestFetchesAfterARestoreEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4)
+		time.Sleep(10 * time.Second)
+		f.store.copy()()
+		time.Sleep(2 * time.Second)
+		f.fetchesHang.Store(true)
+		f.add()
+		// Former routes are fetched for up to a minute.
+		time.Sleep(70 * time.Second)
+		before := f.fetches.Load()
+		time.Sleep(10 * time.Second)
+		if n := f.fetches.Load() - before; n > 0 {
+			t.Errorf("got %d fetches within 10 s although all processes have the same state", n)
+		}
+	})
+}
--- a/internal/storeview/loop.go
+++ b/internal/storeview/loop.go
@@ -37,7 +37,7 @@
 	// changes show: former routes, or what a restored store has lost.
 	fetchAll bool
 	// askPeerAfterRestore is set if the first view of this process comes from a restored store, until a peer that may have
-	// known the store before has delivered its whole state.
+	// known the store before has delivered its whole state, or EraRetention has passed.
 	askPeerAfterRestore bool
 	lastSeedFetch       time.Duration
 	nextSeed            int
@@ -219,6 +219,7 @@
 	if own.Revision == 0 || peer.Revision == 0 {
 		return false
 	}
+	l.askPeerAfterRestore = l.askPeerAfterRestore && l.withinEraRetention(own)
 	return l.askPeerAfterRestore && l.knowsTimeBeforeRestore(peer) || peer.Revision <= own.Revision && peer.ConfigurationVersion > own.ConfigurationVersion
 }
 
@@ -231,7 +232,12 @@
 // askAfterFirstView arranges that a process asks a peer for what a restored store has lost. A store that has answered
 // the peers for longer than EraRetention has been written again.
 func (l *loop) askAfterFirstView(f registry.Freshness) {
-	l.askPeerAfterRestore = f.Revision.Era() > 0 && f.Confirmed-f.ContinuousSince < l.config.Registry.EraRetention
+	l.askPeerAfterRestore = f.Revision.Era() > 0 && l.withinEraRetention(f)
+}
+
+// withinEraRetention reports whether the store has answered for less than EraRetention.
+func (l *loop) withinEraRetention(f registry.Freshness) bool {
+	return f.Confirmed-f.ContinuousSince < l.config.Registry.EraRetention
 }
 
 // noteConfirmation reports to the pacer by whom the view of a peer was confirmed.
--- a/internal/storeview/storeview_test.go
+++ b/internal/storeview/storeview_test.go
@@ -233,6 +233,8 @@
 	group sync.WaitGroup
 	// fetchesHang is set while all fetches from peers hang until they time out.
 	fetchesHang atomic.Bool
+	// fetches counts the fetches from peers.
+	fetches atomic.Int64
 	// isolated is the process that exchanges no gossip with the others, or -1.
 	isolated atomic.Int32
 	// pause is the additional time between two gossip messages of a process.
@@ -286,6 +288,7 @@
 		Clock:     f.clock,
 		ProcessID: uint64(process + 1),
 		Fetch: func(ctx context.Context, peer netip.AddrPort, revision registry.Revision) (registry.Delta, error) {
+			f.fetches.Add(1)
 			time.Sleep(storeLatency)
 			if f.fetchesHang.Load() {
 				<-ctx.Done()
