Report finite work after a long time without flows

Cause: the mean number of flows of an idle server decays until it is a denormal number, some 24 min after the last flow. Its reciprocal is infinite, so the status sent with the next flow stated an infinite or undefined work. The loads of all servers of the service were then undefined at the balancers until the next status.

Change: a mean below 1e-6 flows counts as none.

Result: TestWorkAfterLongIdleTimeIsFinite fails on the previous code (+Inf after 23m40.5s) and passes now. Tests of flow pass.

--- a/flow/work.go
+++ b/flow/work.go
@@ -21,6 +21,9 @@
 	workDecay = 2 * time.Second
 	// workInterval is the time between two updates of the means, so that a packet does not cost one.
 	workInterval = 20 * time.Millisecond
+	// minMeanFlows is the mean number of flows below which a server counts as idle. After some 20 min without flows the mean
+	// is a denormal number, whose reciprocal is infinite.
+	minMeanFlows = 1e-6
 )
 
 // advance records that the server has had the given number of requests and flows since the last call.
@@ -45,7 +48,7 @@
 // expected returns the work that is expected from the given number of flows. The number of short flows changes too fast
 // to be of use, so it counts only as far as flows last for longer than workDecay.
 func (w *workMeter) expected(flows int) float64 {
-	if w.flows == 0 {
+	if w.flows < minMeanFlows {
 		return w.busy
 	}
 	lifetime := w.flows / max(w.opened, 1e-3)
