Correct a comment on the totals in explanations

Cause: the comment said that the totals are computed anew, but they are taken from the same short-lived cache as those of the decision.

Change: the comment states what the copy is for. The code is the same.

--- a/flow/explain.go
+++ b/flow/explain.go
@@ -205,7 +205,7 @@
 
 func (d *Director) explainCandidates(now time.Duration, s *service, key Key, list []string) []ExplainedCandidate {
 	var candidates []ExplainedCandidate
-	// The totals of the service are computed anew, because those of the decision are kept for a while.
+	// A copy of the service leaves the totals that the next decision uses unchanged.
 	copied := *s
 	t := d.totals(now, &copied)
 	for i, number := range placement.Rank(nil, key.Hash(), d.config.Place, s.candidates) {
