Discard the speed of a server whose entry was removed before its next run

Cause: the speed was discarded only if a view replaced the entry of a run by that of a later one. In a planned replacement, the view names no run in between, so the new server started with the speed of the old one.

Change: the speed is discarded when the agent recognizes a new run, which it remembers while there is no entry.

Result: the new case of TestSpeedEndsWithTheRunOfTheServer fails on the previous code (speed 0.50) and passes now. Tests of flow and internal/flowagent pass.

--- a/flow/cold.go
+++ b/flow/cold.go
@@ -222,6 +222,7 @@
 	}
 	if t.entry != nil && t.cold.observe(view.Confirmed, t.entry) {
 		t.server.restarted()
+		t.load.speed.forget()
 	}
 	t.Confirm(view.Confirmed)
 	t.cold.update(max(t.started, t.load.now))
--- a/flow/speed_test.go
+++ b/flow/speed_test.go
@@ -125,7 +125,13 @@
 // TestSpeedEndsWithTheRunOfTheServer guards against a speed that outlives the server that it was measured at.
 func TestSpeedEndsWithTheRunOfTheServer(t *testing.T) {
 	for name, end := range map[string]func(*flow.Tracker){
-		"later run":     func(tracker *flow.Tracker) { tracker.SetView(fleetView(6, 2)) },
+		"later run": func(tracker *flow.Tracker) { tracker.SetView(fleetView(6, 2)) },
+		"later run after the entry was removed": func(tracker *flow.Tracker) {
+			removed := fleetView(6, 1)
+			removed.Upstreams = removed.Upstreams[1:]
+			tracker.SetView(removed)
+			tracker.SetView(fleetView(7, 2))
+		},
 		"server down":   func(tracker *flow.Tracker) { tracker.ServerDown() },
 		"agent restart": func(tracker *flow.Tracker) { *tracker = *newTracker(fleetView(5, 1)) },
 	} {
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -139,9 +139,6 @@
 			t.entry = u
 		}
 	}
-	if previous != nil && t.entry != nil && previous.Incarnation != t.entry.Incarnation {
-		t.load.speed.forget()
-	}
 	t.gone = t.entry == nil && (t.gone || previous != nil)
 	if t.entry != nil {
 		t.load.slots = t.entry.Slots
