Bound the learned time that a server lets requests wait

Cause: an agent raises the learned wait by a tenth every 2 s while a full server rejects nothing. After some 10 min the value overflowed and became negative. It then never counted again, and no later rejection replaced it.

Change: the wait is raised to at most a minute.

Result: TestQueueLimitIsLearnedAgain fails on the previous code (learned limit of -2562047h) and passes now. Tests of flow pass.

--- a/flow/queue_limit.go
+++ b/flow/queue_limit.go
@@ -14,6 +14,9 @@
 	// case the server takes more by now. Each probe may cost a request another attempt.
 	limitProbeInterval = 2 * time.Second
 	limitProbeFactor   = 1.1
+	// maxWaitLimit bounds a wait that is raised again and again, which would overflow otherwise. It exceeds the timeout of
+	// any route.
+	maxWaitLimit = time.Minute
 	// minRejectTime separates a rejection on arrival, for which the queue has no room, from one after a wait. The agent is
 	// on the same VM, so this is far more than a round trip.
 	minRejectTime = 5 * time.Millisecond
@@ -67,7 +70,7 @@
 	if q.requests > 0 {
 		q.requests++
 	}
-	q.wait = time.Duration(limitProbeFactor * float64(q.wait))
+	q.wait = min(maxWaitLimit, time.Duration(limitProbeFactor*float64(q.wait)))
 }
 
 // exceeded reports whether the server would reject a new request that finds the given number of others and would wait
