--- a/flow/cold.go
+++ b/flow/cold.go
@@ -229,6 +229,7 @@
 func (t *Tracker) Confirm(confirmed time.Duration) {
 	if t.entry != nil && t.cold.observe(confirmed, t.entry) {
 		t.server.restarted()
+		t.load.speed.forget()
 	}
 	t.cold.confirm(confirmed)
 }
