--- a/flow/explain_agent.go
+++ b/flow/explain_agent.go
@@ -50,7 +50,8 @@
 		Flow: key.String(), Server: t.config.Address.String(), Service: t.config.Service, Place: t.place(), Route: route != nil, Holds: t.holds(key),
 		State: nodestatus.Server{
 			Service: t.config.Service, Accepting: state.Accepting, Draining: state.Draining, Evacuated: state.Evacuated, Suspect: state.Suspect,
-			ColdMs: max(0, (state.WarmAt - now).Milliseconds()), ColdRate: state.ColdRate, Busy: state.Busy, Slots: state.Slots, Flows: state.Flows,
+			ColdMs: max(0, (state.WarmAt - now).Milliseconds()), ColdRate: state.ColdRate, Speed: state.Speed,
+			QueueLimit: state.QueueLimit, WaitLimitMs: state.WaitLimit.Milliseconds(), Busy: state.Busy, Slots: state.Slots, Flows: state.Flows,
 		},
 		ExpectedMs: milliseconds(trial.load.expectedTime(budget)),
 		BudgetMs:   milliseconds(budget),
--- a/flow/server_state.go
+++ b/flow/server_state.go
@@ -16,6 +16,12 @@
 	ColdRate float64
 	// Busy is the number of requests that are running, waiting or expected, and Flows the number of open flows.
 	Busy, Slots, Flows int
+	// Speed is how fast the server is relative to the median of its service, or zero if that is not known.
+	Speed float64
+	// QueueLimit is the number of requests and WaitLimit the wait beyond which the server was seen to reject requests, or
+	// zero if none was.
+	QueueLimit int
+	WaitLimit  time.Duration
 }
 
 // ServerState returns the state of the server. It changes nothing, so unlike Status it also counts reservations that
@@ -29,6 +35,10 @@
 		Busy:      t.load.busy(),
 		Slots:     t.load.slots,
 		Flows:     t.load.flows,
+
+		Speed:      t.load.speed.latest,
+		QueueLimit: t.load.queue.requests,
+		WaitLimit:  t.load.queue.wait,
 	}
 	rate, remaining, cold := t.Cold(now)
 	s.ColdRate = rate
--- a/internal/flowagent/status.go
+++ b/internal/flowagent/status.go
@@ -35,9 +35,14 @@
 		Suspect:   s.Suspect,
 		ColdMs:    max(0, (s.WarmAt - now).Milliseconds()),
 		ColdRate:  s.ColdRate,
+		Speed:     s.Speed,
 		Busy:      s.Busy,
 		Slots:     s.Slots,
 		Flows:     s.Flows,
-		AgeMs:     (now - s.taken).Milliseconds(),
+
+		QueueLimit:  s.QueueLimit,
+		WaitLimitMs: s.WaitLimit.Milliseconds(),
+
+		AgeMs: (now - s.taken).Milliseconds(),
 	}
 }
--- a/internal/nodestatus/nodestatus.go
+++ b/internal/nodestatus/nodestatus.go
@@ -69,6 +69,12 @@
 	// that a cold server of the service may get, or zero if there is no limit.
 	ColdMs   int64   `json:"cold_ms"`
 	ColdRate float64 `json:"cold_rate"`
+	// Speed is how fast the server is relative to the median of its service, or zero if that is not known.
+	Speed float64 `json:"speed"`
+	// QueueLimit is the number of requests and WaitLimitMs the wait beyond which the server was seen to reject requests,
+	// or zero if none was.
+	QueueLimit  int   `json:"queue_limit"`
+	WaitLimitMs int64 `json:"wait_limit_ms"`
 	// Busy is the number of requests that are running, waiting or expected.
 	Busy  int `json:"busy"`
 	Slots int `json:"slots"`
