Pass the revision of an evacuation's request with its end, and hash with the library

Cause: a process that learned only from a peer that an evacuation had ended took the request for a new one if a restored store still stated it, for up to 15 s, while others kept it ended. The choice of agents had a hash finalizer of its own.

Change: the end carries the revision of its request. The random part of the choice is computed with xxhash.

Result: the new test fails without the change to the registry; tests of registry, nodecodec, storeview and flow pass.

--- a/flow/balance.go
+++ b/flow/balance.go
@@ -1,8 +1,11 @@
 package flow
 
 import (
+	"encoding/binary"
 	"math"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // The load figures that a balancer has are up to some seconds old, and other balancers choose at the same time. The
@@ -141,15 +144,9 @@
 // its capacity.
 func gumbel(hash uint64, ip IP) float64 {
 	const mantissa = 1 << 53
-	u := (float64(mix(hash^uint64(ipNumber(ip))<<32)>>11) + 0.5) / mantissa
+	var b [12]byte
+	binary.BigEndian.PutUint64(b[:], hash)
+	copy(b[8:], ip[:])
+	u := (float64(xxhash.Sum64(b[:])>>11) + 0.5) / mantissa
 	return -math.Log(-math.Log(u))
 }
-
-// mix is the finalizer of SplitMix64.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/nodecodec/delta.go
+++ b/internal/nodecodec/delta.go
@@ -42,7 +42,7 @@
 }
 
 func encodeEvacuation(now time.Duration, e *registry.Evacuation) *nodev1.Evacuation {
-	m := &nodev1.Evacuation{Place: e.Place, Revision: uint64(e.Revision), Ended: e.Ended}
+	m := &nodev1.Evacuation{Place: e.Place, Revision: uint64(e.Revision), Ended: e.Ended, Requested: uint64(e.Requested)}
 	if e.Started != 0 {
 		started := uint64(max(0, now-e.Started).Milliseconds())
 		m.StartedMs = &started
@@ -108,7 +108,7 @@
 }
 
 func decodeEvacuation(now time.Duration, m *nodev1.Evacuation) registry.Evacuation {
-	e := registry.Evacuation{Place: m.Place, Revision: registry.Revision(m.Revision), Ended: m.Ended}
+	e := registry.Evacuation{Place: m.Place, Revision: registry.Revision(m.Revision), Ended: m.Ended, Requested: registry.Revision(m.Requested)}
 	if m.StartedMs != nil {
 		// The start may precede that of this process's clock. A time of zero would mean that it is not known.
 		e.Started = cmp.Or(now-time.Duration(*m.StartedMs)*time.Millisecond, 1)
--- a/registry/era_test.go
+++ b/registry/era_test.go
@@ -276,3 +276,17 @@
 		})
 	}
 }
+
+// TestEndLearnedFromAPeerOutlivesARestore guards against an evacuation that comes back in a process which learned only
+// from a peer that it was taken back, because the restored store still states it.
+func TestEndLearnedFromAPeerOutlivesARestore(t *testing.T) {
+	peer, newcomer := lastKnown(t), registry.New(registry.DefaultConfig(2))
+	for _, e := range []registry.Evacuation{evacuation(first(101), false), evacuation(first(102), true)} {
+		apply(t, peer, registry.Changes{Revision: e.Revision, Evacuations: []registry.Evacuation{e}})
+	}
+	newcomer.Merge(peer.Since(0))
+	s := restored()
+	s.Evacuations = []registry.Evacuation{evacuation(second(101), false)}
+	newcomer.Replace(s)
+	wantStates(t, newcomer, "")
+}
--- a/registry/evacuations.go
+++ b/registry/evacuations.go
@@ -13,6 +13,9 @@
 	Revision Revision
 	// Ended is set if the request was taken back.
 	Ended bool
+	// Requested is the revision of the request also after it was taken back, or zero if that is not known. It shows
+	// whether a restored store states the same request again.
+	Requested Revision
 	// Started is when the request was first seen as a change. It is zero if it was found in a read of the whole state,
 	// so that it may be much older.
 	Started time.Duration
@@ -21,8 +24,6 @@
 // evacuation is the latest known state of a place's request.
 type evacuation struct {
 	Evacuation
-	// requested is the revision of the last request, also after it was taken back.
-	requested Revision
 	// changed is the revision at which this process learned of the state.
 	changed Revision
 	// since is when the request was taken back, or when a restored store was first read that may have lost it.
@@ -50,8 +51,11 @@
 		// The same state read again keeps its start.
 		next.Started = known.Started
 	}
-	if !next.Ended {
-		known.requested = next.Revision
+	switch {
+	case !next.Ended:
+		next.Requested = next.Revision
+	case next.Requested == 0:
+		next.Requested = known.Requested
 	}
 	known.Evacuation, known.changed, known.since, known.stated = next, changed, at, 0
 	return true
@@ -85,7 +89,7 @@
 func (e evacuations) putFromWhole(next Evacuation, changed Revision, at time.Duration) bool {
 	known := e[next.Place]
 	if known != nil && known.Ended && !next.Ended && next.Started == 0 &&
-		known.Revision.Era() < next.Revision.Era() && known.requested.Number() == next.Revision.Number() {
+		known.Revision.Era() < next.Revision.Era() && known.Requested.Number() == next.Revision.Number() {
 		known.stated = next.Revision
 		return false
 	}
