--- a/flow/evacuation_test.go
+++ b/flow/evacuation_test.go
@@ -18,7 +18,7 @@
 }
 
 // TestEvacuatedServerGetsNoOpening guards against paths on which an agent in an evacuated place gives its server an
-// opening packet from a balancer with an older view, and against a refusal that is postponed.
+// opening packet from a balancer with an older view, and against one that waits instead of being refused.
 func TestEvacuatedServerGetsNoOpening(t *testing.T) {
 	tracker := newTracker(orderView(5))
 	acceptFlow(t, tracker, start, 1)
--- a/internal/flowagent/changes.go
+++ b/internal/flowagent/changes.go
@@ -1,11 +1,6 @@
 package flowagent
 
-import (
-	"time"
-
-	"github.com/bramleyrack/bramleyrack/flow"
-	"github.com/bramleyrack/bramleyrack/registry"
-)
+import "time"
 
 // maxPause is the longest time between two runs of the periodic work after which packets that have waited meanwhile are
 // handled as usual. It is well below the bound of 5 s after which an evacuated zone must get no new flow.
@@ -20,19 +15,6 @@
 	}
 }
 
-// logEvacuations logs the evacuations that have begun or ended since the last view. Their age is unknown if they were
-// found in a read of the whole state.
-func (l *loop) logEvacuations(now time.Duration, evacuations []registry.Evacuation) {
-	begun, ended := flow.EvacuationChanges(l.evacuations, evacuations)
-	l.evacuations = evacuations
-	for _, e := range begun {
-		l.config.Event("evacuation_begun", "place", e.Place, "revision", e.Revision, "age", flow.EvacuationAge(now, e))
-	}
-	for _, e := range ended {
-		l.config.Event("evacuation_ended", "place", e.Place, "revision", e.Revision, "age", flow.EvacuationAge(now, e))
-	}
-}
-
 // logCold logs when the server becomes cold or has warmed up.
 func (l *loop) logCold(now time.Duration) {
 	rate, remaining, cold := l.tracker.Cold(now)
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -8,6 +8,7 @@
 
 	"github.com/bramleyrack/bramleyrack/flow"
 	nodev1 "github.com/bramleyrack/bramleyrack/gen/bramley/node/v1"
+	"github.com/bramleyrack/bramleyrack/internal/flowlog"
 	"github.com/bramleyrack/bramleyrack/internal/nodecodec"
 	"github.com/bramleyrack/bramleyrack/internal/packetreader"
 	"github.com/bramleyrack/bramleyrack/internal/udp"
@@ -28,11 +29,11 @@
 	balancers                    *flow.Balancers
 	seedHeartbeats               *flow.SeedHeartbeats
 	content                      *registry.Content
-	// accepting, suspect, cold and evacuations are the values that were last logged.
+	// accepting, suspect and cold are the values that were last logged.
 	accepting   bool
 	suspect     bool
 	cold        bool
-	evacuations []registry.Evacuation
+	evacuations flowlog.Evacuations
 	// lastSweep is when idle flows were last removed, and lastAnnounce when silent balancers were last looked for.
 	lastSweep, lastAnnounce time.Duration
 	// lastTick is when the periodic work was last done.
@@ -116,7 +117,7 @@
 	l.tracker.SetView(view)
 	l.publishServer(now)
 	l.config.Event("view_in_force", "version", view.Version(), "revision", view.Revision, "age", now-view.Confirmed)
-	l.logEvacuations(now, view.Evacuations)
+	l.evacuations.Update(now, view.Evacuations, l.config.Event)
 	l.logAccepting(now)
 	l.logCold(now)
 }
--- a/internal/flowbalancer/loop.go
+++ b/internal/flowbalancer/loop.go
@@ -7,6 +7,7 @@
 
 	"github.com/bramleyrack/bramleyrack/flow"
 	nodev1 "github.com/bramleyrack/bramleyrack/gen/bramley/node/v1"
+	"github.com/bramleyrack/bramleyrack/internal/flowlog"
 	"github.com/bramleyrack/bramleyrack/internal/nodecodec"
 	"github.com/bramleyrack/bramleyrack/internal/packetreader"
 	"github.com/bramleyrack/bramleyrack/internal/udp"
@@ -15,17 +16,16 @@
 
 // loop is the event loop of a balancer. Only its goroutine uses its state.
 type loop struct {
-	balancer  *Balancer
-	config    *Config
-	director  *flow.Director
-	toNodes   *udp.Writer
-	toClients *udp.Writer
-	inHeader  nodev1.Header
-	outHeader nodev1.Header
-	addresses map[flow.IP]*net.UDPAddr
-	content   *registry.Content
-	// evacuations are those that were last logged.
-	evacuations []registry.Evacuation
+	balancer    *Balancer
+	config      *Config
+	director    *flow.Director
+	toNodes     *udp.Writer
+	toClients   *udp.Writer
+	inHeader    nodev1.Header
+	outHeader   nodev1.Header
+	addresses   map[flow.IP]*net.UDPAddr
+	content     *registry.Content
+	evacuations flowlog.Evacuations
 	// lastSweep is when idle flows were last removed, and lastHealthLog when health changes were last checked for.
 	lastSweep, lastHealthLog time.Duration
 	// probe is the number of the last heartbeat.
@@ -101,7 +101,7 @@
 		l.content = view.Content
 		l.config.Event("routes_in_force", "version", view.Version(), "revision", view.Revision,
 			"upstreams", len(view.Upstreams), "age", now-view.Confirmed)
-		l.logEvacuations(now, view.Evacuations)
+		l.evacuations.Update(now, view.Evacuations, l.config.Event)
 	}
 }
 
