Wait for a condition instead of sleeping in a test of the server's state

Cause: the test slept for 3 ms and then expected that a remaining time had decreased.

Change: it polls until the time has decreased, with the same condition.

--- a/internal/flowagent/status_test.go
+++ b/internal/flowagent/status_test.go
@@ -60,9 +60,17 @@
 	if got.Accepting || !got.Draining || !got.Evacuated || got.ColdRate != 2.5 || got.Slots != 4 || got.Service != "orders" {
 		t.Fatalf("got %+v", got)
 	}
-	time.Sleep(3 * time.Millisecond)
-	if later := l.agent.ServerStatus(); later.ColdMs >= got.ColdMs || later.AgeMs <= got.AgeMs || got.ColdMs == 0 {
-		t.Fatalf("got %+v and later %+v", got, later)
+	if got.ColdMs == 0 {
+		t.Fatalf("got %+v", got)
+	}
+	for began := time.Now(); ; {
+		later := l.agent.ServerStatus()
+		if later.ColdMs < got.ColdMs && later.AgeMs > got.AgeMs {
+			return
+		}
+		if time.Since(began) > time.Minute {
+			t.Fatalf("got %+v and a minute later %+v", got, later)
+		}
 	}
 }
 
