Use the shared pieces instead of second copies in package flow

Cause: reading the change once more showed a second token bucket for heartbeats, the wait for a slot computed backwards from the expected time in two places, two conversions of the server's state, a field of the header that was set twice, an accessor without a caller, and a name for classes that do not exist.

Change: heartbeats use tokenBucket; waitForSlot and roundTime serve the queue limits and the room of a queue too; ServerState.Status serves the metric and the explanation; names of classes are a table. The wait compared with a learned limit may differ by rounding of a nanosecond; nothing else changes, and no test does.

--- a/flow/director.go
+++ b/flow/director.go
@@ -232,8 +232,8 @@
 	listBuf      []IP
 	// heartbeatCursor is the index in sortedAgents of the agent examined last for a due heartbeat.
 	heartbeatCursor int
-	heartbeatTokens float64
-	lastRefill      time.Duration
+	// heartbeats limits the heartbeats to all agents together.
+	heartbeats tokenBucket
 	// searchBytes limits the bytes that searches send, and wideMessages the messages of searches of all services.
 	searchBytes, wideMessages tokenBucket
 	started                   time.Duration
@@ -250,10 +250,9 @@
 		hints:           newHints(config.MaxFlows, config.IdleTimeout),
 		openings:        newOpenings(config),
 		searches:        newSearches(config),
-		heartbeatTokens: heartbeatBurst,
+		heartbeats:      tokenBucket{perSecond: float64(config.MaxHeartbeats), burst: heartbeatBurst, tokens: heartbeatBurst, refilled: now},
 		started:         now,
 		heartbeatCursor: config.HeartbeatStart,
-		lastRefill:      now,
 		searchBytes:     newTokenBucket(now, config.MaxSearchBytes),
 		wideMessages:    newTokenBucket(now, config.MaxWideMessages),
 	}
--- a/flow/explain.go
+++ b/flow/explain.go
@@ -216,7 +216,7 @@
 		}
 		c := d.classify(now, a, key.Hash())
 		candidate := ExplainedCandidate{
-			Rank: i + 1, Position: position, Agent: a.ip.String(), Place: a.place, Class: c.name(), Reason: d.explainClass(now, a, c, key.Hash()),
+			Rank: i + 1, Position: position, Agent: a.ip.String(), Place: a.place, Class: classNames[c], Reason: d.explainClass(now, a, c, key.Hash()),
 			SentFlows: a.sentFlows, Capacity: a.capacity(now), Speed: a.status.Speed, ExpectedLoad: a.expectedLoad(now, t), ColdMs: max(0, (a.warmAt - now).Milliseconds()),
 		}
 		if a.status.Process > 0 {
@@ -229,23 +229,9 @@
 	return candidates
 }
 
-// name returns the name of the class in explanations. Agents of the classes after unresponsive take no new flows; the
-// reason tells them apart.
-func (c class) name() string {
-	switch {
-	case c == local:
-		return "local"
-	case c == remote:
-		return "remote"
-	case c == exhausted:
-		return "exhausted"
-	case c == unresponsive:
-		return "unresponsive"
-	case c > unresponsive:
-		return "unavailable"
-	}
-	return fmt.Sprintf("class %d", c)
-}
+// classNames are the names of the classes in explanations. Agents of the last two take no new flows; the reason tells
+// them apart.
+var classNames = [...]string{"local", "remote", "exhausted", "unresponsive", "unavailable", "unavailable"}
 
 // explainClass returns why an agent is in a class. The conditions are in the order in which classify checks them.
 func (d *Director) explainClass(now time.Duration, a *agent, c class, flow uint64) string {
--- a/flow/explain_agent.go
+++ b/flow/explain_agent.go
@@ -38,8 +38,7 @@
 }
 
 // Explain returns what the agent would do now with the first copy of a flow's opening packet. It lets copies of the
-// Tracker decide, so it can't differ from the decision itself, and changes nothing. The caller sets the view and the
-// cold rate.
+// Tracker decide, so it can't differ from the decision itself, and changes nothing. The caller sets the view.
 func (t *Tracker) Explain(now time.Duration, key Key) AgentExplanation {
 	route := t.routes[key.Service]
 	trial := t.copyFor(key)
@@ -48,11 +47,7 @@
 	state, budget := trial.ServerState(now), trial.budget(route)
 	e := AgentExplanation{
 		Flow: key.String(), Server: t.config.Address.String(), Service: t.config.Service, Place: t.place(), Route: route != nil, Holds: t.holds(key),
-		State: nodestatus.Server{
-			Service: t.config.Service, Accepting: state.Accepting, Draining: state.Draining, Evacuated: state.Evacuated, Suspect: state.Suspect,
-			ColdMs: max(0, (state.WarmAt - now).Milliseconds()), ColdRate: state.ColdRate, Speed: state.Speed,
-			QueueLimit: state.QueueLimit, WaitLimitMs: state.WaitLimit.Milliseconds(), Busy: state.Busy, Slots: state.Slots, Flows: state.Flows,
-		},
+		State:      state.Status(now, t.config.Service),
 		ExpectedMs: milliseconds(trial.load.expectedTime(budget)),
 		BudgetMs:   milliseconds(budget),
 	}
--- a/flow/heartbeats.go
+++ b/flow/heartbeats.go
@@ -11,11 +11,10 @@
 
 // Heartbeat returns the next agent to which a heartbeat is due, or false if there is none.
 func (d *Director) Heartbeat(now time.Duration) (IP, bool) {
-	d.refill(now)
+	if d.heartbeats.available(now) < 1 {
+		return IP{}, false
+	}
 	for range min(len(d.sortedAgents), maxScanned) {
-		if d.heartbeatTokens < 1 {
-			return IP{}, false
-		}
 		d.heartbeatCursor = (d.heartbeatCursor + 1) % len(d.sortedAgents)
 		a := d.sortedAgents[d.heartbeatCursor]
 		if now < a.nextHeartbeat {
@@ -30,19 +29,12 @@
 		}
 		a.nextHeartbeat = now + interval
 		a.expectReply(now)
-		d.heartbeatTokens--
+		d.heartbeats.take(now, 1)
 		return a.ip, true
 	}
 	return IP{}, false
 }
 
-// refill credits the token bucket that limits heartbeats with the time since the last call.
-func (d *Director) refill(now time.Duration) {
-	perSecond := float64(d.config.MaxHeartbeats)
-	d.heartbeatTokens = min(d.heartbeatTokens+(now-d.lastRefill).Seconds()*perSecond, heartbeatBurst)
-	d.lastRefill = now
-}
-
 // Sweep removes the hints of idle flows and the agents that are no longer needed. Call it about once a second.
 func (d *Director) Sweep(now time.Duration) {
 	d.hints.expire(now)
--- a/flow/load.go
+++ b/flow/load.go
@@ -80,16 +80,10 @@
 	return len(l.requests) + l.expected
 }
 
-// wouldReject reports whether the server would reject a new request whose answer is expected after the given time.
-func (l *load) wouldReject(now, expected time.Duration) bool {
+// wouldReject reports whether the server would reject a new request that has to wait for a slot.
+func (l *load) wouldReject(now, budget time.Duration) bool {
 	l.queue.probe(now)
-	return l.full() && l.queue.exceeded(l.busy(), l.waitingPart(expected))
-}
-
-// waitingPart returns the time that a new request waits for a slot if its answer is expected after the given time.
-func (l *load) waitingPart(expected time.Duration) time.Duration {
-	rounds := float64(max(0, l.busy()+1-l.slots)) / float64(l.slots)
-	return time.Duration(float64(expected) * rounds / (1 + rounds))
+	return l.queue.exceeded(l.busy(), l.waitForSlot(budget, l.busy()))
 }
 
 // full reports whether a new request would have to wait for a slot.
--- a/flow/server_state.go
+++ b/flow/server_state.go
@@ -1,6 +1,10 @@
 package flow
 
-import "time"
+import (
+	"time"
+
+	"github.com/bramleyrack/bramleyrack/internal/nodestatus"
+)
 
 // ServerState is the state of the server beside an agent, for operators.
 type ServerState struct {
@@ -24,6 +28,25 @@
 	WaitLimit  time.Duration
 }
 
+// Status returns the state as it is published. The caller sets its age.
+func (s *ServerState) Status(now time.Duration, service string) nodestatus.Server {
+	return nodestatus.Server{
+		Service:     service,
+		Accepting:   s.Accepting,
+		Draining:    s.Draining,
+		Evacuated:   s.Evacuated,
+		Suspect:     s.Suspect,
+		ColdMs:      max(0, (s.WarmAt - now).Milliseconds()),
+		ColdRate:    s.ColdRate,
+		Speed:       s.Speed,
+		QueueLimit:  s.QueueLimit,
+		WaitLimitMs: s.WaitLimit.Milliseconds(),
+		Busy:        s.Busy,
+		Slots:       s.Slots,
+		Flows:       s.Flows,
+	}
+}
+
 // ServerState returns the state of the server. It changes nothing, so unlike Status it also counts reservations that
 // have expired since the last decision.
 func (t *Tracker) ServerState(now time.Duration) ServerState {
--- a/flow/shortage.go
+++ b/flow/shortage.go
@@ -122,12 +122,12 @@
 	if !t.load.full() {
 		return a
 	}
-	a.excluded = t.load.wouldReject(now, a.wait)
+	a.excluded = t.load.wouldReject(now, regular)
 	a.limitPatience(t.load.position(), t.config.ServerQueue)
 	a.excluded = a.excluded || t.overtakes(route)
 	part, refusal := t.shortage.part(now, key, route.Priority)
 	a.part = part
-	if a.part < 1 && float64(t.load.position()) > a.part*t.load.room(a.wait, a.budget, t.config.ServerQueue) {
+	if a.part < 1 && float64(t.load.position()) > a.part*t.load.room(t.load.roundTime(regular), a.budget, t.config.ServerQueue) {
 		a.excluded, a.refusal = true, refusal
 	}
 	return a
@@ -164,14 +164,12 @@
 }
 
 // room returns how many requests may wait at the server: as many as the server queues, or fewer if a later one could not
-// be answered within the budget. wait is the expected time until a new request is answered.
-func (l *load) room(wait, budget time.Duration, queue int) float64 {
-	slots := float64(l.slots)
+// be answered within the budget. round is the expected time until a running request frees its slot.
+func (l *load) room(round, budget time.Duration, queue int) float64 {
 	waiting := float64(l.queue.waiting(queue, l.slots))
-	service := float64(wait) / (1 + float64(l.position())/slots)
-	if service <= 0 {
+	if round <= 0 {
 		return waiting
 	}
-	allowed := l.queue.within(budget - time.Duration(service))
-	return min(waiting, slots*float64(allowed)/service)
+	allowed := l.queue.within(budget - round)
+	return min(waiting, float64(l.slots)*float64(allowed)/float64(round))
 }
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -195,11 +195,6 @@
 	return t.config.Place
 }
 
-// Evacuation returns the request that the server's place gets no new flows, or false if there is none.
-func (t *Tracker) Evacuation() (registry.Evacuation, bool) {
-	return t.evacuation, t.evacuated
-}
-
 // Status returns the status of the server for the agent's messages to balancers.
 func (t *Tracker) Status(now time.Duration) AgentStatus {
 	t.load.advance(now)
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -343,7 +343,6 @@
 func (l *loop) putStatusOf(now time.Duration, status flow.AgentStatus) {
 	status.Process = l.config.ProcessID
 	nodecodec.PutStatus(&l.outHeader, status)
-	l.outHeader.ConfigVersion = l.tracker.Version()
 	if view := l.config.View.Current(); view != nil {
 		nodecodec.PutFreshness(&l.outHeader, now, view.Freshness)
 	}
--- a/internal/flowagent/status.go
+++ b/internal/flowagent/status.go
@@ -27,22 +27,7 @@
 		return nil
 	}
 	now := a.config.Clock.Now()
-	return &nodestatus.Server{
-		Service:   a.config.Tracker.Service,
-		Accepting: s.Accepting,
-		Draining:  s.Draining,
-		Evacuated: s.Evacuated,
-		Suspect:   s.Suspect,
-		ColdMs:    max(0, (s.WarmAt - now).Milliseconds()),
-		ColdRate:  s.ColdRate,
-		Speed:     s.Speed,
-		Busy:      s.Busy,
-		Slots:     s.Slots,
-		Flows:     s.Flows,
-
-		QueueLimit:  s.QueueLimit,
-		WaitLimitMs: s.WaitLimit.Milliseconds(),
-
-		AgeMs: (now - s.taken).Milliseconds(),
-	}
+	status := s.Status(now, a.config.Tracker.Service)
+	status.AgeMs = (now - s.taken).Milliseconds()
+	return &status
 }
--- a/internal/flowbalancer/nodes.go
+++ b/internal/flowbalancer/nodes.go
@@ -93,14 +93,13 @@
 	l.send(from, nil)
 }
 
-// putView stores the ID of this process and the version and freshness of its view in outHeader.
+// putView stores the ID of this process and the freshness of its view in outHeader.
 func (l *loop) putView(now time.Duration) {
 	l.outHeader.Process = l.config.ProcessID
 	view := l.config.View.Current()
 	if view == nil {
 		return
 	}
-	l.outHeader.ConfigVersion = view.Version()
 	nodecodec.PutFreshness(&l.outHeader, now, view.Freshness)
 }
 
