Explain the expected time that the decision uses

Cause: in the seconds after a start the explanation of an agent assumed service times from the budget of a patient client, the decision from the latency budget of the route. Change: both use the latter.

--- a/flow/explain_agent.go
+++ b/flow/explain_agent.go
@@ -48,7 +48,7 @@
 	e := AgentExplanation{
 		Flow: key.String(), Server: t.config.Address.String(), Service: t.config.Service, Place: t.place(), Route: route != nil, Holds: t.holds(key),
 		State:      state.Status(now, t.config.Service),
-		ExpectedMs: milliseconds(trial.load.expectedTime(budget)),
+		ExpectedMs: milliseconds(trial.load.expectedTime(latencyBudget(route))),
 		BudgetMs:   milliseconds(budget),
 	}
 	// The address of the next agent has no influence on the decision.
