--- a/admission/shares.go
+++ b/admission/shares.go
@@ -13,16 +13,13 @@
 	return max(0, min(priority, Priorities-1))
 }
 
-// Shares measures the work that is offered to an upstream by priority, as exponentially weighted sums. In a shortage it
-// says which part of its waiting budget a request may use, so that less urgent requests leave room in the queue to more
-// urgent ones. A request that is offered to several upstreams counts at each of them, which leaves the ratios nearly
-// unchanged. The zero value is not usable. Shares is not safe for concurrent use.
+// Shares measures the work that an upstream does by priority, as exponentially weighted sums. In a shortage more urgent
+// requests overtake others, so it says which part of its waiting budget a request may use: what the more urgent ones are
+// expected to leave. The zero value is not usable. Shares is not safe for concurrent use.
 type Shares struct {
 	decay decay
 	// floor is the smallest part.
 	floor float64
-	// offered is the offered work by priority in seconds.
-	offered [Priorities]float64
 	// served is the service time of finished requests by priority in seconds, and count is their number. Their ratio is
 	// the mean service time.
 	served, count [Priorities]float64
@@ -39,12 +36,6 @@
 	return &c
 }
 
-// Offer records that a request is offered.
-func (s *Shares) Offer(now time.Duration, priority int, assumed time.Duration) {
-	s.rescale(now)
-	s.offered[Class(priority)] += s.decay.weight(now) * s.Work(priority, assumed).Seconds()
-}
-
 // Work returns the expected work of a request. Until a request of its priority has finished, that is the assumed service
 // time.
 func (s *Shares) Work(priority int, assumed time.Duration) time.Duration {
@@ -64,15 +55,15 @@
 }
 
 // Part returns the part of its waiting budget that a request of the given priority may use in a shortage: what the share
-// of the offered work that is strictly more urgent leaves, but at least the floor. It is exactly 1 if nothing more urgent
-// was offered.
+// of the work done that was strictly more urgent leaves, but at least the floor. It is exactly 1 if nothing more urgent
+// was done.
 func (s *Shares) Part(priority int) float64 {
 	urgent, total := 0.0, 0.0
-	for class, offered := range s.offered {
+	for class, served := range s.served {
 		if class < Class(priority) {
-			urgent += offered
+			urgent += served
 		}
-		total += offered
+		total += served
 	}
 	if urgent == 0 {
 		return 1
@@ -88,7 +79,7 @@
 	if factor == 1 {
 		return
 	}
-	scale(factor, s.offered[:], s.served[:], s.count[:])
+	scale(factor, s.served[:], s.count[:])
 }
 
 // scale multiplies all sums by a factor and clears those that have become insignificant.
--- a/flow/accept.go
+++ b/flow/accept.go
@@ -9,34 +9,42 @@
 // openFlow decides on the opening packet of a flow. The newer one of the configurations of balancer and agent
 // applies.
 func (t *Tracker) openFlow(now time.Duration, p *Packet, request Request) Verdict {
+	if v, may := t.mayOpen(now, p, request); !may {
+		return v
+	}
+	route := t.routes[p.Key.Service]
+	t.load.releaseExpired(now)
+	a := t.assess(now, p.Key, &request, route)
+	if !t.admits(now, &request, route, &a) {
+		return a.explain(t.pass(request, route, "no free slot"))
+	}
+	t.accept(now, p, request)
+	return Verdict{Decision: Decision{Action: ToServer}}
+}
+
+// mayOpen reports whether the server may be given the opening packet of a flow, apart from its load. Otherwise it returns
+// the decision on the packet.
+func (t *Tracker) mayOpen(now time.Duration, p *Packet, request Request) (v Verdict, may bool) {
 	route := t.routes[p.Key.Service]
 	switch {
 	case t.versions.forbids(now, max(request.Version, t.version), t.config.MaxVersionSkew):
-		return Verdict{Decision: Decision{Reason: "a newer configuration was applied and has not been received yet"}}
+		return Verdict{Decision: Decision{Reason: "a newer configuration was applied and has not been received yet"}}, false
 	case request.Version > t.version:
 		t.versions.record(now, request.Version)
 	case route == nil:
-		return refuse(request, "no route in the configuration in force")
+		return refuse(request, "no route in the configuration in force"), false
 	}
-	if t.justResumed(now) {
-		return t.pass(request, route, "agent has just continued after a pause")
-	}
-	if t.evacuated && evacuated(now, t.evacuation, p.Key.Hash()) {
-		return t.passEvacuated(request, p)
-	}
-	if !t.cold.allows(now) {
-		return t.passCold(request, p)
-	}
-	if !t.Accepting(now) && (t.leaving() || !t.server.allowTrial(now)) {
-		return t.pass(request, route, "server accepts no new flows")
-	}
-	t.load.releaseExpired(now)
-	a := t.assess(now, p.Key, &request, route)
-	if !t.admits(now, &request, route, &a) {
-		return a.explain(t.pass(request, route, "no free slot"))
+	switch {
+	case t.justResumed(now):
+		return t.pass(request, route, "agent has just continued after a pause"), false
+	case t.evacuated && evacuated(now, t.evacuation, p.Key.Hash()):
+		return t.passEvacuated(request, p), false
+	case !t.cold.allows(now):
+		return t.passCold(request, p), false
+	case !t.Accepting(now) && (t.leaving() || !t.server.allowTrial(now)):
+		return t.pass(request, route, "server accepts no new flows"), false
 	}
-	t.accept(now, p, request)
-	return a.delivered()
+	return Verdict{}, true
 }
 
 // admits reports whether the server takes a new flow. A server with a free slot takes it immediately. If no server
@@ -49,7 +57,7 @@
 	switch {
 	case request.Final:
 		return offer.Wait <= budget
-	case t.load.full():
+	case a.full:
 	case offer.Suspect:
 		if route != nil && route.Repeatable && t.load.outcomes.allowTrial(now) {
 			return true
@@ -98,7 +106,7 @@
 		return v
 	case request.Final || best == (IP{}):
 		return refuseBusy(request, reason+"; no agent is left to try")
-	case !request.Best.within(t.budget(route)):
+	case !request.Best.within(latencyBudget(route)):
 		return refuseBusy(request, "no server can answer in time")
 	}
 	request.Final = true
--- a/flow/explain_agent.go
+++ b/flow/explain_agent.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -44,11 +45,11 @@
 	trial := t.copyFor(key)
 	trial.load.advance(now)
 	trial.load.releaseExpired(now)
-	state, budget := trial.ServerState(now), trial.budget(route)
+	state, budget := trial.ServerState(now), latencyBudget(route)
 	e := AgentExplanation{
 		Flow: key.String(), Server: t.config.Address.String(), Service: t.config.Service, Place: t.place(), Route: route != nil, Holds: t.holds(key),
 		State:      state.Status(now, t.config.Service),
-		ExpectedMs: milliseconds(trial.load.expectedTime(latencyBudget(route))),
+		ExpectedMs: milliseconds(trial.load.expectedTime(budget, trial.ahead(now, route))),
 		BudgetMs:   milliseconds(budget),
 	}
 	// The address of the next agent has no influence on the decision.
@@ -88,7 +89,7 @@
 	c.versions.applied = slices.Clone(t.versions.applied)
 	c.probes = slices.Clone(t.probes)
 	c.shortage = t.shortage.clone()
-	c.waiting.queue = slices.Clone(t.waiting.queue)
+	c.held.backlog, c.held.work = t.held.backlog.Clone(), maps.Clone(t.held.work)
 	c.load.requests = slices.Clone(t.load.requests)
 	// Expired reservations are released before a decision.
 	c.load.reserved = make([]*trackedFlow, len(t.load.reserved))
--- /dev/null
+++ b/flow/held_test.go
@@ -0,0 +1,617 @@
+package flow_test
+
+import (
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/bramleyrack/bramleyrack/flow"
+	"github.com/bramleyrack/bramleyrack/registry"
+)
+
+// burstAfterRestart lets patient clients come at once to agents that have just started, and returns the parts of the
+// requests that were served. Refused flows are repeated twice after 10 to 50 ms.
+func burstAfterRestart(t *testing.T, maxWaiting int, clients ...int) []float64 {
+	t.Helper()
+	proof, markup := clochan(0, 0)
+	routes := []*shortRoute{markup, proof}[:len(clients)]
+	for _, r := range routes {
+		r.timeout = 3 * time.Second
+	}
+	sim := newShortSimWith(10, start, func(c *flow.TrackerConfig) { c.MaxWaiting = maxWaiting }, routes...)
+	sim.routes = nil
+	sim.started = start - shortWarmUp
+	for i, r := range routes {
+		for range clients[i] {
+			r.offered++
+			request := &shortRequest{route: r, started: start, client: r.client(sim.rnd)}
+			sim.byClient[request.client] = &[2]int{}
+			sim.attempt(request)
+		}
+	}
+	var tick func()
+	tick = func() {
+		for _, a := range sim.agents {
+			a.tracker.Check(sim.now)
+			sim.release(a)
+		}
+		sim.after(50*time.Millisecond, tick)
+	}
+	tick()
+	sim.run()
+	var served []float64
+	var counts flow.HeldCounts
+	for _, r := range routes {
+		served = append(served, float64(r.served)/float64(r.offered))
+	}
+	for _, a := range sim.agents {
+		w := a.tracker.Held()
+		counts.Openings, counts.TotalOpenings, counts.TooLong = counts.Openings+w.Openings, counts.TotalOpenings+w.TotalOpenings, counts.TooLong+w.TooLong
+	}
+	t.Logf("at most %d waiting, %v clients: %.3f served, %+v, refused %v", maxWaiting, clients, served, counts, sim.refused)
+	return served
+}
+
+// TestBurstOfPatientClientsIsServed guards against clients that come at once after a restart and fail within 100 ms,
+// because they use up their repetitions before the servers have free slots again. Further clients of a less urgent route
+// must not change that.
+func TestBurstOfPatientClientsIsServed(t *testing.T) {
+	for _, c := range []struct {
+		clients []int
+		// most is the largest part of the most urgent requests that may be served without waiting at agents, to show that
+		// the burst is a problem, and least the smallest part with it.
+		most, least float64
+	}{{[]int{300}, 0.9, 0.99}, {[]int{600}, 0.6, 0.95}, {[]int{300, 600}, 0.9, 0.99}} {
+		without, with := burstAfterRestart(t, 0, c.clients...), burstAfterRestart(t, 256, c.clients...)
+		if without[0] > c.most || with[0] < c.least {
+			t.Errorf("%v clients: %.3f of the most urgent requests were served without waiting at agents, and %.3f with it", c.clients, without[0], with[0])
+		}
+	}
+}
+
+// newFullTracker returns a Tracker whose server has 4 slots, all of them busy with the urgent requests of flows 0 to 5, and
+// whose routes have patient clients. The route to photos is more urgent than that to orders. The server has 5 of the
+// requests, and the agent holds one.
+func newFullTracker(t *testing.T) *flow.Tracker {
+	t.Helper()
+	tracker := newTracker(patientView(5, nil))
+	fill(t, tracker)
+	return tracker
+}
+
+func fill(t *testing.T, tracker *flow.Tracker) {
+	t.Helper()
+	for n := range 6 {
+		openAt(t, tracker, start, urgentOpening(n).Key)
+		want := flow.ToServer
+		if n >= 5 {
+			want = flow.Wait
+		}
+		wantAction(t, sendData(tracker, start, urgentOpening(n).Key, 0), want, flow.NoNote)
+	}
+}
+
+// openAt opens a flow.
+func openAt(t *testing.T, tracker *flow.Tracker, now time.Duration, key flow.Key) {
+	t.Helper()
+	wantAction(t, tracker.FromNode(now, &flow.Packet{Key: key, Kind: flow.Opening}, nil, request(flow.PurposeOpen)), flow.ToServer, flow.NoNote)
+	wantAction(t, tracker.FromServer(now, &flow.Packet{Key: key, Kind: flow.Accepting, Ack: 1}), flow.ToClient, flow.NoteHeld)
+}
+
+// sendData lets a client send the n-th packet of 10 bytes on a flow.
+func sendData(tracker *flow.Tracker, now time.Duration, key flow.Key, n uint32) flow.Verdict {
+	return tracker.FromNode(now, &flow.Packet{Key: key, Seq: 1 + 10*n, Length: 10, Ack: 77}, nil, request(flow.PurposeDeliver))
+}
+
+// answerUrgent lets the server answer the request of an urgent flow.
+func answerUrgent(tracker *flow.Tracker, now time.Duration, n int) {
+	tracker.FromServer(now, &flow.Packet{Key: urgentOpening(n).Key, Length: 100})
+}
+
+func patientView(version uint64, change func(*registry.View)) *registry.View {
+	view := orderView(version)
+	routes := view.Configuration.Routes
+	routes[1].Shares = routes[0].Shares
+	routes[0].Priority, routes[1].Priority = 1, 0
+	routes[0].Timeout, routes[1].Timeout = 4*time.Second, 4*time.Second
+	if change != nil {
+		change(view)
+	}
+	return view
+}
+
+func urgentOpening(n int) *flow.Packet {
+	p := opening(n)
+	p.Key.Service = photos
+	return p
+}
+
+// wantNext expects the next decision on a waiting packet, which concerns p, or none if p is nil.
+func wantNext(t *testing.T, tracker *flow.Tracker, now time.Duration, p *flow.Packet, action flow.Action) flow.Verdict {
+	t.Helper()
+	v, got, _ := tracker.NextHeld(now)
+	if (got == nil) != (p == nil) || p != nil && (got.Key != p.Key || v.Action != action) {
+		t.Fatalf("got %v (%s) for %v, want %v for %v", v.Action, v.Reason, got, action, p)
+	}
+	return v
+}
+
+// nextOpening returns the next decision on an opening packet that waits. Requests that are released before it are ignored.
+func nextOpening(tracker *flow.Tracker, now time.Duration) (flow.Verdict, *flow.Packet) {
+	for {
+		v, p, _ := tracker.NextHeld(now)
+		if p == nil || p.Kind == flow.Opening {
+			return v, p
+		}
+	}
+}
+
+func wait(t *testing.T, tracker *flow.Tracker, now time.Duration, p *flow.Packet) flow.Verdict {
+	t.Helper()
+	v := tracker.FromNode(now, p, nil, request(flow.PurposeOpen))
+	wantAction(t, v, flow.Wait, flow.NoteWaiting)
+	return v
+}
+
+// TestUrgentWorkLeavesTheQueueFirst guards the order of the queue: by priority, then by arrival, openings and requests
+// alike. It also covers that nothing is released without room, and that the raw packet is kept.
+func TestUrgentWorkLeavesTheQueueFirst(t *testing.T) {
+	tracker := newFullTracker(t)
+	for _, p := range []*flow.Packet{opening(20), opening(22), urgentOpening(21), urgentOpening(23)} {
+		wait(t, tracker, start, p)
+		raw := []byte{p.Key.Client.IP[3]}
+		tracker.KeepRaw(p, raw)
+		raw[0] = 0
+	}
+	now := start
+	wantNext(t, tracker, now, nil, flow.Drop)
+	// The request that is held leaves the queue first. An opening packet needs a free slot.
+	now += time.Millisecond
+	answerUrgent(tracker, now, 0)
+	wantNext(t, tracker, now, &flow.Packet{Key: urgentOpening(5).Key}, flow.ToServer)
+	wantNext(t, tracker, now, nil, flow.Drop)
+	now += time.Millisecond
+	answerUrgent(tracker, now, 1)
+	wantNext(t, tracker, now, nil, flow.Drop)
+	for i, want := range []*flow.Packet{urgentOpening(21), urgentOpening(23), opening(20), opening(22)} {
+		now += time.Millisecond
+		answerUrgent(tracker, now, 2+i)
+		v, p, raw := tracker.NextHeld(now)
+		if p == nil || v.Action != flow.ToServer || p.Key != want.Key || !slices.Equal(raw, want.Key.Client.IP[3:]) {
+			t.Fatalf("got %v for %v with raw form %v, want %v", v.Action, p, raw, want)
+		}
+		wantNext(t, tracker, now, nil, flow.Drop)
+	}
+	if got, want := tracker.Held(), (flow.HeldCounts{TotalOpenings: 4, TotalRequests: 1}); got != want {
+		t.Errorf("counted %+v, want %+v", got, want)
+	}
+}
+
+// TestWaitingOpeningsAreBounded guards the memory of an agent and the clients' time: a full queue, a copy that arrives
+// again, a flow that has waited for too long, and one whose copy shows that its client began earlier.
+func TestWaitingOpeningsAreBounded(t *testing.T) {
+	config := flow.DefaultTrackerConfig("orders", flow.Endpoint{IP: agentIP(1), Port: simPort})
+	config.MaxWaiting = 2
+	tracker := flow.NewTracker(config, start)
+	tracker.SetView(patientView(5, nil))
+	fill(t, tracker)
+	late := opening(21)
+	late.Copy = 1
+	wait(t, tracker, start, opening(20))
+	if limit := wait(t, tracker, start, late).Place.Limit; limit != 1100*time.Millisecond {
+		t.Fatalf("the limit for a copy sent after 200 ms is %v", limit)
+	}
+	wantAction(t, tracker.FromNode(start, late, nil, request(flow.PurposeOpen, agentIP(3))), flow.Drop, flow.NoteWaiting)
+	if v := tracker.FromNode(start, opening(22), nil, request(flow.PurposeOpen)); v.Action != flow.Reset || v.Refusal != flow.RefusedBusy {
+		t.Fatalf("got %v with refusal %v although the queue is full", v.Action, v.Refusal)
+	}
+	for now := start; now <= start+1300*time.Millisecond; now += 50 * time.Millisecond {
+		tracker.Check(now)
+		switch now - start {
+		case 1100 * time.Millisecond:
+			wantAction(t, wantNext(t, tracker, now, late, flow.Reset), flow.Reset, flow.NoteRefused)
+		case 1300 * time.Millisecond:
+			wantAction(t, wantNext(t, tracker, now, opening(20), flow.Reset), flow.Reset, flow.NoteRefused)
+		}
+		wantNext(t, tracker, now, nil, flow.Drop)
+	}
+	if got, want := tracker.Held(), (flow.HeldCounts{TotalOpenings: 2, TooLong: 2, Requests: 1, TotalRequests: 1}); got != want {
+		t.Errorf("counted %+v, want %+v", got, want)
+	}
+}
+
+// TestWaitingOpeningIsRefusedOnceItCanNotBeServed guards against clients that wait for a server that will not take them.
+func TestWaitingOpeningIsRefusedOnceItCanNotBeServed(t *testing.T) {
+	for name, change := range map[string]func(*flow.Tracker){
+		"evacuation": func(tr *flow.Tracker) {
+			tr.SetView(patientView(5, func(v *registry.View) { evacuate(v, 0, "here") }))
+		},
+		"draining": func(tr *flow.Tracker) {
+			tr.SetView(patientView(5, func(v *registry.View) { v.Upstreams[0].Draining = true }))
+		},
+		"server gone": func(tr *flow.Tracker) { tr.SetView(patientView(5, func(v *registry.View) { v.Upstreams = nil })) },
+		"route removed": func(tr *flow.Tracker) {
+			tr.SetView(patientView(6, func(v *registry.View) { v.Configuration.Routes = nil }))
+		},
+		"server down": func(tr *flow.Tracker) { tr.ServerDown() },
+		"agent stops": func(tr *flow.Tracker) { tr.StopHolding() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := newFullTracker(t)
+			wait(t, tracker, start, opening(20))
+			wait(t, tracker, start, opening(21))
+			now := start + 10*time.Millisecond
+			change(tracker)
+			for _, want := range []*flow.Packet{opening(20), opening(21), nil} {
+				v, p := nextOpening(tracker, now)
+				if (p == nil) != (want == nil) || p != nil && p.Key != want.Key {
+					t.Fatalf("got %v for %v, want a refusal of %v", v.Action, p, want)
+				}
+				if p != nil {
+					wantAction(t, v, flow.Reset, flow.NoteRefused)
+				}
+			}
+			if v := tracker.FromNode(now, opening(22), nil, request(flow.PurposeOpen)); v.Action == flow.Wait {
+				t.Error("a further flow waits")
+			}
+		})
+	}
+}
+
+// TestColdRateHoldsForWaitingOpenings guards against a release of many flows at once to a server that turns out to be
+// cold while they wait.
+func TestColdRateHoldsForWaitingOpenings(t *testing.T) {
+	tracker := newFullTracker(t)
+	for n := range 20 {
+		wait(t, tracker, start, opening(20+n))
+	}
+	const rate = 10
+	tracker.SetView(withColdRate(patientView(6, func(v *registry.View) {
+		v.Upstreams[0].Incarnation, v.Upstreams[0].WarmAt = 2, start+10*time.Second
+	}), rate))
+	if v := tracker.FromNode(start, opening(50), nil, request(flow.PurposeOpen)); v.Action != flow.Reset {
+		t.Fatalf("got %v at a cold server that has used up its limit", v.Action)
+	}
+	wantNext(t, tracker, start, nil, flow.Drop)
+	for n := range 5 {
+		answerUrgent(tracker, start, n)
+	}
+	wantNext(t, tracker, start, urgentOpening(5), flow.ToServer)
+	answerUrgent(tracker, start, 5)
+	var sent []time.Duration
+	refused := 0
+	for now := start; now <= start+1500*time.Millisecond; now += 10 * time.Millisecond {
+		tracker.Check(now)
+		for {
+			v, p, _ := tracker.NextHeld(now)
+			if p == nil {
+				break
+			}
+			if v.Action == flow.Reset {
+				refused++
+				continue
+			}
+			sent = append(sent, now)
+			key := p.Key
+			tracker.FromServer(now, &flow.Packet{Key: key, Kind: flow.Accepting})
+			tracker.FromNode(now, &flow.Packet{Key: key, Length: 10}, nil, request(flow.PurposeDeliver))
+			tracker.FromServer(now, &flow.Packet{Key: key, Length: 10})
+		}
+	}
+	if got := maxInSecond(sent); float64(got) > coldLimit(rate) || len(sent) < rate/2 || len(sent)+refused != 20 {
+		t.Errorf("released %d flows, at most %d in a second, and refused %d", len(sent), got, refused)
+	}
+}
+
+// TestOpeningRefusedForItsShareWaits guards against refusing the clients of a less urgent route after a restart, only because
+// the rest of the server's queue is left to more urgent ones: these leave the agent's queue first in any case.
+func TestOpeningRefusedForItsShareWaits(t *testing.T) {
+	tracker := newFullTracker(t)
+	for n := range 3 {
+		wait(t, tracker, start, urgentOpening(20+n))
+	}
+	wait(t, tracker, start, opening(30))
+}
+
+// openSignals opens flows of the less urgent route on which nothing happens yet, and returns the time after that.
+func openSignals(t *testing.T, tracker *flow.Tracker, flows int) time.Duration {
+	t.Helper()
+	now := start
+	for n := range flows {
+		openAt(t, tracker, now, opening(n).Key)
+		now += time.Second
+	}
+	return now
+}
+
+// TestUrgentRequestOvertakesThoseOfOpenFlows covers long flows on which more requests arrive at once than the server can
+// run. The server runs what it is given in the order of arrival, so an urgent request would wait behind all of them.
+func TestUrgentRequestOvertakesThoseOfOpenFlows(t *testing.T) {
+	tracker := newTracker(patientView(5, nil))
+	now := openSignals(t, tracker, 12)
+	openAt(t, tracker, now, urgentOpening(50).Key)
+	now += time.Second
+	given := 0
+	for n := range 12 {
+		if sendData(tracker, now, opening(n).Key, 0).Action == flow.ToServer {
+			given++
+		}
+	}
+	if given != 5 {
+		t.Fatalf("the server with 4 slots got %d requests, want 5", given)
+	}
+	wantAction(t, sendData(tracker, now, urgentOpening(50).Key, 0), flow.Wait, flow.NoNote)
+	if got := tracker.Held(); got.Requests != 8 {
+		t.Fatalf("counted %+v, want 8 requests", got)
+	}
+	now += 20 * time.Millisecond
+	tracker.FromServer(now, &flow.Packet{Key: opening(0).Key, Length: 100})
+	wantNext(t, tracker, now, &flow.Packet{Key: urgentOpening(50).Key}, flow.ToServer)
+	wantNext(t, tracker, now, nil, flow.Drop)
+	// An urgent flow that is opened now waits only for what the server has.
+	v := tracker.FromNode(now, urgentOpening(51), nil, request(flow.PurposeOpen))
+	wantAction(t, v, flow.ToServer, flow.NoNote)
+	// One that is less urgent can't be answered in time.
+	if v := tracker.FromNode(now, opening(60), nil, request(flow.PurposeOpen, agentIP(3))); v.Action != flow.Forward {
+		t.Fatalf("got %v for a less urgent flow, want it passed on", v.Action)
+	}
+}
+
+// TestLateRequestsDoNotMakeOthersLate covers a burst that leaves more requests than can be answered in time. Those that
+// come after it are answered in time, and the late ones from the capacity that is left.
+func TestLateRequestsDoNotMakeOthersLate(t *testing.T) {
+	tracker := newTracker(patientView(5, nil))
+	now := openSignals(t, tracker, 12)
+	for n := range 11 {
+		sendData(tracker, now, opening(n).Key, 0)
+	}
+	for n := range 5 {
+		now += 100 * time.Millisecond
+		tracker.FromServer(now, &flow.Packet{Key: opening(n).Key, Ack: 11})
+		wantNext(t, tracker, now, nil, flow.Drop)
+	}
+	wantAction(t, sendData(tracker, now, opening(11).Key, 0), flow.Wait, flow.NoNote)
+	tracker.FromServer(now, &flow.Packet{Key: opening(0).Key, Length: 100})
+	wantNext(t, tracker, now, &flow.Packet{Key: opening(11).Key}, flow.ToServer)
+	tracker.FromServer(now, &flow.Packet{Key: opening(1).Key, Length: 100})
+	wantNext(t, tracker, now, &flow.Packet{Key: opening(5).Key}, flow.ToServer)
+}
+
+// TestHeldRequestReachesTheServerOnce covers packets of a held request that are repeated, reordered or follow it. A copy
+// that came after the request would be a second one, and a packet that overtook another one would be discarded.
+func TestHeldRequestReachesTheServerOnce(t *testing.T) {
+	tracker := newFullTracker(t)
+	key := urgentOpening(5).Key
+	if v := sendData(tracker, start, key, 0); v.Action != flow.Wait {
+		t.Fatalf("got %v for a copy", v.Action)
+	}
+	wantAction(t, sendData(tracker, start, key, 2), flow.Wait, flow.NoNote)
+	wantAction(t, sendData(tracker, start, key, 1), flow.Wait, flow.NoNote)
+	wantAction(t, sendData(tracker, start, key, 2), flow.Wait, flow.NoNote)
+	wantAction(t, tracker.FromNode(start, &flow.Packet{Key: key, Ack: 78, Seq: 11}, nil, request(flow.PurposeDeliver)), flow.ToServer, flow.NoNote)
+	answerUrgent(tracker, start, 0)
+	for _, seq := range []uint32{1, 11, 21} {
+		v, p, _ := tracker.NextHeld(start)
+		if p == nil || p.Key != key || p.Seq != seq || v.Action != flow.ToServer {
+			t.Fatalf("got %v for %+v, want number %d", v.Action, p, seq)
+		}
+	}
+	wantNext(t, tracker, start, nil, flow.Drop)
+	if status := tracker.Status(start); status.Busy != 5 {
+		t.Fatalf("%d requests are busy, want 5", status.Busy)
+	}
+	// The client has not received the acknowledgment yet. Its copy is no new request.
+	answerUrgent(tracker, start, 5)
+	wantAction(t, sendData(tracker, start, key, 0), flow.ToServer, flow.NoNote)
+	if status := tracker.Status(start); status.Busy != 4 {
+		t.Fatalf("%d requests are busy after a late copy, want 4", status.Busy)
+	}
+}
+
+// TestHeldRequestIsPassedOnAtItsLimit covers a server whose slots stay busy. The client must not wait in vain until its
+// timeout: the server may still answer, or state that it has not run the request.
+func TestHeldRequestIsPassedOnAtItsLimit(t *testing.T) {
+	tracker := newFullTracker(t)
+	limit := 3 * time.Second
+	for now := start; now < start+limit; now += 100 * time.Millisecond {
+		tracker.FromServer(now, &flow.Packet{Key: urgentOpening(0).Key})
+		wantNext(t, tracker, now, nil, flow.Drop)
+	}
+	wantNext(t, tracker, start+limit, &flow.Packet{Key: urgentOpening(5).Key}, flow.ToServer)
+	if got := tracker.Held(); got.Overdue != 1 || got.Requests != 0 {
+		t.Errorf("counted %+v", got)
+	}
+}
+
+// TestAbandonedRequestTakesNoSlot covers a client that gives up its request while the agent holds it.
+func TestAbandonedRequestTakesNoSlot(t *testing.T) {
+	tracker := newFullTracker(t)
+	key := urgentOpening(5).Key
+	wantAction(t, tracker.FromNode(start, &flow.Packet{Key: key, Kind: flow.Resetting, Seq: 11}, nil, request(flow.PurposeDeliver)), flow.ToServer, flow.NoNote)
+	answerUrgent(tracker, start, 0)
+	wantNext(t, tracker, start, nil, flow.Drop)
+	if got := tracker.Held(); got.Abandoned != 1 || got.Requests != 0 {
+		t.Errorf("counted %+v", got)
+	}
+}
+
+// TestSearchLearnsOfAHeldRequest covers an agent that holds a request and a balancer that does not know the owner of the
+// flow. Without a report it would count the flow as lost.
+func TestSearchLearnsOfAHeldRequest(t *testing.T) {
+	tracker := newFullTracker(t)
+	p := &flow.Packet{Key: urgentOpening(5).Key, Seq: 1, Length: 10, Ack: 77}
+	wantAction(t, tracker.FromNode(start, p, nil, request(flow.PurposeSearch)), flow.Wait, flow.NoteHeld)
+}
+
+// TestHeldPacketsAreBounded guards the memory of an agent. Requests beyond the bound go to the server.
+func TestHeldPacketsAreBounded(t *testing.T) {
+	config := flow.DefaultTrackerConfig("orders", flow.Endpoint{IP: agentIP(1), Port: simPort})
+	config.MaxHeldPackets = 3
+	tracker := flow.NewTracker(config, start)
+	tracker.SetView(patientView(5, nil))
+	now := openSignals(t, tracker, 14)
+	actions := map[flow.Action]int{}
+	for n := range 14 {
+		actions[sendData(tracker, now, opening(n).Key, 0).Action]++
+	}
+	if actions[flow.Wait] != 3 || actions[flow.ToServer] != 11 {
+		t.Errorf("got %v, want 3 requests held", actions)
+	}
+}
+
+// TestHeldRequestsModel sends requests whose packets are split, lost, repeated and reordered on flows of both routes to a
+// server that is mostly full. Each request must reach the server in order and once, and in the end none may be held.
+func TestHeldRequestsModel(t *testing.T) {
+	const seeds, flows, steps = 200, 12, 400
+	for seed := int64(1); seed <= seeds; seed++ {
+		m := newHeldModel(seed, flows)
+		for range steps {
+			m.step(t)
+		}
+		m.finish(t)
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
+
+// heldModelFlow is a flow of the model. sent is the number of bytes that the client has sent, received the number that the
+// server has received in order, and answered the number that it has answered.
+type heldModelFlow struct {
+	key                      flow.Key
+	sent, received, answered uint32
+	// inFlight are the packets that the client repeats until the server has received them.
+	inFlight []flow.Packet
+	// heldSince is when the agent began to hold the request, or zero.
+	heldSince time.Duration
+}
+
+// modelStep is the longest time between two calls of NextHeld.
+const modelStep = 50 * time.Millisecond
+
+type heldModel struct {
+	rnd     *rand.Rand
+	tracker *flow.Tracker
+	now     time.Duration
+	flows   map[flow.Key]*heldModelFlow
+	order   []*heldModelFlow
+}
+
+func newHeldModel(seed int64, flows int) *heldModel {
+	m := &heldModel{rnd: rand.New(rand.NewSource(seed)), tracker: newTracker(patientView(5, nil)), now: start, flows: map[flow.Key]*heldModelFlow{}}
+	for n := range flows {
+		p := opening(n)
+		if n%2 == 0 {
+			p = urgentOpening(n)
+		}
+		f := &heldModelFlow{key: p.Key}
+		m.flows[p.Key] = f
+		m.order = append(m.order, f)
+		m.now += 200 * time.Millisecond
+		m.tracker.FromNode(m.now, p, nil, request(flow.PurposeOpen))
+		m.tracker.FromServer(m.now, &flow.Packet{Key: p.Key, Kind: flow.Accepting, Ack: 1})
+	}
+	return m
+}
+
+// step sends a new request of up to three packets, repeats a packet or lets the server answer a request.
+func (m *heldModel) step(t *testing.T) {
+	m.now += time.Duration(m.rnd.Intn(30)) * time.Millisecond
+	f := m.order[m.rnd.Intn(len(m.order))]
+	switch {
+	case m.rnd.Intn(3) == 0:
+		m.answer(t, f)
+	case len(f.inFlight) > 0:
+		m.send(t, f, f.inFlight[m.rnd.Intn(len(f.inFlight))])
+	case f.answered == f.sent:
+		for range 1 + m.rnd.Intn(3) {
+			f.inFlight = append(f.inFlight, flow.Packet{Key: f.key, Seq: 1 + f.sent, Length: 10, Ack: 77})
+			f.sent += 10
+		}
+		for _, i := range m.rnd.Perm(len(f.inFlight)) {
+			if m.rnd.Intn(5) > 0 && i < len(f.inFlight) {
+				m.send(t, f, f.inFlight[i])
+			}
+		}
+	}
+	m.tracker.Check(m.now)
+	m.release(t)
+}
+
+func (m *heldModel) send(t *testing.T, f *heldModelFlow, p flow.Packet) {
+	switch v := m.tracker.FromNode(m.now, &p, nil, request(flow.PurposeDeliver)); v.Action {
+	case flow.ToServer:
+		m.receive(t, p)
+	case flow.Wait:
+		if f.heldSince == 0 {
+			f.heldSince = m.now
+		}
+	default:
+		t.Errorf("got %v for a packet of an open flow: %s", v.Action, v.Reason)
+	}
+}
+
+func (m *heldModel) release(t *testing.T) {
+	for {
+		v, p, _ := m.tracker.NextHeld(m.now)
+		if p == nil {
+			return
+		}
+		f := m.flows[p.Key]
+		if limit := 3*time.Second + modelStep; f.heldSince > 0 && m.now-f.heldSince > limit {
+			t.Errorf("flow %v was held for %v", p.Key, m.now-f.heldSince)
+		}
+		f.heldSince = 0
+		if v.Action != flow.ToServer {
+			t.Errorf("got %v for a held packet: %s", v.Action, v.Reason)
+			continue
+		}
+		if p.Seq+uint32(p.Length) <= 1+f.received {
+			t.Errorf("packet %d of flow %v was held although the server had it", p.Seq, p.Key)
+		}
+		m.receive(t, *p)
+	}
+}
+
+// receive lets the server receive a packet. It acknowledges everything that it has received in order.
+func (m *heldModel) receive(t *testing.T, p flow.Packet) {
+	f := m.flows[p.Key]
+	if p.Seq == 1+f.received {
+		f.received += 10
+	}
+	f.inFlight = slices.DeleteFunc(f.inFlight, func(q flow.Packet) bool { return q.Seq < 1+f.received })
+	m.tracker.FromServer(m.now, &flow.Packet{Key: f.key, Ack: 1 + f.received})
+}
+
+// answer lets the server answer a request that it has received completely.
+func (m *heldModel) answer(t *testing.T, f *heldModelFlow) {
+	if f.received != f.sent || f.answered == f.sent {
+		return
+	}
+	f.answered = f.sent
+	m.tracker.FromServer(m.now, &flow.Packet{Key: f.key, Length: 100, Ack: 1 + f.received})
+}
+
+// finish lets the server answer everything.
+func (m *heldModel) finish(t *testing.T) {
+	for range 200 {
+		m.now += modelStep
+		for _, f := range m.order {
+			if len(f.inFlight) > 0 {
+				m.send(t, f, f.inFlight[0])
+			}
+			m.answer(t, f)
+		}
+		m.tracker.Check(m.now)
+		m.release(t)
+	}
+	for _, f := range m.order {
+		if f.answered != f.sent {
+			t.Errorf("flow %v: the server has answered %d of %d bytes and received %d", f.key, f.answered, f.sent, f.received)
+		}
+	}
+	if got := m.tracker.Held(); got.Requests != 0 || m.tracker.Status(m.now).Busy != 0 {
+		t.Errorf("in the end %+v is counted, and %d requests are busy", got, m.tracker.Status(m.now).Busy)
+	}
+}
--- a/flow/load.go
+++ b/flow/load.go
@@ -21,6 +21,8 @@
 	// still expected.
 	reserved []*trackedFlow
 	expected int
+	// held is the number of requests on open flows that the agent holds until the server has room for them.
+	held int
 	// mean is the mean service time over samples requests, the last of which was measured at lastSample.
 	mean       time.Duration
 	samples    int
@@ -28,7 +30,6 @@
 	// lastTrial is when the server was last given a flow as a trial although it appeared to be too slow.
 	lastTrial time.Duration
 	outcomes  outcomes
-	queue     queueLimit
 	// now is the latest time that was passed to advance.
 	now time.Duration
 	// work measures the work for the open flows.
@@ -45,7 +46,9 @@
 	idle work = iota
 	// expected means that the first request is about to arrive.
 	expected
-	// requested means that a request is running or waiting.
+	// heldBack means that the agent holds a request until the server has room for it.
+	heldBack
+	// requested means that a request is running or waiting at the server.
 	requested
 )
 
@@ -65,8 +68,12 @@
 	// meanDecay is the time constant with which the mean loses weight relative to a new sample.
 	meanDecay = time.Second
 	// lostFactor is the multiple of the mean service time after which a running request may be lost. A long request that
-	// is taken for a lost one only delays the learning of a queue limit.
+	// is taken for a lost one only makes the queue at the server longer by one.
 	lostFactor = 3
+	// queuePerSlots is the number of slots for which the server is given one request more than it can run at once, so that
+	// a slot that becomes free finds the next request without a round trip to the agent. All others wait at the agent,
+	// where urgent ones can overtake them.
+	queuePerSlots = 4
 )
 
 // advance sets the time of the changes that follow, for example of a flow that is evicted. Call it before each of them.
@@ -75,25 +82,46 @@
 	l.work.advance(now, l.busy(), l.flows)
 }
 
-// busy returns the number of requests that are running, waiting or expected.
+// busy returns the number of requests that are running, waiting, held or expected.
 func (l *load) busy() int {
+	return len(l.requests) + l.expected + l.held
+}
+
+// atServer returns the number of requests that the server has or that are expected on new flows.
+func (l *load) atServer() int {
 	return len(l.requests) + l.expected
 }
 
-// wouldReject reports whether the server would reject a new request that has to wait for a slot.
-func (l *load) wouldReject(now, budget time.Duration) bool {
-	l.queue.probe(now)
-	return l.queue.exceeded(l.busy(), l.waitForSlot(budget, l.busy()))
+// hasRoom reports whether the server is to be given another request now. Requests that have been running for so long that
+// they may be lost leave their room to others.
+func (l *load) hasRoom(now time.Duration) bool {
+	room := l.slots + (l.slots+queuePerSlots-1)/queuePerSlots
+	if len(l.requests) < room {
+		return true
+	}
+	running := len(l.requests)
+	for _, f := range l.requests[:l.slots] {
+		if l.maybeLost(now, f) {
+			running--
+		}
+	}
+	return running < room
+}
+
+// maybeLost reports whether a running request has been running for so long that it may be lost.
+func (l *load) maybeLost(now time.Duration, f *trackedFlow) bool {
+	return l.samples >= minSamples && now-f.processingSince > lostFactor*l.mean
 }
 
-// full reports whether a new request would have to wait for a slot.
-func (l *load) full() bool {
-	return l.busy() >= l.slots
+// expectedTime returns the expected time until a new request is answered that the given number of others precede.
+func (l *load) expectedTime(budget time.Duration, ahead int) time.Duration {
+	return l.roundTime(budget) + l.waitForSlot(budget, ahead)
 }
 
-// expectedTime returns the expected time until a new request is answered, including its wait for a slot.
-func (l *load) expectedTime(budget time.Duration) time.Duration {
-	return l.roundTime(budget) + l.waitForSlot(budget, l.busy())
+// waitForSlot returns the expected wait of a new request for a slot, if the given number of others precede it.
+func (l *load) waitForSlot(budget time.Duration, ahead int) time.Duration {
+	rounds := float64(max(0, ahead+1-l.slots)) / float64(l.slots)
+	return time.Duration(rounds * float64(l.roundTime(budget)))
 }
 
 // roundTime returns the expected time until a running request frees its slot.
@@ -148,26 +176,34 @@
 // start records a packet of a request. The server begins to process a request when it has received all of it and
 // has a free slot.
 func (l *load) start(now time.Duration, f *trackedFlow) {
-	f.hasRequested, f.received = true, now
-	if f.work == requested {
+	f.hasRequested = true
+	switch f.work {
+	case requested:
 		if l.isRunning(f) {
 			f.processingSince = now
 		}
 		return
-	}
-	if f.work == expected {
+	case expected:
 		l.expected--
+	case heldBack:
+		l.held--
 	}
 	f.work, f.workSince, f.processingSince, f.late = requested, now, now, false
 	l.requests = append(l.requests, f)
 }
 
+// hold records that the agent holds the request of a flow.
+func (l *load) hold(now time.Duration, f *trackedFlow) {
+	if f.work == expected {
+		l.expected--
+	}
+	f.hasRequested, f.work, f.workSince = true, heldBack, now
+	l.held++
+}
+
 // answer records that the server has begun to answer the request of a flow. It returns the service time of the request,
 // or zero if it is not known or the answer does not count as good.
 func (l *load) answer(now time.Duration, f *trackedFlow) (took time.Duration) {
-	if ahead := l.receivedBefore(now, f); ahead >= l.slots {
-		l.queue.rejected(now, now-f.workSince, ahead)
-	}
 	if l.isRunning(f) && !f.late && l.outcomes.answered(now, now-f.processingSince) {
 		took = now - f.processingSince
 		l.recordServiceTime(now, took)
@@ -176,22 +212,6 @@
 	return took
 }
 
-// receivedBefore returns how many unanswered requests the server received before the request of a flow, apart from those
-// that it may not have received completely by then and those that have been running for so long that they may be lost.
-func (l *load) receivedBefore(now time.Duration, f *trackedFlow) int {
-	ahead := 0
-	for i, other := range l.requests {
-		if other == f {
-			break
-		}
-		lost := i < l.slots && l.samples >= minSamples && now-other.processingSince > lostFactor*l.mean
-		if other.received <= f.received && !lost {
-			ahead++
-		}
-	}
-	return ahead
-}
-
 // isRunning reports whether the server is processing the request of a flow.
 func (l *load) isRunning(f *trackedFlow) bool {
 	return f.work == requested && slices.Index(l.requests, f) < l.slots
@@ -210,6 +230,8 @@
 	switch f.work {
 	case expected:
 		l.expected--
+	case heldBack:
+		l.held--
 	case requested:
 		i := slices.Index(l.requests, f)
 		l.requests = slices.Delete(l.requests, i, i+1)
--- a/flow/server_health.go
+++ b/flow/server_health.go
@@ -64,10 +64,10 @@
 	s.pending++
 }
 
-// check reports whether the server has just become silent.
-func (s *serverHealth) check(now time.Duration) bool {
+// check reports whether the server has just become silent. held is the number of requests that wait for its answers.
+func (s *serverHealth) check(now time.Duration, held int) bool {
 	s.checks++
-	if !s.responsive() || s.checks < s.config.MinChecks || s.pending < s.config.SilentPackets || now-s.pendingSince < s.config.SilentAfter {
+	if !s.responsive() || s.checks < s.config.MinChecks || s.pending == 0 || s.pending+held < s.config.SilentPackets || now-s.pendingSince < s.config.SilentAfter {
 		return false
 	}
 	s.silent = true
@@ -123,8 +123,8 @@
 		t.probes[i].checks++
 	}
 	t.load.checkLate(now)
-	t.waiting.recheck = true
-	return t.server.check(now)
+	t.held.recheck = true
+	return t.server.check(now, t.load.held)
 }
 
 // EndStalled ends the open flows of repeatable routes to which a silent server owes an answer. It returns them with the
@@ -134,6 +134,7 @@
 	for _, key := range t.flows.Keys() {
 		if f, _ := t.flows.Peek(key); f.state == open && f.confirmed && f.answerOwed && t.repeatable(key) {
 			stalled[key] = f.clientAck
+			t.held.remove(key)
 			t.end(f)
 		}
 	}
--- a/flow/server_state.go
+++ b/flow/server_state.go
@@ -18,32 +18,29 @@
 	// second of a cold server, or zero if there is none.
 	WarmAt   time.Duration
 	ColdRate float64
-	// Busy is the number of requests that are running, waiting or expected, and Flows the number of open flows.
+	// Busy is the number of requests that are running, waiting, held or expected, and Flows the number of open flows.
 	Busy, Slots, Flows int
 	// Speed is how fast the server is relative to the median of its service, or zero if that is not known.
 	Speed float64
-	// QueueLimit is the number of requests and WaitLimit the wait beyond which the server was seen to reject requests, or
-	// zero if none was.
-	QueueLimit int
-	WaitLimit  time.Duration
+	// Held is the number of requests on open flows that the agent holds until the server has room for them.
+	Held int
 }
 
 // Status returns the state as it is published. The caller sets its age.
 func (s *ServerState) Status(now time.Duration, service string) nodestatus.Server {
 	return nodestatus.Server{
-		Service:     service,
-		Accepting:   s.Accepting,
-		Draining:    s.Draining,
-		Evacuated:   s.Evacuated,
-		Suspect:     s.Suspect,
-		ColdMs:      max(0, (s.WarmAt - now).Milliseconds()),
-		ColdRate:    s.ColdRate,
-		Speed:       s.Speed,
-		QueueLimit:  s.QueueLimit,
-		WaitLimitMs: s.WaitLimit.Milliseconds(),
-		Busy:        s.Busy,
-		Slots:       s.Slots,
-		Flows:       s.Flows,
+		Service:   service,
+		Accepting: s.Accepting,
+		Draining:  s.Draining,
+		Evacuated: s.Evacuated,
+		Suspect:   s.Suspect,
+		ColdMs:    max(0, (s.WarmAt - now).Milliseconds()),
+		ColdRate:  s.ColdRate,
+		Speed:     s.Speed,
+		Held:      s.Held,
+		Busy:      s.Busy,
+		Slots:     s.Slots,
+		Flows:     s.Flows,
 	}
 }
 
@@ -59,9 +56,8 @@
 		Slots:     t.load.slots,
 		Flows:     t.load.flows,
 
-		Speed:      t.load.speed.latest,
-		QueueLimit: t.load.queue.requests,
-		WaitLimit:  t.load.queue.wait,
+		Speed: t.load.speed.latest,
+		Held:  t.load.held,
 	}
 	rate, remaining, cold := t.Cold(now)
 	s.ColdRate = rate
--- a/flow/shortage.go
+++ b/flow/shortage.go
@@ -63,7 +63,6 @@
 // offer records that the server is offered a flow. once is set if no other server counts the flow once. assumed is the
 // service time as long as none of the priority was measured. The groups of a priority share what more urgent work leaves.
 func (s *shortage) offer(now time.Duration, key Key, priority int, assumed time.Duration, once bool, slots int) {
-	s.shares.Offer(now, priority, assumed)
 	class := admission.Class(priority)
 	if s.groups[class] == nil {
 		s.groups[class] = admission.NewGroups(s.config.ShareWindow)
@@ -95,11 +94,11 @@
 
 // assessment is what applies to one opening packet at one server.
 type assessment struct {
-	// wait is the expected time until the answer, and budget the time that it may take. regular is the latency budget of
-	// the route, which budget exceeds if the client is patient.
-	wait, budget, regular time.Duration
-	// part is the part of the waiting budget that the flow may use. excluded is set if the flow would exceed that
-	// or the server's queue.
+	// wait is the expected time until the answer, and budget the time that it may take.
+	wait, budget time.Duration
+	// full is set if the request would have to wait for a slot.
+	full bool
+	// part is the part of the waiting budget that the flow may use. excluded is set if the flow would exceed that.
 	part     float64
 	excluded bool
 	// refusal is the reason if the flow is refused because of this assessment.
@@ -109,30 +108,34 @@
 // assess records an opening packet as offered work and returns what applies to it. A final offer was recorded when the
 // agent made it.
 func (t *Tracker) assess(now time.Duration, key Key, request *Request, route *registry.Route) assessment {
-	regular := latencyBudget(route)
-	a := assessment{wait: t.load.expectedTime(regular), budget: t.budget(route), regular: regular, part: 1, refusal: RefusedBusy}
+	budget, ahead := latencyBudget(route), t.ahead(now, route)
+	a := assessment{wait: t.load.expectedTime(budget, ahead), budget: budget, full: ahead >= t.load.slots, part: 1, refusal: RefusedBusy}
 	if route == nil {
 		return a
 	}
 	if !request.Final {
 		// A flow counts once where it finds a free slot, or at the last server that is asked. The first one is no measure,
 		// since balancers choose it by load.
-		t.shortage.offer(now, key, route.Priority, t.load.serviceTime(regular), len(request.Remaining) == 0 || !t.load.full(), t.load.slots)
+		t.shortage.offer(now, key, route.Priority, t.load.serviceTime(budget), len(request.Remaining) == 0 || !a.full, t.load.slots)
 	}
-	if !t.load.full() {
+	if !a.full {
 		return a
 	}
-	a.excluded = t.load.wouldReject(now, regular)
-	a.limitPatience(t.load.position(), t.config.ServerQueue)
-	a.excluded = a.excluded || t.overtakes(route)
 	part, refusal := t.shortage.part(now, key, route.Priority)
 	a.part = part
-	if a.part < 1 && float64(t.load.position()) > a.part*t.load.room(t.load.roundTime(regular), a.budget, t.config.ServerQueue) {
-		a.excluded, a.refusal = true, refusal
+	if wait := t.load.waitForSlot(budget, ahead); float64(wait) > a.part*queuePart*float64(budget-t.load.roundTime(budget)) {
+		a.excluded = true
+		if a.part < 1 {
+			a.refusal = refusal
+		}
 	}
 	return a
 }
 
+// queuePart is the part of its latency budget, less the service time, for which a new flow may have to wait for a slot. In
+// a shortage the queue is always as long as it may be; the rest is left for service times that vary.
+const queuePart = 0.6
+
 // offer returns the offer that the agent makes for the flow. An offer that the agent would not keep states a wait beyond
 // any budget of the route, so every agent that compares it sees that it is not to be used.
 func (a *assessment) offer(agent IP, suspect bool, route *registry.Route) Offer {
@@ -157,19 +160,3 @@
 		t.shortage.shares.Observe(now, route.Priority, now-f.processingSince)
 	}
 }
-
-// position returns the place in the server's queue that a new request would get, from 1.
-func (l *load) position() int {
-	return max(1, l.busy()+1-l.slots)
-}
-
-// room returns how many requests may wait at the server: as many as the server queues, or fewer if a later one could not
-// be answered within the budget. round is the expected time until a running request frees its slot.
-func (l *load) room(round, budget time.Duration, queue int) float64 {
-	waiting := float64(l.queue.waiting(queue, l.slots))
-	if round <= 0 {
-		return waiting
-	}
-	allowed := l.queue.within(budget - round)
-	return min(waiting, float64(l.slots)*float64(allowed)/float64(round))
-}
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -33,13 +33,14 @@
 	// when the server began to process the request.
 	work                       work
 	workSince, processingSince time.Duration
-	// received is when the latest packet of the request arrived.
-	received time.Duration
 	// late is set once the running request has been counted as failed because it has been running for too long.
 	late bool
 	// hasRequested is set once the client has sent a request. answerOwed is set if the server was given a packet of
 	// the flow that requires an answer and has sent nothing on the flow since then.
 	hasRequested, answerOwed bool
+	// receivedTo is the sequence number up to which the server was given the client's data, if receivedKnown is set.
+	receivedTo    uint32
+	receivedKnown bool
 	// confirmed is set once the server has sent more than its answer to the opening packet. The client has then
 	// opened the flow here and not at another server that received a copy of the opening packet.
 	confirmed bool
@@ -79,11 +80,8 @@
 	// waiting budget that the flow could use at this agent's server.
 	Refusal Refusal
 	Part    float64
-	// Patient is set if a new flow was queued at the server although its answer is not expected within the latency budget
-	// of its route.
-	Patient bool
-	// Place describes the wait of a new flow with the action Wait.
-	Place WaitingPlace
+	// Place describes the wait of a new flow or a request with the action Wait.
+	Place HeldPlace
 }
 
 // Tracker makes the decisions of one agent. It is not safe for concurrent use.
@@ -113,7 +111,7 @@
 	probes   []probe
 	versions versionGuard
 	shortage shortage
-	waiting  waitingOpenings
+	held     heldQueue
 }
 
 // NewTracker returns the Tracker of an agent that starts now. The limits in config must be positive.
@@ -148,7 +146,7 @@
 	t.evacuation, t.evacuated = view.Evacuation(t.place())
 	t.setCold(view)
 	t.setRoutes(view.Configuration)
-	t.waiting.recheck = true
+	t.held.recheck = true
 }
 
 func (t *Tracker) setRoutes(c *registry.Configuration) {
@@ -230,12 +228,12 @@
 		return t.deny(request, "server belongs to another service")
 	case request.Wide && !t.holds(p.Key):
 		return t.deny(request, "server is not known to hold the flow")
-	case request.Purpose == PurposeOpen && t.waiting.index(p.Key) >= 0:
+	case request.Purpose == PurposeOpen && t.holdsOpening(p.Key):
 		return Verdict{Decision: Decision{Reason: "a copy of the opening packet waits for a free slot"}, Note: NoteWaiting, Balancer: request.Balancer}
 	case request.Purpose == PurposeOpen:
 		v := t.waitInstead(now, now, p, request, t.openFlow(now, p, request))
 		if v.Action == Wait {
-			t.waiting.counts.Total++
+			t.held.counts.TotalOpenings++
 		}
 		return v
 	}
@@ -301,27 +299,62 @@
 	f := t.track(now, p, searchDelivered)
 	f.clientAck = p.Ack
 	f.request = cloneRequest(request)
-	if p.Length > 0 && f.state != ended {
-		t.countRequest(now, f)
-		t.load.start(now, f)
-	}
 	if p.Kind == Resetting {
+		t.abandon(p.Key)
 		t.end(f)
 	}
+	if f.state == open && p.requiresAnswer() && !f.hasReceived(p) {
+		if v, held := t.holdRequest(now, p, f, request); held {
+			return v
+		}
+	}
+	return t.toServer(now, p, raw, f)
+}
+
+// passOn decides on a packet that was held. It does not hold the packet again.
+func (t *Tracker) passOn(now time.Duration, p *Packet, raw []byte, request Request) Verdict {
+	if !t.server.responsive() {
+		return t.fromOpenFlow(now, p, raw, request)
+	}
+	f := t.track(now, p, searchDelivered)
+	f.request = request
+	return t.toServer(now, p, raw, f)
+}
+
+// toServer gives the server a packet of a flow that it may hold.
+func (t *Tracker) toServer(now time.Duration, p *Packet, raw []byte, f *trackedFlow) Verdict {
+	if p.Length > 0 && f.state != ended && !f.hasReceived(p) {
+		t.countRequest(now, f)
+		t.load.start(now, f)
+		f.receive(p.Seq + uint32(p.Length))
+	}
 	if p.requiresAnswer() {
 		f.answerOwed = true
 		t.server.sent(now)
 	}
 	v := Verdict{Decision: Decision{Action: ToServer}}
 	switch {
-	case request.Purpose == PurposeSearch && f.state == open:
-		v.Note, v.Balancer = NoteHeld, request.Balancer
+	case f.request.Purpose == PurposeSearch && f.state == open:
+		v.Note, v.Balancer = NoteHeld, f.request.Balancer
 	case f.state == openingSent || f.state == searchDelivered:
 		t.addProbe(now, p, raw, f.request)
 	}
 	return v
 }
 
+// hasReceived reports whether the server was given all data of a packet before. The packet is no new request then, even
+// if the server has answered since.
+func (f *trackedFlow) hasReceived(p *Packet) bool {
+	return f.receivedKnown && p.Length > 0 && !before(f.receivedTo, p.Seq+uint32(p.Length))
+}
+
+// receive records that the server was given the client's data up to a sequence number.
+func (f *trackedFlow) receive(to uint32) {
+	if !f.receivedKnown || before(f.receivedTo, to) {
+		f.receivedTo, f.receivedKnown = to, true
+	}
+}
+
 // track returns the state of a flow, which it adds if necessary, and records that the flow was seen.
 func (t *Tracker) track(now time.Duration, p *Packet, initial state) *trackedFlow {
 	f, ok := t.flows.Get(p.Key)
@@ -370,11 +403,16 @@
 		t.observe(now, p.Key, f)
 		t.recordSpeed(now, p.Key.Service, t.load.answer(now, f))
 	}
-	if p.Kind == Resetting {
+	switch p.Kind {
+	case Resetting:
 		t.load.reset(now, f)
-	}
-	if p.Kind == Resetting || p.Kind == Closing {
+		t.abandon(p.Key)
+		t.end(f)
+	case Closing:
 		t.end(f)
+		t.held.recheck = true
+	default:
+		f.receive(p.Ack)
 	}
 	return v
 }
@@ -399,10 +437,10 @@
 			request.Best = Offer{}
 		}
 		// A free slot that the agent counts is not one. The server's next slot becomes free after about a service time.
-		t.waiting.blockedUntil = now + t.load.roundTime(latencyBudget(t.routes[p.Key.Service]))
+		t.held.blockedUntil = now + t.load.roundTime(latencyBudget(t.routes[p.Key.Service]))
 		v := t.waitInstead(now, arrived, p, request, t.pass(request, t.routes[p.Key.Service], "server refused the flow"))
 		if v.Action == Wait && !waited {
-			t.waiting.counts.Total++
+			t.held.counts.TotalOpenings++
 		}
 		return v
 	case request.Purpose == PurposeOpen:
@@ -425,17 +463,18 @@
 }
 
 // ServerDown removes all flows and returns the open ones, with the sequence number that each reset must carry. Call it
-// when the server is known not to be running, and NextWaiting after it.
+// when the server is known not to be running, and NextHeld after it.
 func (t *Tracker) ServerDown() map[Key]uint32 {
 	lost := map[Key]uint32{}
 	for _, key := range t.flows.Keys() {
 		if f, _ := t.flows.Peek(key); f.state == open && f.confirmed {
 			lost[key] = f.clientAck
+			t.held.remove(key)
 		}
 	}
 	t.flows.Purge()
 	t.server.stopped()
-	t.waiting.recheck = true
+	t.held.recheck = true
 	t.cold.serverDown(max(t.started, t.load.now), t.entry)
 	t.load.speed.forget()
 	return lost
--- a/flow/tracker_config.go
+++ b/flow/tracker_config.go
@@ -41,17 +41,11 @@
 	// ReservationTimeout is how long a new flow counts as busy before its first request. A client sends the request one
 	// round trip after the flow has opened; a client that took another server's answer never sends it.
 	ReservationTimeout time.Duration
-	// RecoveryTime is how long after its start an agent queues new flows of patient clients beyond their latency budget.
-	// After a restart of many processes all clients that have waited come at once; one whose flow is refused repeats it
-	// within 50 ms and soon has no repetition left. In a lasting overload a longer queue would only make more requests
-	// late.
-	RecoveryTime time.Duration
 	// MinPatience is the timeout of a route from which its clients count as patient. A client gives up an attempt after
 	// 1.4 s, and needs time for another one after that.
 	MinPatience time.Duration
-	// PatientPart is the part of a patient route's timeout within which the answer must be expected. With a quarter, an
-	// answer that takes three times as long as expected still arrives, and after a wait of a quarter a whole attempt of
-	// 1.4 s still fits into the shortest timeout, MinPatience.
+	// PatientPart is the part of a patient route's timeout for which an opening packet may wait. After a quarter, a whole
+	// attempt of 1.4 s still fits into the shortest timeout, MinPatience.
 	PatientPart float64
 	// MaxWait bounds the time, from its client's first packet on, for which an opening packet waits at the agent for a
 	// slot. The client gives up the attempt after 1.4 s; the rest is left for the way to the client and the tick.
@@ -65,9 +59,12 @@
 	// use all of it. A quarter of the server's queue is two requests, enough for a slot that becomes free to find a
 	// request while the next opening packet is on its way, so that no capacity is lost.
 	MinWaitingPart float64
-	// ServerQueue is the number of requests beyond its slots that the server queues before it returns opening packets.
-	// Parts of a waiting budget that the queue can't hold would leave no room to more urgent routes.
-	ServerQueue int
+	// HoldPart is the part of its route's timeout for which the agent may hold a request on an open flow, at most MaxHold.
+	// After that, the server gets it behind its other requests, so that it answers while its client still waits.
+	HoldPart float64
+	MaxHold  time.Duration
+	// MaxHeldPackets bounds the packets that the agent holds. One takes up to 2 KB. Requests beyond that go to the server.
+	MaxHeldPackets int
 	// MaxVersionSkew is how long an agent that has applied a balancer's newer configuration may continue to use an older
 	// one before it has received the newer one itself. The required limit is 250 ms.
 	MaxVersionSkew time.Duration
@@ -94,14 +91,15 @@
 		RequestTimeout:     5 * time.Second,
 		SlowTrialInterval:  time.Second,
 		ReservationTimeout: 100 * time.Millisecond,
-		RecoveryTime:       5 * time.Second,
 		MinPatience:        2800 * time.Millisecond,
-		PatientPart:        0.25,
-		MaxWait:            1200 * time.Millisecond,
+		PatientPart:        0.33,
+		MaxWait:            1300 * time.Millisecond,
 		MaxWaiting:         256,
 		ShareWindow:        2 * time.Second,
 		MinWaitingPart:     0.25,
-		ServerQueue:        8,
+		HoldPart:           0.75,
+		MaxHold:            3 * time.Second,
+		MaxHeldPackets:     512,
 		MaxVersionSkew:     200 * time.Millisecond,
 		RegistrationTime:   500 * time.Millisecond,
 	}
--- a/internal/flowagent/counters.go
+++ b/internal/flowagent/counters.go
@@ -14,10 +14,8 @@
 	actions       [flow.Wait + 1]atomic.Uint64
 	held          atomic.Uint64
 	refused       atomic.Uint64
-	// refusals counts the refused flows by reason, and patient the flows that were queued only because their clients are
-	// patient.
+	// refusals counts the refused flows by reason.
 	refusals      [flow.RefusedGroup + 1]atomic.Uint64
-	patient       atomic.Uint64
 	announced     atomic.Uint64
 	lost          atomic.Uint64
 	writeFailures atomic.Uint64
@@ -27,8 +25,11 @@
 	// that were refused after it.
 	waiting               atomic.Int64
 	waited, waitedTooLong atomic.Uint64
-	flows                 atomic.Int64
-	busy                  atomic.Int64
+	// requestsHeld counts the requests on open flows that are held now, and the others those since the start.
+	requestsHeld                                                  atomic.Int64
+	requestsHeldTotal, requestsHeldOverdue, requestsHeldAbandoned atomic.Uint64
+	flows                                                         atomic.Int64
+	busy                                                          atomic.Int64
 }
 
 // Counters returns the counts since the start and the current gauges, by metric name.
@@ -40,7 +41,6 @@
 		"malformed":             c.malformed.Load(),
 		"held":                  c.held.Load(),
 		"refused":               c.refused.Load(),
-		"queued_patient":        c.patient.Load(),
 		"announced":             c.announced.Load(),
 		"lost":                  c.lost.Load(),
 		"write_failures":        c.writeFailures.Load(),
@@ -49,6 +49,10 @@
 		"waiting":               uint64(c.waiting.Load()),
 		"waited":                c.waited.Load(),
 		"waited_too_long":       c.waitedTooLong.Load(),
+		"requests_held":         uint64(c.requestsHeld.Load()),
+		"requests_held_total":   c.requestsHeldTotal.Load(),
+		"requests_held_overdue": c.requestsHeldOverdue.Load(),
+		"requests_abandoned":    c.requestsHeldAbandoned.Load(),
 		"flows":                 uint64(c.flows.Load()),
 		"busy":                  uint64(c.busy.Load()),
 	}
@@ -61,11 +65,15 @@
 	return counts
 }
 
-// recordWaiting publishes the counts of the opening packets that wait for a slot.
-func (c *counters) recordWaiting(w flow.WaitingCounts) {
-	c.waiting.Store(int64(w.Now))
-	c.waited.Store(w.Total)
-	c.waitedTooLong.Store(w.TooLong)
+// recordHeld publishes the counts of what the agent holds.
+func (c *counters) recordHeld(h flow.HeldCounts) {
+	c.waiting.Store(int64(h.Openings))
+	c.waited.Store(h.TotalOpenings)
+	c.waitedTooLong.Store(h.TooLong)
+	c.requestsHeld.Store(int64(h.Requests))
+	c.requestsHeldTotal.Store(h.TotalRequests)
+	c.requestsHeldOverdue.Store(h.Overdue)
+	c.requestsHeldAbandoned.Store(h.Abandoned)
 }
 
 // record counts a decision.
@@ -74,7 +82,4 @@
 	if v.Refusal != flow.NotRefused {
 		c.refusals[v.Refusal].Add(1)
 	}
-	if v.Patient {
-		c.patient.Add(1)
-	}
 }
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -74,7 +74,7 @@
 			batch.Release()
 		case <-l.config.View.Updates():
 			l.updateView(l.config.Clock.Now())
-			l.handleWaiting(l.config.Clock.Now())
+			l.handleHeld(l.config.Clock.Now())
 			l.broadcastStatus(l.config.Clock.Now(), nodev1.Kind_KIND_ANSWER)
 		case <-ticker.C:
 			l.tick(ctx)
@@ -97,8 +97,8 @@
 	now := l.config.Clock.Now()
 	l.agent.leaving.Store(true)
 	l.broadcastStatus(now, nodev1.Kind_KIND_LEAVE)
-	l.tracker.CloseWaiting()
-	l.handleWaiting(now)
+	l.tracker.StopHolding()
+	l.handleHeld(now)
 	l.config.Event("stopping", "balancers", len(l.balancers.Active(now)), "flows", l.agent.counts.flows.Load())
 	return time.After(lingerTime)
 }
@@ -148,7 +148,7 @@
 		raw := m.Buffers[0][:m.N]
 		if batch.Source == sourceServer {
 			l.handleServerPacket(now, raw)
-			l.handleWaiting(now)
+			l.handleHeld(now)
 			continue
 		}
 		if from, ok := m.Addr.(*net.UDPAddr); ok && from.IP.To4() != nil {
@@ -254,21 +254,21 @@
 	case flow.Reset:
 		l.sendReset(p.Key, v.Seq)
 	case flow.Wait:
-		l.tracker.KeepRaw(p.Key, raw)
+		l.tracker.KeepRaw(p, raw)
 	}
 	l.sendNote(now, p, &v)
 }
 
-// handleWaiting releases or refuses the opening packets that have waited for a slot, as far as that is due.
-func (l *loop) handleWaiting(now time.Duration) {
+// handleHeld releases or refuses the opening packets and requests that are held, as far as that is due.
+func (l *loop) handleHeld(now time.Duration) {
 	for {
-		v, p, raw := l.tracker.NextWaiting(now)
+		v, p, raw := l.tracker.NextHeld(now)
 		if p == nil {
 			break
 		}
 		l.apply(now, p, raw, v)
 	}
-	l.agent.counts.recordWaiting(l.tracker.Waiting())
+	l.agent.counts.recordHeld(l.tracker.Held())
 }
 
 // sendNote sends the note of a decision, if there is one, to the balancer that received the client's packet.
@@ -312,9 +312,13 @@
 		l.config.Event("flow_passed", "flow", p.Key, "to", v.To, "busy", status.Busy, "slots", status.Slots, "reason", v.Reason)
 	case v.Action == flow.Forward, v.Action == flow.Return:
 		l.config.Event("packet_passed", "flow", p.Key, "to", v.To, "more", len(v.Request.Remaining), "reason", v.Reason)
+	case v.Action == flow.Wait && p.Kind != flow.Opening:
+		// The release of a request is logged.
 	case v.Action == flow.Wait:
 		l.config.Event("flow_waits", "flow", p.Key, "expected", v.Place.Expected, "limit", v.Place.Limit, "position", v.Place.Position,
 			"busy", status.Busy, "slots", status.Slots)
+	case v.Action == flow.ToServer && v.Reason != "" && p.Kind != flow.Opening:
+		l.config.Event("request_released", "flow", p.Key, "busy", status.Busy, "slots", status.Slots, "reason", v.Reason)
 	case v.Action == flow.ToServer && v.Reason != "":
 		l.config.Event("flow_queued", "flow", p.Key, "busy", status.Busy, "slots", status.Slots, "reason", v.Reason)
 	case v.Refusal != flow.NotRefused:
--- a/internal/flowagent/tick.go
+++ b/internal/flowagent/tick.go
@@ -24,7 +24,7 @@
 	l.logSuspect(now)
 	l.logCold(now)
 	l.checkServer(now)
-	l.handleWaiting(now)
+	l.handleHeld(now)
 	l.announce(now)
 	l.contactSeed(now)
 	if l.tracker.NeedsProcessCheck(now) {
@@ -93,7 +93,7 @@
 		l.logAccepting(now)
 	case state == processNotRunning && !l.tracker.IsServerDown():
 		l.resetLostFlows("server_down", l.tracker.ServerDown())
-		l.handleWaiting(now)
+		l.handleHeld(now)
 	}
 }
 
--- a/internal/nodestatus/nodestatus.go
+++ b/internal/nodestatus/nodestatus.go
@@ -71,10 +71,8 @@
 	ColdRate float64 `json:"cold_rate"`
 	// Speed is how fast the server is relative to the median of its service, or zero if that is not known.
 	Speed float64 `json:"speed"`
-	// QueueLimit is the number of requests and WaitLimitMs the wait beyond which the server was seen to reject requests,
-	// or zero if none was.
-	QueueLimit  int   `json:"queue_limit"`
-	WaitLimitMs int64 `json:"wait_limit_ms"`
+	// Held is the number of requests on open flows that the agent holds until the server has room for them.
+	Held int `json:"held"`
 	// Busy is the number of requests that are running, waiting or expected.
 	Busy  int `json:"busy"`
 	Slots int `json:"slots"`
