Search with long chains when flows are lost or the link is short of capacity

Over 1,500 were dropped for the link in 4 s, and clients learned only after 1.6 to 3 s (p90) that their flow was lost.

Change: after 8 searches in a row that proved a loss, a search asks all agents of a service in one chain; searches with short chains and direct ones leave a part of the burst to others.

--- a/flow/director.go
+++ b/flow/director.go
@@ -46,6 +46,8 @@
 	// ChainLength is how many agents a packet of a search visits one after the other. Short chains finish sooner;
 	// long ones send fewer messages, because the agents behind the owner are not asked.
 	ChainLength int
+	// LongChainLength is that number while the link has little capacity left for searches.
+	LongChainLength int
 	// SearchTimeout is how long the packets of a flow wait for the first search for its owner.
 	SearchTimeout time.Duration
 	// ResumeTimeout is how long an inconclusive search may wait for a complete view.
@@ -88,6 +90,7 @@
 		MaxViewLag:        2200 * time.Millisecond,
 		MaxViewAge:        3 * time.Second,
 		ChainLength:       8,
+		LongChainLength:   48,
 		SearchTimeout:     150 * time.Millisecond,
 		ResumeTimeout:     500 * time.Millisecond,
 		MaxSearches:       4096,
--- a/flow/moved_route_test.go
+++ b/flow/moved_route_test.go
@@ -190,6 +190,59 @@
 	}
 }
 
+// TestLostFlowsAreResetSoonOnASlowLink covers a balancer on a slow link after the loss of all servers. The clients of
+// hundreds of flows find out that these are lost only when a search has proved it, and some of their timeouts leave no
+// time for another attempt if that takes seconds.
+func TestLostFlowsAreResetSoonOnASlowLink(t *testing.T) {
+	const linkRate, packetSize, flows, hop = 10e6, 500, 400, time.Millisecond
+	config := flow.DefaultDirectorConfig("here")
+	config.MaxSearchBytes, config.MaxFlowAge = flow.SearchBytes(linkRate), 0
+	d := flow.NewDirector(config, start)
+	var servers []registry.Upstream
+	for n := range 46 {
+		servers = append(servers, upstreamOf(n+1, "orders"))
+	}
+	d.SetView(start, viewAt(start, 5, servers...))
+	type denial struct {
+		at     time.Duration
+		denial flow.Denial
+	}
+	var denials []denial
+	reset := map[flow.Key]bool{}
+	apply := func(now time.Duration, key flow.Key, decision flow.Decision) {
+		switch decision.Action {
+		case flow.Reset:
+			reset[key] = true
+		case flow.Forward:
+			for _, branch := range append([]flow.Branch{{Request: decision.Request}}, decision.Branches...) {
+				at := now + time.Duration(len(branch.Request.Remaining)+2)*hop
+				denials = append(denials, denial{at, flow.Denial{Key: key, SearchID: branch.Request.SearchID}})
+			}
+		}
+	}
+	raw := make([]byte, packetSize)
+	for now := start; now < start+time.Second; now += hop {
+		for n := range flows {
+			if at := now - start - time.Duration(n)*hop; !reset[dataPacket(n).Key] && (at == 0 || at == 200*hop || at == 600*hop) {
+				apply(now, dataPacket(n).Key, d.FromClient(now, dataPacket(n), raw))
+			}
+		}
+		for i := 0; i < len(denials); i++ {
+			if denials[i].at <= now {
+				next, p, _ := d.HandleDenial(now, denials[i].denial)
+				denials = slices.Delete(denials, i, i+1)
+				i--
+				if p != nil {
+					apply(now, p.Key, next)
+				}
+			}
+		}
+	}
+	if len(reset) < flows {
+		t.Errorf("%d of %d lost flows were reset within a second", len(reset), flows)
+	}
+}
+
 // BenchmarkSearch reports the messages of a search for a lost flow, by the size of the fleet and whether the routes of
 // the recent past are known. A quarter of the servers belongs to the service in force and a quarter to the former one.
 func BenchmarkSearch(b *testing.B) {
--- a/flow/search.go
+++ b/flow/search.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -59,6 +60,8 @@
 	// lastNumber is the number of the search that was started last.
 	lastNumber uint64
 	lru        *simplelru.LRU[Key, *search]
+	// lost counts the searches in a row that have proved their flow to be lost.
+	lost int
 	// running holds the searches until their timeout, by attempt and in the order of their start.
 	running [maxAttempts][]*search
 	// inconclusive holds the searches that all agents have denied although a server that the view did not name may
@@ -107,28 +110,45 @@
 		return d.searchWidely(now, s)
 	}
 	d.searches.lru.Add(p.Key, s)
-	if s.attempt > 0 {
+	switch {
+	case s.attempt > 0:
 		return d.startChains(now, s, append(first, rest...), "earlier search found no owner in time")
+	case d.searches.lost >= lostSearches:
+		return d.startChains(now, s, append(first, rest...), "owner of the flow is not known, and recent searches found none")
 	}
 	s.remaining = rest
 	return d.startChains(now, s, first, "owner of the flow is not known")
 }
 
+// The parts of the burst of search bytes that searches with short chains leave to others. After the loss of many servers
+// at once, a search with long chains takes longer, but far more of them fit into the link.
+const (
+	directReserve = 0.5
+	shortReserve  = 0.25
+)
+
+// lostSearches is the number of searches in a row after which the next ones ask all agents in one round, since their flows
+// were probably lost as well, together with their servers.
+const lostSearches = 8
+
 // startChains asks agents in parallel chains. If an earlier search found no owner in time, perhaps because an agent of
-// a chain does not answer, it asks each agent directly while the link allows that. If the link has no capacity left for
-// searches, the search ends, and the client's next copy of the packet starts another one.
+// a chain does not answer, it asks each agent directly while the link allows that. The less capacity the link has left for
+// searches, the longer are the chains. If it has none, the search ends, and the client's next copy of the packet starts
+// another one.
 func (d *Director) startChains(now time.Duration, s *search, agents []holder, reason string) Decision {
-	if s.attempt > 0 {
-		if chains := divide(agents, 1); d.takeSearchBytes(now, s, chains) {
-			return d.sendChains(s, chains, reason)
-		}
+	slices.SortStableFunc(agents, func(a, b holder) int { return cmp.Compare(a.service, b.service) })
+	long := divide(agents, d.config.LongChainLength)
+	if direct := divide(agents, 1); s.attempt > 0 && d.takeSearchBytes(now, s, direct, directReserve) {
+		return d.sendChains(s, direct, reason)
+	}
+	if short := divide(agents, d.config.ChainLength); d.searches.lost < lostSearches && len(short) > len(long) && d.takeSearchBytes(now, s, short, shortReserve) {
+		return d.sendChains(s, short, reason)
 	}
-	chains := divide(agents, d.config.ChainLength)
-	if !d.takeSearchBytes(now, s, chains) {
-		d.searches.lru.Remove(s.packet.Key)
-		return Decision{Reason: "too many searches for the link"}
+	if d.takeSearchBytes(now, s, long, 0) {
+		return d.sendChains(s, long, reason)
 	}
-	return d.sendChains(s, chains, reason)
+	d.searches.lru.Remove(s.packet.Key)
+	return Decision{Reason: "too many searches for the link"}
 }
 
 // chain is a list of agents of one service that are asked one after the other.
@@ -171,9 +191,14 @@
 // searchOverhead is the approximate number of bytes that a datagram takes in addition to the packet that it carries.
 const searchOverhead = 120
 
-// takeSearchBytes reports whether the link has capacity for a copy of the search's packet to each chain.
-func (d *Director) takeSearchBytes(now time.Duration, s *search, chains []chain) bool {
-	return d.searchBytes.take(now, len(chains)*(searchOverhead+len(s.raw)))
+// takeSearchBytes reports whether the link has capacity for a copy of the search's packet to each chain, apart from a part
+// of the burst that it leaves to others.
+func (d *Director) takeSearchBytes(now time.Duration, s *search, chains []chain, reserve float64) bool {
+	bytes := len(chains) * (searchOverhead + len(s.raw))
+	if d.searchBytes.available(now)-float64(bytes) < reserve*d.searchBytes.burst {
+		return false
+	}
+	return d.searchBytes.take(now, bytes)
 }
 
 // searchOrder returns the agents of some services in the order in which to ask them for a flow: first the
@@ -219,6 +244,7 @@
 	}
 	d.searches.lru.Remove(s.packet.Key)
 	if d.provesLoss(now, s) {
+		d.searches.lost++
 		return s.reset()
 	}
 	d.searches.inconclusive = append(d.searches.inconclusive, s)
@@ -356,5 +382,6 @@
 		return nil
 	}
 	d.searches.lru.Remove(key)
+	d.searches.lost = 0
 	return s.waiting
 }
