Let an opening packet wait at the agent with the shortest queue

Cause: a flow waited at the last agent on its list.

Change: offers that can't be kept in time state the wait behind everything that is held, and a flow of a patient client that no server can answer in time goes to the best of them.

--- a/flow/accept.go
+++ b/flow/accept.go
@@ -94,7 +94,7 @@
 }
 
 // pass forwards an opening packet to the next agent. After the last agent the flow goes to the one with the best
-// offer, or is refused if the expected wait of that offer is too long.
+// offer. It is refused if the expected wait of that offer is too long, unless its client is patient.
 func (t *Tracker) pass(request Request, route *registry.Route, reason string) Verdict {
 	best := request.Best.Agent
 	switch {
@@ -106,8 +106,11 @@
 		return v
 	case request.Final || best == (IP{}):
 		return refuseBusy(request, reason+"; no agent is left to try")
-	case !request.Best.within(latencyBudget(route)):
+	case !request.Best.within(latencyBudget(route)) && (best == t.config.Address.IP || t.openingLimit(route) <= 0):
 		return refuseBusy(request, "no server can answer in time")
+	case !request.Best.within(latencyBudget(route)):
+		// The flow may wait where the queue is shortest.
+		reason = "no server can answer in time"
 	}
 	request.Final = true
 	request.Remaining = []IP{best}
--- a/flow/held_test.go
+++ b/flow/held_test.go
@@ -259,6 +259,31 @@
 	}
 }
 
+// TestOpeningWaitsWhereTheQueueIsShortest covers a burst that all servers together can serve in a while. If each flow waited
+// at the last agent on its list, some queues would be so long that flows are refused, while others are short.
+func TestOpeningWaitsWhereTheQueueIsShortest(t *testing.T) {
+	tracker := newFullTracker(t)
+	for n := range 10 {
+		wait(t, tracker, start, opening(20+n))
+	}
+	offered := tracker.FromNode(start, opening(40), nil, request(flow.PurposeOpen, agentIP(3))).Request.Best
+	if offered.Agent != agentIP(1) {
+		t.Fatalf("got the offer %+v", offered)
+	}
+	for difference, want := range map[time.Duration]flow.Action{-1: flow.Forward, 1: flow.Wait} {
+		r := request(flow.PurposeOpen)
+		r.Best = flow.Offer{Agent: agentIP(3), Wait: offered.Wait + difference*time.Millisecond}
+		v := tracker.FromNode(start, opening(50+int(difference)), nil, r)
+		if v.Action != want || want == flow.Forward && (v.To != agentIP(3) || !v.Request.Final) {
+			t.Errorf("another agent expects %v more: got %v to %v", difference*time.Millisecond, v.Action, v.To)
+		}
+	}
+	// The agent with the shortest queue must not send the flow on again.
+	r := request(flow.PurposeOpen)
+	r.Final, r.Best = true, flow.Offer{Agent: agentIP(1), Wait: offered.Wait}
+	wantAction(t, tracker.FromNode(start, opening(60), nil, r), flow.Wait, flow.NoteWaiting)
+}
+
 // TestColdRateHoldsForWaitingOpenings guards against a release of many flows at once to a server that turns out to be
 // cold while they wait.
 func TestColdRateHoldsForWaitingOpenings(t *testing.T) {
--- a/flow/shortage.go
+++ b/flow/shortage.go
@@ -96,6 +96,8 @@
 type assessment struct {
 	// wait is the expected time until the answer, and budget the time that it may take.
 	wait, budget time.Duration
+	// late is the expected time until the answer if everything that is held goes first.
+	late time.Duration
 	// full is set if the request would have to wait for a slot.
 	full bool
 	// part is the part of the waiting budget that the flow may use. excluded is set if the flow would exceed that.
@@ -121,6 +123,7 @@
 	if !a.full {
 		return a
 	}
+	a.late = t.load.expectedTime(budget, t.load.atServer()+t.held.backlog.Before(route.Priority))
 	part, refusal := t.shortage.part(now, key, route.Priority)
 	a.part = part
 	if wait := t.load.waitForSlot(budget, ahead); float64(wait) > a.part*queuePart*float64(budget-t.load.roundTime(budget)) {
@@ -141,7 +144,7 @@
 func (a *assessment) offer(agent IP, suspect bool, route *registry.Route) Offer {
 	offer := Offer{Agent: agent, Wait: a.wait, Suspect: suspect}
 	if a.excluded {
-		offer.Wait += max(a.budget, route.Timeout)
+		offer.Wait = a.late + max(a.budget, route.Timeout)
 	}
 	return offer
 }
