Take a balancer out of rotation while no agent answers

Change: a balancer whose heartbeats no agent has answered for 700 ms is not ready. Open flows are found by the balancers of other zones.

--- a/flow/agents.go
+++ b/flow/agents.go
@@ -294,7 +294,7 @@
 		return
 	}
 	a.lastHeard = now
-	a.waitingSince = 0
+	a.waitingSince, d.awaitingSince = 0, 0
 	a.leaving = a.leaving && status.Process == a.status.Process
 	a.updateRun(now, d.config.MaxViewLag, &status)
 	a.status = status
--- a/flow/director.go
+++ b/flow/director.go
@@ -35,6 +35,9 @@
 	HeartbeatStart int
 	// UnresponsiveAfter is how long an agent may leave a message unanswered before new flows avoid it.
 	UnresponsiveAfter time.Duration
+	// IsolatedAfter is how long no agent at all may answer before the balancer counts as isolated. A short time moves clients
+	// to other balancers sooner; a longer one tolerates losses on the link.
+	IsolatedAfter time.Duration
 	// StatusTTL is how long an agent's latest status takes precedence over the entries of the store.
 	StatusTTL time.Duration
 	// Registry determines when a missing entry proves that its server is gone.
@@ -85,6 +88,7 @@
 		RetryInterval:     100 * time.Millisecond,
 		MaxHeartbeats:     100,
 		UnresponsiveAfter: 100 * time.Millisecond,
+		IsolatedAfter:     700 * time.Millisecond,
 		StatusTTL:         500 * time.Millisecond,
 		Registry:          registry.DefaultConfig(0),
 		MaxViewLag:        2200 * time.Millisecond,
@@ -228,11 +232,13 @@
 	routes       map[Endpoint]*route
 	agents       map[IP]*agent
 	sortedAgents []*agent
-	hints        hints
-	openings     openings
-	searches     searches
-	rankBuf      []uint32
-	listBuf      []IP
+	// awaitingSince is when the first heartbeat was sent since an agent last sent its status, or zero.
+	awaitingSince time.Duration
+	hints         hints
+	openings      openings
+	searches      searches
+	rankBuf       []uint32
+	listBuf       []IP
 	// heartbeatCursor is the index in sortedAgents of the agent examined last for a due heartbeat.
 	heartbeatCursor int
 	// heartbeats limits the heartbeats to all agents together.
--- a/flow/director_test.go
+++ b/flow/director_test.go
@@ -659,6 +659,48 @@
 	}
 }
 
+// TestIsolatedBalancerIsRecognized covers a balancer that is cut off from all agents. As long as the routers send packets to
+// it, its clients are not served although other balancers could do so. One agent that answers is enough to be useful, and a
+// balancer whose agents are all gone from the view, or that has just started, is not cut off.
+func TestIsolatedBalancerIsRecognized(t *testing.T) {
+	config := flow.DefaultDirectorConfig("here")
+	d := newDirector(upstreamOf(1, "orders"), upstreamOf(3, "orders"))
+	now := start
+	pass := func(d *flow.Director, duration time.Duration, answering ...int) {
+		for end := now + duration; now < end; now += 20 * time.Millisecond {
+			for {
+				ip, ok := d.Heartbeat(now)
+				if !ok {
+					break
+				}
+				if slices.Contains(answering, int(ip[3])) {
+					receive(d, now, statusOf(int(ip[3]), 0, 0))
+				}
+			}
+		}
+	}
+	want := func(step string, want bool) {
+		t.Helper()
+		if got := d.Isolated(now); got != want {
+			t.Fatalf("%s: isolated is %v", step, got)
+		}
+	}
+	want("start", false)
+	pass(d, 2*time.Second, 1)
+	want("one agent answers", false)
+	pass(d, config.IsolatedAfter/2)
+	want("an answer was just received", false)
+	pass(d, config.IsolatedAfter/2+config.HeartbeatInterval)
+	want("no agent answers", true)
+	pass(d, config.RetryInterval+40*time.Millisecond, 3)
+	want("an agent answers again", false)
+	pass(d, 2*time.Second)
+	want("no agent answers again", true)
+	d.SetView(now, viewAt(now, 6))
+	d.Sweep(now + time.Minute)
+	want("there are no agents", false)
+}
+
 func TestHealthChangesReturnsEachChangeOnce(t *testing.T) {
 	d := newDirector(upstreamOf(1, "orders"), upstreamOf(3, "orders"))
 	receive(d, start, statusOf(1, 0, 0), statusOf(3, 0, 0))
--- a/flow/heartbeats.go
+++ b/flow/heartbeats.go
@@ -29,12 +29,21 @@
 		}
 		a.nextHeartbeat = now + interval
 		a.expectReply(now)
+		if d.awaitingSince == 0 {
+			d.awaitingSince = now
+		}
 		d.heartbeats.take(now, 1)
 		return a.ip, true
 	}
 	return IP{}, false
 }
 
+// Isolated reports whether no agent has answered for so long that the balancer is probably cut off from all of them. Its
+// clients are then better served by other balancers.
+func (d *Director) Isolated(now time.Duration) bool {
+	return len(d.sortedAgents) > 0 && d.awaitingSince > 0 && now-d.awaitingSince > d.config.IsolatedAfter
+}
+
 // Sweep removes the hints of idle flows and the agents that are no longer needed. Call it about once a second.
 func (d *Director) Sweep(now time.Duration) {
 	d.hints.expire(now)
--- a/internal/flowbalancer/flowbalancer.go
+++ b/internal/flowbalancer/flowbalancer.go
@@ -77,7 +77,9 @@
 	clients *udp.Socket
 	nodes   *udp.Socket
 	leaving atomic.Bool
-	counts  counters
+	// isolated is set while no agent answers.
+	isolated atomic.Bool
+	counts   counters
 	// questions are those of operators, which the event loop answers.
 	questions explain.Questions[flow.Explanation]
 }
@@ -102,6 +104,8 @@
 	switch {
 	case b.leaving.Load():
 		return errors.New("process is shutting down")
+	case b.isolated.Load():
+		return errors.New("no agent answers")
 	case view == nil:
 		return errors.New("no view received yet")
 	case view.Configuration == nil:
--- a/internal/flowbalancer/nodes.go
+++ b/internal/flowbalancer/nodes.go
@@ -112,6 +112,7 @@
 	l.resumeSearches(now)
 	l.sendHedges(now)
 	l.sendHeartbeats(now)
+	l.checkIsolation(now)
 	if now-l.lastHealthLog >= healthLogInterval {
 		l.logHealthChanges(now)
 	}
@@ -120,6 +121,14 @@
 	}
 }
 
+// checkIsolation takes the balancer out of rotation while no agent answers, and logs when that begins and ends.
+func (l *loop) checkIsolation(now time.Duration) {
+	isolated := l.director.Isolated(now)
+	if l.balancer.isolated.Swap(isolated) != isolated {
+		l.config.Event("isolated", "now", isolated, "agents", l.director.Agents())
+	}
+}
+
 // resumeSearches repeats or concludes the inconclusive searches for which the view now allows it.
 func (l *loop) resumeSearches(now time.Duration) {
 	for {
