Explain what a request on an open flow would meet at an agent

Operators see with explain-flow whether a request would go to the server or wait, behind how many others, for how long and up to which limit. The decision runs on a copy of the state, as for opening packets.

--- a/cmd/bramleyctl/explain_flow.go
+++ b/cmd/bramleyctl/explain_flow.go
@@ -145,7 +145,7 @@
 	if len(r.Agents) == 0 {
 		return
 	}
-	rows := [][]string{{"AGENT", "SERVER", "ANSWER", "AS LAST", "BUSY", "EXPECTED", "BUDGET", "STATE", "REVISION", "AGE", "REASON"}}
+	rows := [][]string{{"AGENT", "SERVER", "ANSWER", "AS LAST", "BUSY", "EXPECTED", "BUDGET", "REQUEST", "STATE", "REVISION", "AGE", "REASON"}}
 	for i := range r.Agents {
 		rows = append(rows, r.Agents[i].tableRow())
 	}
@@ -231,10 +231,18 @@
 	return []string{fmt.Sprint(a.Rank), position, a.Agent, a.Place, a.Class, busy, flows, fmt.Sprint(a.SentFlows), reported, fmt.Sprintf("%.2f", a.Capacity), cold, a.Reason}
 }
 
+// requestText describes what a request on an open flow would meet.
+func requestText(r *flow.ExplainedRequest) string {
+	if r.Outcome == flow.OutcomeTake {
+		return r.Outcome
+	}
+	return fmt.Sprintf("%s behind %d for %.0fms, limit %s", r.Outcome, r.Ahead, r.ExpectedMs, durationText(int64(r.LimitMs)))
+}
+
 func (a *agentAnswer) tableRow() []string {
 	e := a.Explanation
 	if e == nil {
-		return []string{a.Address, "-", "error", "-", "-", "-", "-", "-", "-", "-", a.Error}
+		return []string{a.Address, "-", "error", "-", "-", "-", "-", "-", "-", "-", "-", a.Error}
 	}
 	reason := e.Reason
 	if e.LastReason != "" && e.LastReason != e.Reason {
@@ -249,7 +257,7 @@
 	}
 	return []string{
 		a.Address, e.Server, outcome, e.LastOutcome, fmt.Sprintf("%d/%d", e.State.Busy, e.State.Slots),
-		fmt.Sprintf("%.1fms", e.ExpectedMs), fmt.Sprintf("%.1fms", e.BudgetMs), serverStates(&e.State),
+		fmt.Sprintf("%.1fms", e.ExpectedMs), fmt.Sprintf("%.1fms", e.BudgetMs), requestText(&e.Request), serverStates(&e.State),
 		fmt.Sprint(e.View.ID()), durationText(e.View.AgeMs), reason,
 	}
 }
--- a/flow/explain_agent.go
+++ b/flow/explain_agent.go
@@ -34,10 +34,42 @@
 	State      nodestatus.Server `json:"state"`
 	ExpectedMs float64           `json:"expected_ms"`
 	BudgetMs   float64           `json:"budget_ms"`
+	// Request is what a new request on an open flow to the address would meet.
+	Request ExplainedRequest `json:"request"`
 	// Evacuation is that of the server's place, or nil.
 	Evacuation *ExplainedEvacuation `json:"evacuation,omitempty"`
 }
 
+// ExplainedRequest is what an agent would do now with a new request on a flow that its server holds.
+type ExplainedRequest struct {
+	// Outcome is OutcomeTake, or OutcomeWait if the agent would hold the request.
+	Outcome string `json:"outcome"`
+	// Ahead is the number of requests that precede it at the server and the agent. ExpectedMs is the expected wait for a
+	// slot, and LimitMs the time after which the agent would pass the request to the server in any case.
+	Ahead      int     `json:"ahead"`
+	ExpectedMs float64 `json:"expected_ms"`
+	LimitMs    float64 `json:"limit_ms"`
+}
+
+// explainRequest returns what a new request on an open flow would meet. It may change the Tracker.
+func (t *Tracker) explainRequest(now time.Duration, key Key) ExplainedRequest {
+	route := t.routes[key.Service]
+	f := &trackedFlow{state: open}
+	if known, ok := t.flows.Peek(key); ok {
+		f = known
+	}
+	p := Packet{Key: key, Seq: f.receivedTo, Length: 1}
+	ahead := t.ahead(now, route)
+	e := ExplainedRequest{
+		Outcome: OutcomeTake, Ahead: ahead,
+		ExpectedMs: milliseconds(t.load.waitForSlot(latencyBudget(route), ahead)), LimitMs: milliseconds(t.requestLimit(route)),
+	}
+	if _, held := t.holdRequest(now, &p, f, Request{}); held {
+		e.Outcome = OutcomeWait
+	}
+	return e
+}
+
 // Explain returns what the agent would do now with the first copy of a flow's opening packet. It lets copies of the
 // Tracker decide, so it can't differ from the decision itself, and changes nothing. The caller sets the view.
 func (t *Tracker) Explain(now time.Duration, key Key) AgentExplanation {
@@ -52,6 +84,7 @@
 		ExpectedMs: milliseconds(trial.load.expectedTime(budget, trial.ahead(now, route))),
 		BudgetMs:   milliseconds(budget),
 	}
+	e.Request = trial.explainRequest(now, key)
 	// The address of the next agent has no influence on the decision.
 	e.Outcome, e.Reason = t.explainOpening(now, key, []IP{{}})
 	e.LastOutcome, e.LastReason = t.explainOpening(now, key, nil)
--- a/flow/held_test.go
+++ b/flow/held_test.go
@@ -449,6 +449,27 @@
 	}
 }
 
+// TestExplanationOfARequestOnAnOpenFlow guards the answer that operators get before they search the logs: it must be that of
+// the decision.
+func TestExplanationOfARequestOnAnOpenFlow(t *testing.T) {
+	tracker := newTracker(patientView(5, nil))
+	now := openSignals(t, tracker, 8)
+	if got := tracker.Explain(now, opening(0).Key).Request; got.Outcome != flow.OutcomeTake || got.LimitMs != 3000 {
+		t.Fatalf("got %+v on an idle server", got)
+	}
+	for n := range 7 {
+		sendData(tracker, now, opening(n).Key, 0)
+	}
+	got := tracker.Explain(now, opening(7).Key).Request
+	if got.Outcome != flow.OutcomeWait || got.Ahead != 7 || got.ExpectedMs <= 0 {
+		t.Fatalf("got %+v behind 7 requests on 4 slots", got)
+	}
+	if got := tracker.Explain(now, urgentOpening(7).Key).Request; got.Outcome != flow.OutcomeWait || got.Ahead != 5 {
+		t.Fatalf("got %+v for an urgent request, want it behind what the server has", got)
+	}
+	wantAction(t, sendData(tracker, now, opening(7).Key, 0), flow.Wait, flow.NoNote)
+}
+
 // TestAbandonedRequestTakesNoSlot covers a client that gives up its request while the agent holds it.
 func TestAbandonedRequestTakesNoSlot(t *testing.T) {
 	tracker := newFullTracker(t)
@@ -640,3 +661,31 @@
 		t.Errorf("in the end %+v is counted, and %d requests are busy", got, m.tracker.Status(m.now).Busy)
 	}
 }
+
+// BenchmarkKnownFlow measures an agent's decisions on a request of an open flow and on its answer, without and with
+// requests that are held at the same time.
+func BenchmarkKnownFlow(b *testing.B) {
+	for name, busy := range map[string]int{"idle": 0, "held": 200} {
+		b.Run(name, func(b *testing.B) {
+			tracker := newTracker(patientView(5, nil))
+			now := start
+			for n := range 2000 {
+				now += 150 * time.Millisecond
+				tracker.FromNode(now, opening(n), nil, request(flow.PurposeOpen))
+				tracker.FromServer(now, &flow.Packet{Key: opening(n).Key, Kind: flow.Accepting, Ack: 1})
+			}
+			for n := range busy {
+				sendData(tracker, now, opening(1000+n).Key, 0)
+			}
+			header, answer := request(flow.PurposeDeliver), flow.Packet{Length: 100}
+			b.ReportAllocs()
+			for n := uint32(0); b.Loop(); n++ {
+				key := opening(int(n % 1000)).Key
+				p := flow.Packet{Key: key, Seq: 1 + 10*(n/1000), Length: 10, Ack: 77}
+				tracker.FromNode(now, &p, nil, header)
+				answer.Key, answer.Ack = key, p.Seq+10
+				tracker.FromServer(now, &answer)
+			}
+		})
+	}
+}
