Record how long opening packets and requests were held

Histograms opening_held_us and request_held_us, and the lines flow_released and request_released with the wait. The lines replace flow_queued, which described two different events.

--- a/cmd/bramley-flow-agent/main.go
+++ b/cmd/bramley-flow-agent/main.go
@@ -48,20 +48,22 @@
 	tracker := flow.DefaultTrackerConfig(p.Settings.Service, flow.EndpointOf(p.Settings.Server))
 	tracker.Place = p.Settings.Place
 	a, err := flowagent.New(flowagent.Config{
-		View:             p.View,
-		Clock:            p.Clock,
-		Codec:            platform.PacketCodec{},
-		ServerCodec:      platform.PacketCodec{FromServer: true},
-		PeerAddress:      p.Settings.PeerAddress,
-		OutboundAddress:  p.Settings.OutboundAddress,
-		Server:           p.Settings.Server,
-		ClientPort:       p.Settings.ClientPort,
-		ProcessID:        p.ProcessID,
-		Rand:             rand.New(rand.NewSource(int64(p.ProcessID))),
-		Seeds:            p.Seeds,
-		Tracker:          tracker,
-		Event:            telemetry.Event,
-		RecordAnswerTime: telemetry.NewHistogram("flow_accepted_us").Record,
+		View:              p.View,
+		Clock:             p.Clock,
+		Codec:             platform.PacketCodec{},
+		ServerCodec:       platform.PacketCodec{FromServer: true},
+		PeerAddress:       p.Settings.PeerAddress,
+		OutboundAddress:   p.Settings.OutboundAddress,
+		Server:            p.Settings.Server,
+		ClientPort:        p.Settings.ClientPort,
+		ProcessID:         p.ProcessID,
+		Rand:              rand.New(rand.NewSource(int64(p.ProcessID))),
+		Seeds:             p.Seeds,
+		Tracker:           tracker,
+		Event:             telemetry.Event,
+		RecordAnswerTime:  telemetry.NewHistogram("flow_accepted_us").Record,
+		RecordOpeningWait: telemetry.NewHistogram("opening_held_us").Record,
+		RecordRequestWait: telemetry.NewHistogram("request_held_us").Record,
 	})
 	if err != nil {
 		return errors.Trace(err)
--- a/flow/held.go
+++ b/flow/held.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/bramleyrack/bramleyrack/admission"
@@ -302,9 +301,7 @@
 		t.held.released = nil
 	}
 	v := t.passOn(now, &h.packet, h.raw, w.request)
-	if v.Reason == "" {
-		v.Reason = fmt.Sprintf("held for %v", (now - w.since).Round(time.Millisecond))
-	}
+	v.Waited = now - w.since
 	return v, &h.packet, h.raw
 }
 
@@ -383,8 +380,7 @@
 	t.accept(now, p, w.request)
 	f, _ := t.flows.Peek(first.Key)
 	f.arrived, f.waited = w.since+copyAges[p.Copy], true
-	v = Verdict{Decision: Decision{Action: ToServer, Reason: fmt.Sprintf("waited for %v for a free slot", (now - f.arrived).Round(time.Millisecond))}}
-	return v, p, raw
+	return Verdict{Decision: Decision{Action: ToServer}, Waited: now - f.arrived}, p, raw
 }
 
 // refuseHeld returns the refusal of an opening packet that has waited for too long or can't be served any more.
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -82,6 +82,8 @@
 	Part    float64
 	// Place describes the wait of a new flow or a request with the action Wait.
 	Place HeldPlace
+	// Waited is the time for which the agent held the packet, if it did.
+	Waited time.Duration
 }
 
 // Tracker makes the decisions of one agent. It is not safe for concurrent use.
--- a/internal/flowagent/flowagent.go
+++ b/internal/flowagent/flowagent.go
@@ -55,6 +55,9 @@
 	Event func(op string, kv ...any)
 	// RecordAnswerTime records how long the server took to answer an opening packet.
 	RecordAnswerTime func(time.Duration)
+	// RecordOpeningWait and RecordRequestWait record how long opening packets and requests on open flows were held before
+	// the server got them.
+	RecordOpeningWait, RecordRequestWait func(time.Duration)
 }
 
 const (
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -267,6 +267,11 @@
 			break
 		}
 		l.apply(now, p, raw, v)
+		if v.Action == flow.ToServer && p.Kind == flow.Opening {
+			l.config.RecordOpeningWait(v.Waited)
+		} else if v.Action == flow.ToServer {
+			l.config.RecordRequestWait(v.Waited)
+		}
 	}
 	l.agent.counts.recordHeld(l.tracker.Held())
 }
@@ -317,10 +322,10 @@
 	case v.Action == flow.Wait:
 		l.config.Event("flow_waits", "flow", p.Key, "expected", v.Place.Expected, "limit", v.Place.Limit, "position", v.Place.Position,
 			"busy", status.Busy, "slots", status.Slots)
-	case v.Action == flow.ToServer && v.Reason != "" && p.Kind != flow.Opening:
-		l.config.Event("request_released", "flow", p.Key, "busy", status.Busy, "slots", status.Slots, "reason", v.Reason)
-	case v.Action == flow.ToServer && v.Reason != "":
-		l.config.Event("flow_queued", "flow", p.Key, "busy", status.Busy, "slots", status.Slots, "reason", v.Reason)
+	case v.Action == flow.ToServer && v.Waited > 0 && p.Kind == flow.Opening:
+		l.config.Event("flow_released", "flow", p.Key, "waited", v.Waited, "busy", status.Busy, "slots", status.Slots)
+	case v.Action == flow.ToServer && v.Waited > 0:
+		l.config.Event("request_released", "flow", p.Key, "waited", v.Waited, "busy", status.Busy, "slots", status.Slots)
 	case v.Refusal != flow.NotRefused:
 		l.config.Event("flow_reset", "flow", p.Key, "seq", v.Seq, "reason", v.Reason, "refusal", v.Refusal.String(), "share", v.Part,
 			"busy", status.Busy, "slots", status.Slots, "version", l.tracker.Version())
