--- a/flow/agents.go
+++ b/flow/agents.go
@@ -39,6 +39,24 @@
 	View registry.Freshness
 }
 
+// reportedStatus is what a balancer keeps of an AgentStatus. It keeps one for each server.
+type reportedStatus struct {
+	process               uint64
+	accepting             bool
+	busy, slots, flows    uint32
+	serviceTime           time.Duration
+	failureRate           float64
+	coldRate, work, speed float64
+	view                  registry.Freshness
+}
+
+func reported(s *AgentStatus) reportedStatus {
+	return reportedStatus{
+		process: s.Process, accepting: s.Accepting, busy: s.Busy, slots: s.Slots, flows: s.Flows, serviceTime: s.ServiceTime,
+		failureRate: s.FailureRate, coldRate: s.ColdRate, work: s.Work, speed: s.Speed, view: s.View,
+	}
+}
+
 // agent is the state that a balancer keeps about the agent beside one server.
 type agent struct {
 	ip          IP
@@ -51,8 +69,8 @@
 	coldRate float64
 	// runChanged is the revision with which the view named this run in place of an earlier one, or zero.
 	runChanged registry.Revision
-	// routeTimes are those that the agent reported last, at routeTimesAt, for this run of the server.
-	routeTimes   RouteTimes
+	// routeTimes are those that the agent reported last, at routeTimesAt, for this run of the server, or nil.
+	routeTimes   *RouteTimes
 	routeTimesAt time.Duration
 	slots        int
 	draining     bool
@@ -62,7 +80,7 @@
 	// lastHeard is when the agent last sent its status, and waitingSince when it was first sent a message since then
 	// that requires an answer; zero if nothing is outstanding.
 	lastHeard, waitingSince time.Duration
-	status                  AgentStatus
+	status                  reportedStatus
 	// previousProcess is the run of the agent before that of its status. Messages of that run may still arrive.
 	previousProcess uint64
 	// leaving is set once the agent has announced that it is stopping.
@@ -281,8 +299,8 @@
 	if process == a.previousProcess {
 		return false
 	}
-	if process != a.status.Process {
-		a.previousProcess = a.status.Process
+	if process != a.status.process {
+		a.previousProcess = a.status.process
 	}
 	return true
 }
@@ -295,9 +313,9 @@
 	}
 	a.lastHeard = now
 	a.waitingSince, d.awaitingSince = 0, 0
-	a.leaving = a.leaving && status.Process == a.status.Process
+	a.leaving = a.leaving && status.Process == a.status.process
 	a.updateRun(now, d.config.MaxViewLag, &status)
-	a.status = status
+	a.status = reported(&status)
 	a.sentFlows = 0
 }
 
@@ -328,7 +346,7 @@
 	if a == nil || !a.fromCurrentRun(process) {
 		return
 	}
-	a.status.Process = process
+	a.status.process = process
 	a.leaving = true
 	a.nextHeartbeat = now + d.config.RetryInterval
 }
--- a/flow/balance.go
+++ b/flow/balance.go
@@ -48,14 +48,14 @@
 	var measured, measuredFlows, flows, sent, capacity float64
 	for i := range s.candidates {
 		a := d.agents[ipFromNumber(s.candidates[i].Number)]
-		if a.status.Process == 0 {
+		if a.status.process == 0 {
 			continue
 		}
-		if a.status.Work > 0 {
-			measured += a.status.Work
-			measuredFlows += float64(a.status.Flows)
+		if a.status.work > 0 {
+			measured += a.status.work
+			measuredFlows += float64(a.status.flows)
 		}
-		flows += float64(a.status.Flows)
+		flows += float64(a.status.flows)
 		sent += float64(a.sentFlows)
 		capacity += a.effectiveCapacity(now)
 	}
@@ -80,8 +80,8 @@
 // effectiveCapacity returns how many requests the server can run at once, in requests at the median speed of its
 // service.
 func (a *agent) effectiveCapacity(now time.Duration) float64 {
-	if a.status.Speed > 0 {
-		return a.capacity(now) * a.status.Speed
+	if a.status.speed > 0 {
+		return a.capacity(now) * a.status.speed
 	}
 	return a.capacity(now)
 }
@@ -91,12 +91,12 @@
 func (a *agent) expectedLoad(now time.Duration, t *totals) float64 {
 	capacity := a.effectiveCapacity(now)
 	next := t.workPerSent / capacity
-	if a.status.Process == 0 {
+	if a.status.process == 0 {
 		return t.load + next
 	}
 	age := now - a.lastHeard
-	fromFlows := t.workPerFlow * float64(a.status.Flows)
-	work := a.status.Work
+	fromFlows := t.workPerFlow * float64(a.status.flows)
+	work := a.status.work
 	if work == 0 {
 		work = fromFlows
 	}
--- a/flow/cold_agents.go
+++ b/flow/cold_agents.go
@@ -22,14 +22,14 @@
 // cold reports whether the server has not warmed up, according to its entry or to its agent, which learns earlier that
 // the server has started anew.
 func (a *agent) cold(now time.Duration) bool {
-	return now < a.warmAt || a.status.ColdRate > 0
+	return now < a.warmAt || a.status.coldRate > 0
 }
 
 // coldCapacity returns the capacity of a server that has the given number of slots and has not warmed up. If the limit
 // on its new flows is known, it is the number of slots that so many flows a second keep busy.
 func (a *agent) coldCapacity(slots float64) float64 {
-	if a.coldRate > 0 && a.status.ServiceTime > 0 {
-		return min(slots, a.coldRate*a.status.ServiceTime.Seconds())
+	if a.coldRate > 0 && a.status.serviceTime > 0 {
+		return min(slots, a.coldRate*a.status.serviceTime.Seconds())
 	}
 	return slots / coldFactor
 }
@@ -38,10 +38,10 @@
 // after those sent since then. The budget grows at a known rate, but all balancers share what is added, so only the next
 // status shows it. Older statuses than ttl say nothing.
 func (a *agent) exhausted(now, ttl time.Duration) bool {
-	if a.status.ColdRate == 0 || a.coldRate == 0 || now-a.lastHeard > ttl {
+	if a.status.coldRate == 0 || a.coldRate == 0 || now-a.lastHeard > ttl {
 		return false
 	}
-	return a.status.ColdRate-a.coldRate-float64(a.sentFlows) < 1
+	return a.status.coldRate-a.coldRate-float64(a.sentFlows) < 1
 }
 
 // ColdChange is a change in whether a balancer considers a server cold.
--- a/flow/director.go
+++ b/flow/director.go
@@ -388,7 +388,7 @@
 // uncertain. For read, see registry.Freshness.RemovalUncertain.
 func (d *Director) allAgentsConfirm(read time.Duration) bool {
 	for _, a := range d.sortedAgents {
-		if a.present && (a.status.Process == 0 || a.status.View.RemovalUncertain(d.config.Registry, read)) {
+		if a.present && (a.status.process == 0 || a.status.view.RemovalUncertain(d.config.Registry, read)) {
 			return false
 		}
 	}
--- a/flow/director_test.go
+++ b/flow/director_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand"
 	"net/netip"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -763,3 +764,27 @@
 		d.ColdChanges(start)
 	}
 }
+
+// BenchmarkDirectorHeap reports the memory of a balancer's Director at the target size, apart from the view.
+func BenchmarkDirectorHeap(b *testing.B) {
+	upstreams, c := largeFleet()
+	view := viewAt(start, 1, upstreams...)
+	view.Configuration = c
+	heap := func() float64 {
+		var stats runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&stats)
+		return float64(stats.HeapAlloc) / 1e6
+	}
+	for b.Loop() {
+		before := heap()
+		d := flow.NewDirector(flow.DefaultDirectorConfig("here"), start)
+		d.SetView(start, view)
+		for i := range upstreams {
+			d.UpdateStatus(start, flow.AgentStatus{From: flow.IP(upstreams[i].Address.Addr().As4()), Process: 1, Accepting: true})
+		}
+		b.ReportMetric(heap()-before, "MB")
+		runtime.KeepAlive(d)
+	}
+	runtime.KeepAlive(view)
+}
--- a/flow/explain.go
+++ b/flow/explain.go
@@ -217,11 +217,11 @@
 		c := d.classify(now, a, key.Hash())
 		candidate := ExplainedCandidate{
 			Rank: i + 1, Position: position, Agent: a.ip.String(), Place: a.place, Class: classNames[c], Reason: d.explainClass(now, a, c, key.Hash()),
-			SentFlows: a.sentFlows, Capacity: a.capacity(now), Speed: a.status.Speed, ExpectedLoad: a.expectedLoad(now, t), ColdMs: max(0, (a.warmAt - now).Milliseconds()),
+			SentFlows: a.sentFlows, Capacity: a.capacity(now), Speed: a.status.speed, ExpectedLoad: a.expectedLoad(now, t), ColdMs: max(0, (a.warmAt - now).Milliseconds()),
 		}
-		if a.status.Process > 0 {
+		if a.status.process > 0 {
 			candidate.Reported = &ReportedLoad{
-				AgeMs: (now - a.lastHeard).Milliseconds(), Busy: a.status.Busy, Slots: a.status.Slots, Flows: a.status.Flows,
+				AgeMs: (now - a.lastHeard).Milliseconds(), Busy: a.status.busy, Slots: a.status.slots, Flows: a.status.flows,
 			}
 		}
 		candidates = append(candidates, candidate)
@@ -246,7 +246,7 @@
 		return "the server drains"
 	case d.evacuated(now, a.place, flow):
 		return "availability zone is evacuated"
-	case a.status.Process > 0 && !a.status.Accepting:
+	case a.status.process > 0 && !a.status.accepting:
 		return "the agent reports that its server takes no new flows"
 	case a.leaving:
 		return "the agent has announced that it is stopping"
@@ -281,7 +281,7 @@
 		a := d.agents[ipFromNumber(candidate.Number)]
 		switch {
 		case !a.present:
-		case a.status.Process == 0:
+		case a.status.process == 0:
 			silent = append(silent, a.ip.String())
 		case now-a.lastHeard > oldReport:
 			old = append(old, a.ip.String())
--- a/flow/peers.go
+++ b/flow/peers.go
@@ -32,9 +32,9 @@
 	var serviceTimes []time.Duration
 	var failureRates []float64
 	for _, upstream := range s.holders {
-		if status := &d.agents[ipFromNumber(upstream.Number)].status; status.ServiceTime > 0 {
-			serviceTimes = append(serviceTimes, status.ServiceTime)
-			failureRates = append(failureRates, status.FailureRate)
+		if status := &d.agents[ipFromNumber(upstream.Number)].status; status.serviceTime > 0 {
+			serviceTimes = append(serviceTimes, status.serviceTime)
+			failureRates = append(failureRates, status.failureRate)
 		}
 	}
 	if len(serviceTimes) < minPeers {
--- a/flow/select.go
+++ b/flow/select.go
@@ -31,7 +31,7 @@
 		return unavailable
 	case d.evacuated(now, a.place, flow):
 		return evacuating
-	case a.status.Process > 0 && !a.status.Accepting:
+	case a.status.process > 0 && !a.status.accepting:
 		return unavailable
 	case a.unresponsive(now, d.config.UnresponsiveAfter):
 		return unresponsive
--- a/flow/speed.go
+++ b/flow/speed.go
@@ -210,20 +210,21 @@
 // updateRun records the route times and speed in a status that was received from the agent. The status of an agent that
 // may not know of the present run of its server yet describes the earlier one.
 func (a *agent) updateRun(now, maxLag time.Duration, status *AgentStatus) {
-	if status.Process != a.status.Process {
-		a.routeTimes = RouteTimes{}
+	if status.Process != a.status.process {
+		a.routeTimes = nil
 	}
 	if a.runChanged > status.View.Changed && now-a.runSince <= maxLag {
 		status.Speed, status.RouteTimes = 0, RouteTimes{}
 	}
 	if status.RouteTimes[0].Key != 0 {
-		a.routeTimes, a.routeTimesAt = status.RouteTimes, now
+		times := status.RouteTimes
+		a.routeTimes, a.routeTimesAt = &times, now
 	}
 }
 
 // startRun discards the speed of the earlier run of the agent's server, if there was one.
 func (a *agent) startRun(changed registry.Revision) {
-	a.runChanged, a.routeTimes, a.status.Speed = changed, RouteTimes{}, 0
+	a.runChanged, a.routeTimes, a.status.speed = changed, nil, 0
 }
 
 // routeMedians returns the median times of the routes that most servers of a service have reported.
@@ -231,10 +232,10 @@
 	times := map[uint32][]time.Duration{}
 	for i := range s.holders {
 		a := d.agents[ipFromNumber(s.holders[i].Number)]
-		if now-a.routeTimesAt > routeTimesTTL {
+		if a.routeTimes == nil || now-a.routeTimesAt > routeTimesTTL {
 			continue
 		}
-		for _, r := range a.routeTimes {
+		for _, r := range *a.routeTimes {
 			if r.Key != 0 {
 				times[r.Key] = append(times[r.Key], r.Time)
 			}
