--- a/flow/held_requests_test.go
+++ b/flow/held_requests_test.go
@@ -158,6 +158,29 @@
 	wantAction(t, tracker.FromNode(start, p, nil, request(flow.PurposeSearch)), flow.Wait, flow.NoteHeld)
 }
 
+// TestUploadsAreNotHeld covers requests of many packets. The server runs one when it has received all of it, so holding its
+// first packet would only delay the others, and the uploads in progress take no slots from other requests.
+func TestUploadsAreNotHeld(t *testing.T) {
+	config := flow.DefaultTrackerConfig("", flow.Endpoint{})
+	tracker := newTracker(patientView(5, nil))
+	now := openSignals(t, tracker, 12)
+	packet := func(n int, seq uint32, length int) *flow.Packet {
+		return &flow.Packet{Key: opening(n).Key, Seq: seq, Length: length, Ack: 77}
+	}
+	for n := range 10 {
+		for i := range uint32(3) {
+			p := packet(n, 1+i*uint32(config.MaxPayload), config.MaxPayload)
+			wantAction(t, tracker.FromNode(now, p, nil, request(flow.PurposeDeliver)), flow.ToServer, flow.NoNote)
+		}
+	}
+	wantAction(t, sendData(tracker, now, opening(10).Key, 0), flow.ToServer, flow.NoNote)
+	for n := range 10 {
+		p := packet(n, 1+3*uint32(config.MaxPayload), 100)
+		wantAction(t, tracker.FromNode(now, p, nil, request(flow.PurposeDeliver)), flow.ToServer, flow.NoNote)
+	}
+	wantAction(t, sendData(tracker, now, opening(11).Key, 0), flow.Wait, flow.NoNote)
+}
+
 // TestHeldPacketsAreBounded guards the memory of an agent. Requests beyond the bound go to the server.
 func TestHeldPacketsAreBounded(t *testing.T) {
 	config := flow.DefaultTrackerConfig("orders", flow.Endpoint{IP: agentIP(1), Port: simPort})
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -35,6 +35,8 @@
 	workSince, processingSince time.Duration
 	// late is set once the running request has been counted as failed because it has been running for too long.
 	late bool
+	// receiving is set while more data of the request is about to arrive, so that the server does not run it yet.
+	receiving bool
 	// hasRequested is set once the client has sent a request. answerOwed is set if the server was given a packet of
 	// the flow that requires an answer and has sent nothing on the flow since then.
 	hasRequested, answerOwed bool
@@ -328,6 +330,7 @@
 	if p.Length > 0 && f.state != ended && !f.hasReceived(p) {
 		t.countRequest(now, f)
 		t.load.start(now, f)
+		f.receiving = p.Length >= t.config.MaxPayload
 		f.receive(p.Seq + uint32(p.Length))
 	}
 	if p.requiresAnswer() {
--- a/flow/tracker_config.go
+++ b/flow/tracker_config.go
@@ -63,6 +63,8 @@
 	// After that, the server gets it behind its other requests, so that it answers while its client still waits.
 	HoldPart float64
 	MaxHold  time.Duration
+	// MaxPayload is the payload of a full packet. More data of the request follows it, so the server can't run it yet.
+	MaxPayload int
 	// MaxHeldPackets bounds the packets that the agent holds. One takes up to 2 KB. Requests beyond that go to the server.
 	MaxHeldPackets int
 	// MaxVersionSkew is how long an agent that has applied a balancer's newer configuration may continue to use an older
@@ -99,6 +101,7 @@
 		MinWaitingPart:     0.25,
 		HoldPart:           0.75,
 		MaxHold:            3 * time.Second,
+		MaxPayload:         1200,
 		MaxHeldPackets:     512,
 		MaxVersionSkew:     200 * time.Millisecond,
 		RegistrationTime:   500 * time.Millisecond,
