Hold the last packet of a request instead of letting those of several packets pass

Change: full packets go to the server, which can't run the request yet, and the last one is held or counted like a request of a single packet. Uploads and look-ups share the balancers' links of 10 to 200 Mbit/s, so faster uploads take room from look-ups.

--- a/flow/held_requests.go
+++ b/flow/held_requests.go
@@ -20,7 +20,7 @@
 }
 
 // holdRequest decides on a packet with data of a flow that the server holds. It holds the request if the server has no
-// room for it. The server runs a request once it has received all of it, so an upload is not held. It returns false if the packet is to go to the server.
+// room for it. Of a request of several packets it holds the last one, so that the transfer is not delayed. It returns false if the packet is to go to the server.
 func (t *Tracker) holdRequest(now time.Duration, p *Packet, f *trackedFlow, request Request) (Verdict, bool) {
 	w := t.held.work[p.Key]
 	switch {
@@ -32,7 +32,7 @@
 	route := t.routes[p.Key.Service]
 	limit := t.requestLimit(route)
 	switch {
-	case p.Length == 0, p.Length >= t.config.MaxPayload, f.work == requested, f.work == expected && f.waited, limit <= 0, t.load.hasRoom(now):
+	case !t.completesRequest(p), f.work == requested, f.work == expected && f.waited, limit <= 0, t.load.hasRoom(now):
 		return Verdict{}, false
 	case t.held.closed || t.leaving() || !t.server.responsive() || t.justResumed(now) || t.held.packets >= t.config.MaxHeldPackets:
 		return Verdict{}, false
--- a/flow/held_requests_test.go
+++ b/flow/held_requests_test.go
@@ -158,27 +158,40 @@
 	wantAction(t, tracker.FromNode(start, p, nil, request(flow.PurposeSearch)), flow.Wait, flow.NoteHeld)
 }
 
-// TestUploadsAreNotHeld covers requests of many packets. The server runs one when it has received all of it, so holding its
-// first packet would only delay the others, and the uploads in progress take no slots from other requests.
-func TestUploadsAreNotHeld(t *testing.T) {
+// TestTransferOfAnUploadIsNotHeld covers requests of many packets. The server runs one when it has received all of it, so
+// holding its first packet would only delay the transfer, and the uploads in progress take no slots from other requests.
+// The last packet is held like that of any other request.
+func TestTransferOfAnUploadIsNotHeld(t *testing.T) {
 	config := flow.DefaultTrackerConfig("", flow.Endpoint{})
 	tracker := newTracker(patientView(5, nil))
 	now := openSignals(t, tracker, 12)
-	packet := func(n int, seq uint32, length int) *flow.Packet {
-		return &flow.Packet{Key: opening(n).Key, Seq: seq, Length: length, Ack: 77}
+	send := func(n int, i uint32, length int, want flow.Action) {
+		t.Helper()
+		p := &flow.Packet{Key: opening(n).Key, Seq: 1 + i*uint32(config.MaxPayload), Length: length, Ack: 77}
+		wantAction(t, tracker.FromNode(now, p, nil, request(flow.PurposeDeliver)), want, flow.NoNote)
 	}
 	for n := range 10 {
 		for i := range uint32(3) {
-			p := packet(n, 1+i*uint32(config.MaxPayload), config.MaxPayload)
-			wantAction(t, tracker.FromNode(now, p, nil, request(flow.PurposeDeliver)), flow.ToServer, flow.NoNote)
+			send(n, i, config.MaxPayload, flow.ToServer)
 		}
 	}
-	wantAction(t, sendData(tracker, now, opening(10).Key, 0), flow.ToServer, flow.NoNote)
+	if status := tracker.Status(now); status.Busy != 0 {
+		t.Fatalf("%d requests are busy while all are being transferred", status.Busy)
+	}
 	for n := range 10 {
-		p := packet(n, 1+3*uint32(config.MaxPayload), 100)
-		wantAction(t, tracker.FromNode(now, p, nil, request(flow.PurposeDeliver)), flow.ToServer, flow.NoNote)
+		want := flow.ToServer
+		if n >= 5 {
+			want = flow.Wait
+		}
+		send(n, 3, 100, want)
 	}
-	wantAction(t, sendData(tracker, now, opening(11).Key, 0), flow.Wait, flow.NoNote)
+	// A copy of a packet that the server has is no request.
+	send(9, 2, config.MaxPayload, flow.ToServer)
+	if status := tracker.Status(now); status.Busy != 10 {
+		t.Fatalf("%d requests are busy, want 10", status.Busy)
+	}
+	tracker.FromServer(now, &flow.Packet{Key: opening(0).Key, Length: 100})
+	wantNext(t, tracker, now, &flow.Packet{Key: opening(5).Key}, flow.ToServer)
 }
 
 // TestHeldPacketsAreBounded guards the memory of an agent. Requests beyond the bound go to the server.
--- a/flow/load.go
+++ b/flow/load.go
@@ -92,16 +92,16 @@
 	return len(l.requests) + l.expected
 }
 
-// hasRoom reports whether the server is to be given another request now. Requests that it has not received completely, and
-// those that have been running for so long that they may be lost, leave their room to others.
+// hasRoom reports whether the server is to be given another request now. Requests that have been running for so long that
+// they may be lost leave their room to others.
 func (l *load) hasRoom(now time.Duration) bool {
 	room := l.slots + (l.slots+queuePerSlots-1)/queuePerSlots
 	if len(l.requests) < room {
 		return true
 	}
 	running := len(l.requests)
-	for i, f := range l.requests {
-		if f.receiving || i < l.slots && l.maybeLost(now, f) {
+	for _, f := range l.requests[:l.slots] {
+		if l.maybeLost(now, f) {
 			running--
 		}
 	}
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -35,8 +35,6 @@
 	workSince, processingSince time.Duration
 	// late is set once the running request has been counted as failed because it has been running for too long.
 	late bool
-	// receiving is set while more data of the request is about to arrive, so that the server does not run it yet.
-	receiving bool
 	// hasRequested is set once the client has sent a request. answerOwed is set if the server was given a packet of
 	// the flow that requires an answer and has sent nothing on the flow since then.
 	hasRequested, answerOwed bool
@@ -328,10 +326,11 @@
 // toServer gives the server a packet of a flow that it may hold.
 func (t *Tracker) toServer(now time.Duration, p *Packet, raw []byte, f *trackedFlow) Verdict {
 	if p.Length > 0 && f.state != ended && !f.hasReceived(p) {
-		t.countRequest(now, f)
-		t.load.start(now, f)
-		f.receiving = p.Length >= t.config.MaxPayload
 		f.receive(p.Seq + uint32(p.Length))
+		if t.completesRequest(p) {
+			t.countRequest(now, f)
+			t.load.start(now, f)
+		}
 	}
 	if p.requiresAnswer() {
 		f.answerOwed = true
@@ -347,6 +346,12 @@
 	return v
 }
 
+// completesRequest reports whether a packet with data is the last one of its request. The server runs the request once it
+// has received that.
+func (t *Tracker) completesRequest(p *Packet) bool {
+	return p.Length > 0 && p.Length < t.config.MaxPayload
+}
+
 // hasReceived reports whether the server was given all data of a packet before. The packet is no new request then, even
 // if the server has answered since.
 func (f *trackedFlow) hasReceived(p *Packet) bool {
--- a/flow/tracker_config.go
+++ b/flow/tracker_config.go
@@ -63,7 +63,7 @@
 	// After that, the server gets it behind its other requests, so that it answers while its client still waits.
 	HoldPart float64
 	MaxHold  time.Duration
-	// MaxPayload is the payload of a full packet. More data of the request follows it, so the server can't run it yet.
+	// MaxPayload is the payload of a full packet. More data of its request follows, so the server can't run that yet.
 	MaxPayload int
 	// MaxHeldPackets bounds the packets that the agent holds. One takes up to 2 KB. Requests beyond that go to the server.
 	MaxHeldPackets int
