--- a/flow/held_model_test.go
+++ b/flow/held_model_test.go
@@ -12,19 +12,30 @@
 // TestHeldRequestsModel sends requests whose packets are split, lost, repeated and reordered on flows of both routes to a
 // server that is mostly full. Each request must reach the server in order and once, and in the end none may be held.
 func TestHeldRequestsModel(t *testing.T) {
-	const seeds, flows, steps = 200, 12, 400
+	const seeds, steps = 200, 400
 	for seed := int64(1); seed <= seeds; seed++ {
-		m := newHeldModel(seed, flows)
-		for range steps {
-			m.step(t)
-		}
-		m.finish(t)
+		runHeldModel(t, seed, steps)
 		if t.Failed() {
 			t.Fatalf("seed %d", seed)
 		}
 	}
 }
 
+// FuzzHeldRequests runs the model of TestHeldRequestsModel with other seeds and lengths.
+func FuzzHeldRequests(f *testing.F) {
+	f.Add(int64(1), uint16(400))
+	f.Fuzz(func(t *testing.T, seed int64, steps uint16) { runHeldModel(t, seed, int(steps)) })
+}
+
+func runHeldModel(t *testing.T, seed int64, steps int) {
+	t.Helper()
+	m := newHeldModel(seed, 12)
+	for range steps {
+		m.step(t)
+	}
+	m.finish(t)
+}
+
 // heldModelFlow is a flow of the model. sent is the number of bytes that the client has sent, received the number that the
 // server has received in order, and answered the number that it has answered.
 type heldModelFlow struct {
