Keep the explanation of a request from changing the held one, and guard two odd entries

Found in a review: an explanation for a flow with a held request shared its packets with the Tracker and could add one; a server entry without slots would have had no room for any request; a client that uses its port again was compared with the sequence numbers of the earlier flow. The explanation has a test.

--- a/flow/accept.go
+++ b/flow/accept.go
@@ -77,6 +77,8 @@
 		t.flows.Remove(p.Key)
 	}
 	f := t.track(now, p, openingSent)
+	// A client that uses its port again begins with another sequence number.
+	f.receivedKnown = false
 	f.request = cloneRequest(request)
 	f.counted = true
 	if f.arrived == 0 {
--- a/flow/agents.go
+++ b/flow/agents.go
@@ -19,7 +19,7 @@
 	Process uint64
 	// Accepting is set if the agent takes new flows.
 	Accepting bool
-	// Busy is the number of requests that are running, waiting or expected, Slots the number that the server runs
+	// Busy is the number of requests that are running, waiting, held or expected, Slots the number that the server runs
 	// at once, and Flows the number of open flows.
 	Busy, Slots, Flows uint32
 	// ServiceTime is the server's mean time to process a request, or zero if it is unknown. FailureRate is the
--- a/flow/director.go
+++ b/flow/director.go
@@ -49,7 +49,8 @@
 	// ChainLength is how many agents a packet of a search visits one after the other. Short chains finish sooner;
 	// long ones send fewer messages, because the agents behind the owner are not asked.
 	ChainLength int
-	// LongChainLength is that number while the link has little capacity left for searches.
+	// LongChainLength is that number after searches have found no owner several times in a row, and while the link has little
+	// capacity left for searches. The list of so many agents must fit into the header of a datagram.
 	LongChainLength int
 	// SearchTimeout is how long the packets of a flow wait for the first search for its owner.
 	SearchTimeout time.Duration
@@ -143,7 +144,7 @@
 	Return
 	// Reset sends the client a reset for the flow.
 	Reset
-	// Wait keeps an opening packet at the agent until its server has a free slot.
+	// Wait keeps an opening packet or a packet of a request at the agent until its server has room.
 	Wait
 )
 
--- a/flow/explain_agent.go
+++ b/flow/explain_agent.go
@@ -51,14 +51,12 @@
 	LimitMs    float64 `json:"limit_ms"`
 }
 
-// explainRequest returns what a new request on an open flow would meet. It may change the Tracker.
+// explainRequest returns what a new request on an open flow would meet. It changes the Tracker, which must be a copy.
 func (t *Tracker) explainRequest(now time.Duration, key Key) ExplainedRequest {
 	route := t.routes[key.Service]
-	f := &trackedFlow{state: open}
-	if known, ok := t.flows.Peek(key); ok {
-		f = known
-	}
-	p := Packet{Key: key, Seq: f.receivedTo, Length: 1}
+	// The request that the agent may hold on the flow already counts as one that precedes the new one.
+	delete(t.held.work, key)
+	f, p := &trackedFlow{state: open}, Packet{Key: key, Length: 1}
 	ahead := t.ahead(now, route)
 	e := ExplainedRequest{
 		Outcome: OutcomeTake, Ahead: ahead,
--- a/flow/held_requests.go
+++ b/flow/held_requests.go
@@ -20,7 +20,8 @@
 }
 
 // holdRequest decides on a packet with data of a flow that the server holds. It holds the request if the server has no
-// room for it. Of a request of several packets it holds the last one, so that the transfer is not delayed. It returns false if the packet is to go to the server.
+// room for it. Of a request of several packets it holds the last one, so that the transfer is not delayed. It returns
+// false if the packet is to go to the server.
 func (t *Tracker) holdRequest(now time.Duration, p *Packet, f *trackedFlow, request Request) (Verdict, bool) {
 	w := t.held.work[p.Key]
 	switch {
--- a/flow/held_requests_test.go
+++ b/flow/held_requests_test.go
@@ -135,7 +135,20 @@
 	if got := tracker.Explain(now, urgentOpening(7).Key).Request; got.Outcome != flow.OutcomeWait || got.Ahead != 5 {
 		t.Fatalf("got %+v for an urgent request, want it behind what the server has", got)
 	}
-	wantAction(t, sendData(tracker, now, opening(7).Key, 0), flow.Wait, flow.NoNote)
+	// The packet of a held request must not be counted twice, and nothing may be added to it.
+	p := dataPacket(7)
+	p.Seq = 201
+	wantAction(t, tracker.FromNode(now, p, nil, request(flow.PurposeDeliver)), flow.Wait, flow.NoNote)
+	if got := tracker.Explain(now, p.Key).Request; got.Outcome != flow.OutcomeWait || got.Ahead != 8 {
+		t.Fatalf("got %+v for a flow with a held request", got)
+	}
+	for n := range 5 {
+		tracker.FromServer(now, &flow.Packet{Key: opening(n).Key, Length: 100})
+	}
+	for _, n := range []int{5, 6, 7, 7} {
+		wantNext(t, tracker, now, opening(n), flow.ToServer)
+	}
+	wantNext(t, tracker, now, nil, flow.Drop)
 }
 
 // TestAbandonedRequestTakesNoSlot covers a client that gives up its request while the agent holds it.
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -143,7 +143,7 @@
 	}
 	t.gone = t.entry == nil && (t.gone || previous != nil)
 	if t.entry != nil {
-		t.load.slots = t.entry.Slots
+		t.load.slots = max(1, t.entry.Slots)
 	}
 	t.evacuation, t.evacuated = view.Evacuation(t.place())
 	t.setCold(view)
--- a/flow/tracker_config.go
+++ b/flow/tracker_config.go
@@ -44,7 +44,7 @@
 	// MinPatience is the timeout of a route from which its clients count as patient. A client gives up an attempt after
 	// 1.4 s, and needs time for another one after that.
 	MinPatience time.Duration
-	// PatientPart is the part of a patient route's timeout for which an opening packet may wait. After a quarter, a whole
+	// PatientPart is the part of a patient route's timeout for which an opening packet may wait. After a third, a whole
 	// attempt of 1.4 s still fits into the shortest timeout, MinPatience.
 	PatientPart float64
 	// MaxWait bounds the time, from its client's first packet on, for which an opening packet waits at the agent for a
@@ -60,7 +60,8 @@
 	// request while the next opening packet is on its way, so that no capacity is lost.
 	MinWaitingPart float64
 	// HoldPart is the part of its route's timeout for which the agent may hold a request on an open flow, at most MaxHold.
-	// After that, the server gets it behind its other requests, so that it answers while its client still waits.
+	// After that, the server gets it whether it has room or not. A quarter of the timeout is left for its answer. A shorter
+	// time would let late requests take more room from those that can be answered in time.
 	HoldPart float64
 	MaxHold  time.Duration
 	// MaxPayload is the payload of a full packet. More data of its request follows, so the server can't run that yet.
