--- a/flow/held_requests_test.go
+++ b/flow/held_requests_test.go
@@ -135,6 +135,7 @@
 	if got := tracker.Explain(now, urgentOpening(7).Key).Request; got.Outcome != flow.OutcomeWait || got.Ahead != 5 {
 		t.Fatalf("got %+v for an urgent request, want it behind what the server has", got)
 	}
+	wantAction(t, sendData(tracker, now, opening(7).Key, 0), flow.Wait, flow.NoNote)
 	// The packet of a held request must not be counted twice, and nothing may be added to it.
 	p := dataPacket(7)
 	p.Seq = 201
