Compute the chains of a search only where they are used, and count waiters once

Cause: startChains built a chain for each agent on every search, though only repeated searches use them, which costs most after the loss of all servers; Backlog counted waiters in two copies of a loop. Change: both are built or counted in one place. Decisions are the same.

--- a/admission/backlog.go
+++ b/admission/backlog.go
@@ -107,22 +107,14 @@
 	if b.count == 0 {
 		return 0
 	}
-	ahead := 0
-	for i := range b.classes[:Class(priority)] {
-		ahead += len(b.classes[i].inTime) + len(b.classes[i].late)
-	}
 	c := &b.classes[Class(priority)]
 	c.advance(now)
-	return ahead + len(c.inTime) + c.lateAdmitted
+	return countWaiters(b.classes[:Class(priority)]) + len(c.inTime) + c.lateAdmitted
 }
 
 // Before returns how many waiters are at least as urgent as a priority.
 func (b *Backlog[K]) Before(priority int) int {
-	before := 0
-	for i := range b.classes[:Class(priority)+1] {
-		before += len(b.classes[i].inTime) + len(b.classes[i].late)
-	}
-	return before
+	return countWaiters(b.classes[:Class(priority)+1])
 }
 
 // All returns the waiters in order.
@@ -182,6 +174,13 @@
 	return cmp.Compare(a.Limit, b.Limit)
 }
 
+func countWaiters[K comparable](classes []backlogClass[K]) (count int) {
+	for i := range classes {
+		count += len(classes[i].inTime) + len(classes[i].late)
+	}
+	return count
+}
+
 // insertSorted inserts a waiter after those that compare equal, so that equal ones keep the order of their arrival.
 func insertSorted[K comparable](list []Waiter[K], w Waiter[K], compare func(a, b Waiter[K]) int) []Waiter[K] {
 	i, _ := slices.BinarySearchFunc(list, w, func(element, target Waiter[K]) int {
--- a/flow/search.go
+++ b/flow/search.go
@@ -138,11 +138,15 @@
 func (d *Director) startChains(now time.Duration, s *search, agents []holder, reason string) Decision {
 	slices.SortStableFunc(agents, func(a, b holder) int { return cmp.Compare(a.service, b.service) })
 	long := divide(agents, d.config.LongChainLength)
-	if direct := divide(agents, 1); s.attempt > 0 && d.takeSearchBytes(now, s, direct, directReserve) {
-		return d.sendChains(s, direct, reason)
+	if s.attempt > 0 {
+		if direct := divide(agents, 1); d.takeSearchBytes(now, s, direct, directReserve) {
+			return d.sendChains(s, direct, reason)
+		}
 	}
-	if short := divide(agents, d.config.ChainLength); d.searches.lost < lostSearches && len(short) > len(long) && d.takeSearchBytes(now, s, short, shortReserve) {
-		return d.sendChains(s, short, reason)
+	if d.searches.lost < lostSearches {
+		if short := divide(agents, d.config.ChainLength); len(short) > len(long) && d.takeSearchBytes(now, s, short, shortReserve) {
+			return d.sendChains(s, short, reason)
+		}
 	}
 	if d.takeSearchBytes(now, s, long, 0) {
 		return d.sendChains(s, long, reason)
