Refuse and drop packets whose clients may have given up during a pause

A frozen balancer woke with a backlog and sent on opening packets and requests of clients that had left. A request that is not idempotent ran 1.5 s after its client had given up, and the openings filled the servers, so that live clients were refused three times within 100 ms.

Each process now bounds how long a packet may have waited in it and sends that along; balancers and agents refuse openings whose attempt may be over, and agents drop data that is older than its route's timeout. Kernel receive times were ruled out: the platform accepts the option and delivers none.

--- a/flow/accept.go
+++ b/flow/accept.go
@@ -35,6 +35,9 @@
 		return refuse(request, "no route in the configuration in force"), false
 	}
 	switch {
+	case attemptOver(p):
+		t.stale++
+		return refuse(request, attemptOverReason), false
 	case t.justResumed(now):
 		return t.pass(request, route, "agent has just continued after a pause"), false
 	case t.evacuated && evacuated(now, t.evacuation, p.Key.Hash()):
@@ -84,6 +87,9 @@
 	if f.arrived == 0 {
 		f.arrived = now
 	}
+	if began := now - attemptAge(p); f.began == 0 || began < f.began {
+		f.began = began
+	}
 	t.cold.sent(now)
 	t.load.reserve(now, f)
 	t.server.sentOpening(now)
--- a/flow/director.go
+++ b/flow/director.go
@@ -248,6 +248,8 @@
 	searchBytes, wideMessages tokenBucket
 	started                   time.Duration
 	turnedAway                TurnedAway
+	// stale counts the opening packets that were refused because their clients may have given up.
+	stale uint64
 }
 
 // NewDirector returns a Director without a view, which drops every packet.
@@ -274,6 +276,9 @@
 	switch {
 	case d.view == nil:
 		return Decision{Reason: "no view yet"}
+	case p.Kind == Opening && attemptOver(p):
+		d.stale++
+		return Decision{Action: Reset, Reason: attemptOverReason}
 	case p.Kind == Opening:
 		return d.openFlow(now, p, raw)
 	}
--- a/flow/held_openings.go
+++ b/flow/held_openings.go
@@ -33,7 +33,7 @@
 		return v
 	}
 	others := t.load.atServer() + t.held.backlog.Before(route.Priority)
-	since := arrived - copyAges[p.Copy]
+	since := arrived - attemptAge(p)
 	expected := t.load.waitForSlot(latencyBudget(route), others)
 	if now-since+expected > limit {
 		return v
@@ -81,7 +81,7 @@
 	}
 	t.accept(now, p, w.request)
 	f, _ := t.flows.Peek(w.key)
-	f.arrived, f.waited = w.since+copyAges[p.Copy], true
+	f.arrived, f.began, f.waited = w.since+copyAges[p.Copy], w.since, true
 	return Verdict{Decision: Decision{Action: ToServer}, Waited: now - f.arrived}, p, raw
 }
 
--- a/flow/held_requests.go
+++ b/flow/held_requests.go
@@ -107,6 +107,13 @@
 	if len(w.packets) == 0 {
 		t.held.released = nil
 	}
+	if route := t.routes[w.key.Service]; route != nil && route.Timeout > 0 && now-w.since >= route.Timeout {
+		// The agent has been suspended since.
+		if f, known := t.flows.Peek(w.key); known {
+			t.load.end(f)
+		}
+		return t.dropStale(), &h.packet, h.raw
+	}
 	v := t.passOn(now, &h.packet, h.raw, w.request)
 	v.Waited = now - w.since
 	return v, &h.packet, h.raw
--- a/flow/openings.go
+++ b/flow/openings.go
@@ -19,6 +19,8 @@
 	list   []IP
 	due    time.Duration
 	hedges int
+	// received is when the packet arrived.
+	received time.Duration
 }
 
 // openings holds the unanswered opening packets in the order in which they are due.
@@ -37,7 +39,7 @@
 	if len(list) < 2 || len(o.queue) >= maxOpenings {
 		return
 	}
-	added := &opening{packet: *p, raw: slices.Clone(raw), service: s, list: slices.Clone(list[1:]), due: now + o.hedgeAfter}
+	added := &opening{packet: *p, raw: slices.Clone(raw), service: s, list: slices.Clone(list[1:]), due: now + o.hedgeAfter, received: now}
 	o.pending[p.Key] = added
 	o.queue = append(o.queue, added)
 }
@@ -78,8 +80,10 @@
 		if o == nil {
 			return Decision{}, nil, nil
 		}
-		list := d.stillAvailable(now, o.packet.Key.Hash(), o.list)
-		if len(list) == 0 {
+		p := o.packet
+		p.addWait(now - o.received)
+		list := d.stillAvailable(now, p.Key.Hash(), o.list)
+		if len(list) == 0 || attemptOver(&p) {
 			delete(d.openings.pending, o.packet.Key)
 			continue
 		}
@@ -87,7 +91,7 @@
 		decision.Reason = "previous agent did not answer in time"
 		o.list = slices.Clone(list)
 		d.openings.requeue(now, o)
-		return decision, &o.packet, o.raw
+		return decision, &p, o.raw
 	}
 }
 
@@ -132,5 +136,5 @@
 		return nil
 	}
 	d.hints.put(r.Key, hint{owner: r.From, service: r.Service, created: now, seen: now})
-	return d.finishSearch(r.Key)
+	return d.finishSearch(now, r.Key)
 }
--- a/flow/packet.go
+++ b/flow/packet.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -83,10 +84,24 @@
 	Seq, Ack uint32
 	// Length is the size of the payload in bytes.
 	Length int
+	// Age is the longest time for which the packet may have waited in the processes that it has passed, as far as they know.
+	// Zero means that it was handled at once.
+	Age time.Duration
 	// Returned is set if the server has sent the packet back because it does not hold the flow or takes no new one.
 	Returned bool
 }
 
+// MinAge is the shortest wait that counts. Shorter ones are usual in a busy process, and on VMs whose share of a processor
+// is an allowance for each tenth of a second.
+const MinAge = 200 * time.Millisecond
+
+// addWait records that the packet has waited in this process.
+func (p *Packet) addWait(waited time.Duration) {
+	if waited >= MinAge {
+		p.Age += waited
+	}
+}
+
 // requiresAnswer reports whether the sender of a packet of an open flow retransmits it until it is acknowledged.
 func (p *Packet) requiresAnswer() bool {
 	return p.Length > 0 || p.Kind == Closing
--- a/flow/search.go
+++ b/flow/search.go
@@ -53,6 +53,8 @@
 type QueuedPacket struct {
 	Packet Packet
 	Raw    []byte
+	// since is when the packet began to wait.
+	since time.Duration
 }
 
 // searches holds the searches in progress by flow.
@@ -90,7 +92,7 @@
 	previous, repeated := d.searches.lru.Get(p.Key)
 	if repeated && now-previous.started < d.searchTimeout(previous) {
 		if len(previous.waiting) < maxWaiting {
-			previous.waiting = append(previous.waiting, QueuedPacket{Packet: *p, Raw: slices.Clone(raw)})
+			previous.waiting = append(previous.waiting, QueuedPacket{Packet: *p, Raw: slices.Clone(raw), since: now})
 		}
 		return Decision{Reason: "a search for the owner of the flow is in progress"}
 	}
@@ -336,6 +338,7 @@
 // be complete. The packet is nil if there is no decision.
 func (d *Director) NextResumedSearch(now time.Duration) (Decision, *Packet, []byte) {
 	if s := d.overdueSearch(now); s != nil {
+		s.packet.addWait(now - s.started)
 		return d.search(now, &s.packet, s.raw, s.excluded), &s.packet, s.raw
 	}
 	for i := 0; i < len(d.searches.inconclusive); i++ {
@@ -352,6 +355,7 @@
 		case proved:
 			return s.reset(), &s.packet, s.raw
 		default:
+			s.packet.addWait(now - s.started)
 			return d.search(now, &s.packet, s.raw, IP{}), &s.packet, s.raw
 		}
 	}
@@ -380,12 +384,16 @@
 }
 
 // finishSearch ends the search for a flow and returns the packets that waited for it.
-func (d *Director) finishSearch(key Key) []QueuedPacket {
+func (d *Director) finishSearch(now time.Duration, key Key) []QueuedPacket {
 	s, ok := d.searches.lru.Peek(key)
 	if !ok {
 		return nil
 	}
 	d.searches.lru.Remove(key)
 	d.searches.lost = 0
+	for i := range s.waiting {
+		w := &s.waiting[i]
+		w.Packet.addWait(now - w.since)
+	}
 	return s.waiting
 }
--- a/flow/tracked_flow.go
+++ b/flow/tracked_flow.go
@@ -40,10 +40,11 @@
 	confirmed bool
 	// counted is set if the opening packet was counted against the cold rate for the first request as well.
 	counted bool
-	// arrived is when the opening packet arrived, and waited is set if it has waited for a slot.
-	arrived  time.Duration
-	waited   bool
-	lastSeen time.Duration
+	// arrived is when the opening packet arrived, and waited is set if it has waited for a slot. began is when its client
+	// sent the first copy of it, at the latest.
+	arrived, began time.Duration
+	waited         bool
+	lastSeen       time.Duration
 }
 
 // hasReceived reports whether the server was given all data of a packet before. The packet is no new request then, even
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -70,6 +70,8 @@
 	versions versionGuard
 	shortage shortage
 	held     heldQueue
+	// stale counts the packets that were not passed on because their clients may have given up.
+	stale uint64
 }
 
 // NewTracker returns the Tracker of an agent that starts now. The limits in config must be positive.
@@ -254,6 +256,9 @@
 
 // deliver forwards to the server a packet of a flow that the server may hold.
 func (t *Tracker) deliver(now time.Duration, p *Packet, raw []byte, request Request) Verdict {
+	if known, _ := t.flows.Peek(p.Key); t.requestOver(now, p, known) && (known == nil || !known.hasReceived(p)) {
+		return t.dropStale()
+	}
 	f := t.track(now, p, searchDelivered)
 	f.clientAck = p.Ack
 	f.request = cloneRequest(request)
--- a/internal/flowagent/counters.go
+++ b/internal/flowagent/counters.go
@@ -21,6 +21,8 @@
 	writeFailures atomic.Uint64
 	evacuated     atomic.Uint64
 	cold          atomic.Uint64
+	// stale counts the packets that were not passed on because their clients may have given up.
+	stale atomic.Uint64
 	// waiting counts the opening packets that wait for a slot now, waited those that have waited, and waitedTooLong those
 	// that were refused after it.
 	waiting               atomic.Int64
@@ -46,6 +48,7 @@
 		"write_failures":        c.writeFailures.Load(),
 		"turned_away_evacuated": c.evacuated.Load(),
 		"turned_away_cold":      c.cold.Load(),
+		"stale_packets":         c.stale.Load(),
 		"waiting":               uint64(c.waiting.Load()),
 		"waited":                c.waited.Load(),
 		"waited_too_long":       c.waitedTooLong.Load(),
--- a/internal/flowagent/flowagent.go
+++ b/internal/flowagent/flowagent.go
@@ -124,8 +124,8 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	batches := make(chan *packetreader.Batch)
-	group.Go(func() error { return packetreader.Read(ctx, a.nodes, sourceNodes, batches) })
-	group.Go(func() error { return packetreader.Read(ctx, a.server, sourceServer, batches) })
+	group.Go(func() error { return packetreader.Read(ctx, a.nodes, sourceNodes, a.config.Clock.Now, batches) })
+	group.Go(func() error { return packetreader.Read(ctx, a.server, sourceServer, a.config.Clock.Now, batches) })
 	group.Go(func() error {
 		defer a.nodes.Close()
 		defer a.server.Close()
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -36,9 +36,10 @@
 	evacuations flowlog.Evacuations
 	// lastSweep is when idle flows were last removed, and lastAnnounce when silent balancers were last looked for.
 	lastSweep, lastAnnounce time.Duration
-	// lastTick is when the periodic work was last done.
-	lastTick time.Duration
-	checker  processChecker
+	// ages estimates how long the datagrams of a batch have waited. age is that of the batch that is being handled.
+	ages    packetreader.Ages
+	age     time.Duration
+	checker processChecker
 	// openingSentAt maps each flow whose opening packet the server has not answered to the time when it was forwarded.
 	openingSentAt map[flow.Key]time.Duration
 }
@@ -139,9 +140,23 @@
 	}
 }
 
-func (l *loop) handleBatch(batch *packetreader.Batch) {
+// turn records that the loop runs and returns the time. It is called first in each turn that may find packets from before a
+// pause, since a suspension does not show in the clock before it is detected.
+func (l *loop) turn() time.Duration {
+	suspended := l.config.Clock.DetectSuspension()
 	now := l.config.Clock.Now()
-	l.detectPause(now)
+	if paused := l.ages.Turn(now); paused > 0 {
+		l.config.Event("resumed", "paused", paused, "suspended", suspended)
+		if paused > maxPause {
+			l.tracker.Resumed(now)
+		}
+	}
+	return now
+}
+
+func (l *loop) handleBatch(batch *packetreader.Batch) {
+	now := l.turn()
+	l.age = l.ages.Age(now, batch)
 	l.updateView(now)
 	for i := range batch.Messages {
 		m := &batch.Messages[i]
@@ -200,6 +215,7 @@
 		l.config.Event("packet_malformed", "error", err)
 		return
 	}
+	p.Age = nodecodec.Age(&l.inHeader) + l.age
 	request := nodecodec.Request(&l.inHeader, l.remainingBuf)
 	l.remainingBuf = request.Remaining
 	if request.Balancer == (flow.IP{}) {
@@ -245,10 +261,12 @@
 	case flow.Forward:
 		nodecodec.Clear(&l.outHeader)
 		nodecodec.PutRequest(&l.outHeader, &v.Request)
+		nodecodec.PutAge(&l.outHeader, p.Age)
 		l.send(v.To, raw)
 	case flow.Return:
 		nodecodec.Clear(&l.outHeader)
 		l.outHeader.Kind = nodev1.Kind_KIND_RETURN
+		nodecodec.PutAge(&l.outHeader, p.Age)
 		l.putStatus(now)
 		l.send(v.To, raw)
 	case flow.Reset:
--- a/internal/flowagent/tick.go
+++ b/internal/flowagent/tick.go
@@ -13,12 +13,7 @@
 )
 
 func (l *loop) tick(ctx context.Context) {
-	if suspended := l.config.Clock.DetectSuspension(); suspended > 0 {
-		l.config.Event("resumed", "suspended", suspended)
-	}
-	now := l.config.Clock.Now()
-	l.detectPause(now)
-	l.lastTick = now
+	now := l.turn()
 	l.updateView(now)
 	l.logAccepting(now)
 	l.logSuspect(now)
@@ -75,6 +70,7 @@
 	turnedAway := l.tracker.TurnedAway()
 	l.agent.counts.evacuated.Store(turnedAway.Evacuated)
 	l.agent.counts.cold.Store(turnedAway.Cold)
+	l.agent.counts.stale.Store(l.tracker.StalePackets())
 	for key, sent := range l.openingSentAt {
 		if now-sent > sweepInterval {
 			delete(l.openingSentAt, key)
--- a/internal/flowbalancer/counters.go
+++ b/internal/flowbalancer/counters.go
@@ -19,7 +19,9 @@
 	writeFailures atomic.Uint64
 	evacuated     atomic.Uint64
 	cold          atomic.Uint64
-	flows         atomic.Int64
+	// stale counts the opening packets that were refused because their clients may have given up.
+	stale atomic.Uint64
+	flows atomic.Int64
 }
 
 // Counters returns the counts since the start and the current number of flows, by metric name.
@@ -36,6 +38,7 @@
 		"write_failures":        c.writeFailures.Load(),
 		"turned_away_evacuated": c.evacuated.Load(),
 		"turned_away_cold":      c.cold.Load(),
+		"stale_packets":         c.stale.Load(),
 		"flows":                 uint64(c.flows.Load()),
 	}
 	for action := range c.actions {
--- a/internal/flowbalancer/flowbalancer.go
+++ b/internal/flowbalancer/flowbalancer.go
@@ -120,8 +120,8 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	batches := make(chan *packetreader.Batch)
-	group.Go(func() error { return packetreader.Read(ctx, b.clients, sourceClients, batches) })
-	group.Go(func() error { return packetreader.Read(ctx, b.nodes, sourceNodes, batches) })
+	group.Go(func() error { return packetreader.Read(ctx, b.clients, sourceClients, b.config.Clock.Now, batches) })
+	group.Go(func() error { return packetreader.Read(ctx, b.nodes, sourceNodes, b.config.Clock.Now, batches) })
 	group.Go(func() error {
 		defer b.clients.Close()
 		defer b.nodes.Close()
--- a/internal/flowbalancer/loop.go
+++ b/internal/flowbalancer/loop.go
@@ -32,6 +32,9 @@
 	probe            uint64
 	lastClientPacket time.Duration
 	seedHeartbeats   *flow.SeedHeartbeats
+	// ages estimates how long the datagrams of a batch have waited. age is that of the batch that is being handled.
+	ages packetreader.Ages
+	age  time.Duration
 	// openingSentAt maps each flow whose opening packet awaits a report to the time when the packet was sent.
 	openingSentAt map[flow.Key]time.Duration
 }
@@ -105,8 +108,20 @@
 	}
 }
 
-func (l *loop) handleBatch(batch *packetreader.Batch) {
+// turn records that the loop runs and returns the time. It is called first in each turn that may find packets from before a
+// pause, since a suspension does not show in the clock before it is detected.
+func (l *loop) turn() time.Duration {
+	suspended := l.config.Clock.DetectSuspension()
 	now := l.config.Clock.Now()
+	if paused := l.ages.Turn(now); paused > 0 {
+		l.config.Event("resumed", "paused", paused, "suspended", suspended)
+	}
+	return now
+}
+
+func (l *loop) handleBatch(batch *packetreader.Batch) {
+	now := l.turn()
+	l.age = l.ages.Age(now, batch)
 	l.updateView(now)
 	for i := range batch.Messages {
 		m := &batch.Messages[i]
@@ -132,6 +147,7 @@
 		l.config.Event("packet_malformed", "error", err)
 		return
 	}
+	p.Age = l.age
 	l.apply(now, &p, raw, l.director.FromClient(now, &p, raw))
 }
 
@@ -144,9 +160,9 @@
 			l.balancer.counts.opened.Add(1)
 			l.openingSentAt[p.Key] = now
 		}
-		l.forward(flow.Branch{To: d.To, Request: d.Request}, raw)
+		l.forward(flow.Branch{To: d.To, Request: d.Request}, p.Age, raw)
 		for _, branch := range d.Branches {
-			l.forward(branch, raw)
+			l.forward(branch, p.Age, raw)
 		}
 	case flow.Reset:
 		l.reserve(l.toClients, l.balancer.clients)
@@ -155,9 +171,10 @@
 	}
 }
 
-func (l *loop) forward(branch flow.Branch, raw []byte) {
+func (l *loop) forward(branch flow.Branch, age time.Duration, raw []byte) {
 	nodecodec.Clear(&l.outHeader)
 	nodecodec.PutRequest(&l.outHeader, &branch.Request)
+	nodecodec.PutAge(&l.outHeader, age)
 	l.send(branch.To, raw)
 }
 
--- a/internal/flowbalancer/nodes.go
+++ b/internal/flowbalancer/nodes.go
@@ -81,6 +81,7 @@
 		l.balancer.counts.malformed.Add(1)
 		return
 	}
+	p.Age = nodecodec.Age(&l.inHeader) + l.age
 	l.apply(now, &p, packet, l.director.HandleReturned(now, &p, packet, from))
 }
 
@@ -104,10 +105,7 @@
 }
 
 func (l *loop) tick() {
-	if suspended := l.config.Clock.DetectSuspension(); suspended > 0 {
-		l.config.Event("resumed", "suspended", suspended)
-	}
-	now := l.config.Clock.Now()
+	now := l.turn()
 	l.updateView(now)
 	l.resumeSearches(now)
 	l.sendHedges(now)
@@ -193,6 +191,7 @@
 	turnedAway := l.director.TurnedAway()
 	l.balancer.counts.evacuated.Store(turnedAway.Evacuated)
 	l.balancer.counts.cold.Store(turnedAway.Cold)
+	l.balancer.counts.stale.Store(l.director.StalePackets())
 	for key, sent := range l.openingSentAt {
 		if now-sent > sweepInterval {
 			delete(l.openingSentAt, key)
--- a/internal/nodecodec/nodecodec.go
+++ b/internal/nodecodec/nodecodec.go
@@ -103,6 +103,16 @@
 	return r
 }
 
+// PutAge stores the age of a forwarded packet in h.
+func PutAge(h *nodev1.Header, age time.Duration) {
+	h.WaitedMs = uint32(min(age.Milliseconds(), math.MaxUint32))
+}
+
+// Age returns the age of the forwarded packet that follows h, as of when it was sent.
+func Age(h *nodev1.Header) time.Duration {
+	return time.Duration(h.WaitedMs) * time.Millisecond
+}
+
 // PutKey stores the key of a flow in h.
 func PutKey(h *nodev1.Header, key flow.Key) {
 	h.ClientIp, h.ClientPort = packIP(key.Client.IP), uint32(key.Client.Port)
--- a/internal/nodecodec/nodecodec_test.go
+++ b/internal/nodecodec/nodecodec_test.go
@@ -33,10 +33,14 @@
 		want := exampleRequest(remaining)
 		nodecodec.Clear(&sent)
 		nodecodec.PutRequest(&sent, &want)
+		nodecodec.PutAge(&sent, 1500*time.Millisecond)
 		packet, err := nodecodec.Decode(nodecodec.Encode(nil, &sent, []byte("packet")), &received)
 		if err != nil || string(packet) != "packet" {
 			t.Fatalf("decoded packet %q, error %v", packet, err)
 		}
+		if age := nodecodec.Age(&received); age != 1500*time.Millisecond {
+			t.Fatalf("got the age %v", age)
+		}
 		got := nodecodec.Request(&received, nil)
 		if !slices.Equal(got.Remaining, want.Remaining) {
 			t.Fatalf("got %v, want %v", got.Remaining, want.Remaining)
--- a/internal/packetreader/packetreader.go
+++ b/internal/packetreader/packetreader.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/juju/errors"
 	"golang.org/x/net/ipv4"
@@ -25,8 +26,10 @@
 	// Source is the number of the socket that was passed to Read.
 	Source   int
 	Messages []ipv4.Message
-	buffer   []ipv4.Message
-	free     chan<- *Batch
+	// ReadAt is when the datagrams were read.
+	ReadAt time.Duration
+	buffer []ipv4.Message
+	free   chan<- *Batch
 }
 
 // Release returns the batch to its reader for reuse. The datagrams must not be used afterwards.
@@ -35,8 +38,8 @@
 }
 
 // Read sends the datagrams of a socket to out, in batches, until the socket is closed. The end of ctx alone does not
-// interrupt a read.
-func Read(ctx context.Context, socket *udp.Socket, source int, out chan<- *Batch) error {
+// interrupt a read. now is the clock of the process.
+func Read(ctx context.Context, socket *udp.Socket, source int, now func() time.Duration, out chan<- *Batch) error {
 	free := make(chan *Batch, batchesPerSocket)
 	for range batchesPerSocket {
 		free <- &Batch{Source: source, buffer: udp.NewMessages(BatchSize, nodecodec.MaxDatagram), free: free}
@@ -52,7 +55,7 @@
 			free <- b
 			continue
 		}
-		b.Messages = b.buffer[:n]
+		b.Messages, b.ReadAt = b.buffer[:n], now()
 		select {
 		case out <- b:
 		case <-ctx.Done():
