Notice the return of the store at once while no process has a view

A seed without a view now reads the store every 100 ms beside reads that hang, and becomes the reader with its first read, since entries that lapsed return later. It keeps the fetches of peers waiting for up to 150 ms, so that they get the first view at once. A process that no seed answers starts a second read at a random time. Short timeouts were ruled out: a slow store takes 240 ms for an answer.

Two tests of the package are changed: one waits until the watch of an isolated reader has ended before it removes a server, and the writer of another one ends before the bubble does, which had passed by chance.

--- a/internal/storeview/era_test.go
+++ b/internal/storeview/era_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -137,12 +138,17 @@
 // keepWriting changes the store every 2 ms until stop is called.
 func (s *fakeStore) keepWriting(t *testing.T) (stop func()) {
 	ctx, cancel := context.WithCancel(t.Context())
-	go func() {
+	var writer sync.WaitGroup
+	writer.Go(func() {
 		for ; ctx.Err() == nil; time.Sleep(2 * time.Millisecond) {
 			s.put("busy")
 		}
-	}()
-	return cancel
+	})
+	// A goroutine that still sleeps when the test returns would count as a deadlock.
+	return func() {
+		cancel()
+		writer.Wait()
+	}
 }
 
 // TestLostConfigurationIsFetchedFromAPeerThatIsAhead guards against a process that never gets a configuration which the
--- a/internal/storeview/loop.go
+++ b/internal/storeview/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -20,8 +21,14 @@
 	pacer    *dissemination.Pacer
 	// spawn runs a call in its own goroutine.
 	spawn func(func())
-	// reading and fetching are set while such a call is in flight.
-	reading, fetching bool
+	// reads is the number of reads of the store in flight, and lastRead when the last one was started.
+	reads    int
+	lastRead time.Duration
+	// firstReads is the context of the reads that are started while there is no view, and endFirstReads ends it.
+	firstReads    context.Context
+	endFirstReads context.CancelFunc
+	// fetching holds the peers from which fetches are in flight.
+	fetching []netip.AddrPort
 	// readAll is set if the next read must return the whole state.
 	readAll bool
 	// storeDown is set if the last read by this process failed.
@@ -31,6 +38,8 @@
 	// skipSeeds is set if this process is a seed or there are none, or once a fetch has failed or a peer had no view
 	// either. The first read of the store then need not wait for a seed.
 	skipSeeds bool
+	// seedAnswered is when a seed last answered a fetch, or zero.
+	seedAnswered time.Duration
 	// hintedPeer is a peer that has newer changes. The zero value means none.
 	hintedPeer netip.AddrPort
 	// fetchAll is set if the next fetch must return the whole state, because the peer knows more of the past than the
@@ -40,11 +49,15 @@
 	// known the store before has delivered its whole state, or EraRetention has passed.
 	askPeerAfterRestore bool
 	lastSeedFetch       time.Duration
-	nextSeed            int
-	publishedContent    *registry.Content
+	// secondRead is how long after a read that hangs this process starts a second one.
+	secondRead       time.Duration
+	nextSeed         int
+	publishedContent *registry.Content
 }
 
 func (l *loop) run(ctx context.Context) error {
+	l.firstReads, l.endFirstReads = context.WithCancel(ctx)
+	defer l.endFirstReads()
 	expire := time.NewTicker(expireInterval)
 	defer expire.Stop()
 	for {
@@ -68,21 +81,53 @@
 // startDueCalls starts the calls that are due and returns the time until the next check.
 func (l *loop) startDueCalls(ctx context.Context) time.Duration {
 	now := l.config.Clock.Now()
-	if !l.fetching {
-		l.fetch(ctx, now)
+	l.fetch(ctx, now)
+	wait := l.untilRead(now)
+	if wait > 0 {
+		return min(wait, l.seedInterval())
+	}
+	l.read(ctx, now)
+	return l.seedInterval()
+}
+
+// untilRead returns the time until the next read of the store.
+func (l *loop) untilRead(now time.Duration) time.Duration {
+	blind := l.blind()
+	if blind && l.reads > 0 {
+		return l.untilReadBeside(now)
 	}
-	if l.reading {
+	if l.reads > 0 {
 		return time.Second
 	}
 	wait := l.pacer.Next(now, l.confirmed(now))
-	if l.registry.Freshness().Revision == 0 && !l.skipSeeds {
+	if blind && l.config.IsSeed && l.lastRead > 0 {
+		// The others wait for the seeds, so a seed does not back off.
+		wait = l.lastRead + blindReadInterval - now
+	}
+	if blind && !l.skipSeeds {
 		wait = max(wait, l.started+l.seedWait()-now)
 	}
-	if wait > 0 {
-		return min(wait, l.seedInterval())
+	return max(0, wait)
+}
+
+// blind reports whether the process has no view.
+func (l *loop) blind() bool {
+	return l.registry.Freshness().Revision == 0
+}
+
+// untilReadBeside returns the time until a process without a view reads the store although an earlier read has not ended. A
+// call that was sent while the store did not answer hangs even after its return. Only seeds do so, and those that no seed
+// answers, so that the number of calls does not grow with the fleet.
+func (l *loop) untilReadBeside(now time.Duration) time.Duration {
+	switch {
+	case l.reads >= maxBlindReads:
+		return time.Second
+	case l.config.IsSeed:
+		return max(0, l.lastRead+blindReadInterval-now)
+	case l.reads > 1 || l.seedAnswered > 0 && now-l.seedAnswered < seedTTL:
+		return time.Second
 	}
-	l.read(ctx)
-	return seedInterval
+	return max(0, l.lastRead+l.secondRead-now)
 }
 
 // seedWait returns how long the process waits for a seed before it reads the store itself.
@@ -110,21 +155,28 @@
 	return l.registry.Freshness().Confirmed
 }
 
-// fetch fetches from the hinted peer, or from a seed while there is no view.
+// fetch fetches from the hinted peer, or from a seed while there is no view. A seed without a view answers late, so a
+// process without one also fetches from a hinted peer meanwhile.
 func (l *loop) fetch(ctx context.Context, now time.Duration) {
+	if len(l.fetching) > 1 || len(l.fetching) == 1 && (!l.blind() || !l.hintedPeer.IsValid()) {
+		return
+	}
 	peer := l.hintedPeer
+	if slices.Contains(l.fetching, peer) {
+		return
+	}
 	l.hintedPeer = netip.AddrPort{}
-	if !peer.IsValid() && l.registry.Freshness().Revision == 0 && (l.lastSeedFetch == 0 || now-l.lastSeedFetch >= l.seedInterval()) {
+	if !peer.IsValid() && l.blind() && (l.lastSeedFetch == 0 || now-l.lastSeedFetch >= l.seedInterval()) {
 		l.lastSeedFetch = now
 		if seeds := l.config.Seeds(); len(seeds) > 0 {
 			peer = seeds[l.nextSeed%len(seeds)]
 			l.nextSeed++
 		}
 	}
-	if !peer.IsValid() {
+	if !peer.IsValid() || slices.Contains(l.fetching, peer) {
 		return
 	}
-	l.fetching = true
+	l.fetching = append(l.fetching, peer)
 	revision := l.registry.Freshness().Revision
 	if l.fetchAll {
 		l.fetchAll, revision = false, 0
@@ -142,14 +194,23 @@
 	snapshot *registry.Snapshot
 	changes  *registry.Changes
 	took     time.Duration
-	err      error
+	// first is set if the process had no view when the read was started.
+	first bool
+	err   error
 }
 
 // read reads the whole state if there is none yet or the store has discarded the history. Otherwise it reads
 // the changes. A reader waits for a change with a long poll; any other process asks only for the changes so
 // far.
-func (l *loop) read(ctx context.Context) {
-	l.reading = true
+func (l *loop) read(ctx context.Context, now time.Duration) {
+	l.reads++
+	l.lastRead = now
+	l.secondRead = minSecondRead + time.Duration(l.config.Rand.Int63n(int64(secondReadSpread)))
+	first := l.blind()
+	callCtx := ctx
+	if first {
+		callCtx = l.firstReads
+	}
 	after := l.registry.Freshness().Revision
 	whole := l.readAll || after == 0
 	var wait time.Duration
@@ -157,7 +218,8 @@
 		wait = l.config.Pacer.WatchTimeout
 	}
 	l.spawn(func() {
-		result := l.callStore(ctx, whole, after, wait)
+		result := l.callStore(callCtx, whole, after, wait)
+		result.first = first
 		l.view.deliver(ctx, event{readResult: result})
 	})
 }
@@ -229,6 +291,12 @@
 	return peer.Revision > 0 && (peer.Interrupted || peer.Revision.Era() < l.registry.Freshness().Revision.Era())
 }
 
+// gotFirstView ends the reads that were started to get a view, and arranges what follows the first one.
+func (l *loop) gotFirstView(f registry.Freshness) {
+	l.endFirstReads()
+	l.askAfterFirstView(f)
+}
+
 // askAfterFirstView arranges that a process asks a peer for what a restored store has lost. A store that has answered
 // the peers for longer than EraRetention has been written again.
 func (l *loop) askAfterFirstView(f registry.Freshness) {
@@ -250,7 +318,11 @@
 }
 
 func (l *loop) finishRead(r *readResult) {
-	l.reading = false
+	l.reads--
+	if r.first && !l.blind() {
+		// Another answer came first.
+		return
+	}
 	now := l.config.Clock.Now()
 	if errors.Is(r.err, ErrHistoryLost) || errors.Is(r.err, ErrRestored) {
 		if errors.Is(r.err, ErrRestored) {
@@ -276,7 +348,7 @@
 		l.config.Event("store_regained", "took", r.took, "view_age", now-l.registry.Freshness().Confirmed)
 	}
 	wasReading, confirmed := l.pacer.IsReader(), l.confirmed(now)
-	if l.registry.Freshness().Revision == 0 {
+	if l.blind() && !l.readsOnAtOnce(r) {
 		// After its first read, a process does not become a reader at once. When many processes start
 		// together, each one first waits to hear from another reader.
 		confirmed = now
@@ -288,14 +360,21 @@
 	l.merge(r)
 }
 
+// readsOnAtOnce reports whether the process becomes the reader with its first read. A seed does, because that read may show
+// an incomplete state: entries lapse during an outage. If the store has been restored, a peer may know more than the store,
+// and a process that is ahead of all others could not adopt that.
+func (l *loop) readsOnAtOnce(r *readResult) bool {
+	return l.config.IsSeed && r.snapshot != nil && r.snapshot.Revision.Era() == 0
+}
+
 func (l *loop) merge(r *readResult) {
 	if r.snapshot != nil {
 		l.readAll = false
 		l.noteEra(r.snapshot.Revision)
-		first := l.registry.Freshness().Revision == 0
+		first := l.blind()
 		l.registry.Replace(*r.snapshot)
 		if first {
-			l.askAfterFirstView(l.registry.Freshness())
+			l.gotFirstView(l.registry.Freshness())
 		}
 	} else if _, err := l.registry.Apply(*r.changes); err != nil {
 		// A peer has already delivered a newer state, which is kept.
@@ -320,7 +399,10 @@
 }
 
 func (l *loop) finishFetch(f *fetchResult) {
-	l.fetching = false
+	l.fetching = slices.DeleteFunc(l.fetching, func(peer netip.AddrPort) bool { return peer == f.peer })
+	if f.err == nil && slices.Contains(l.config.Seeds(), f.peer) {
+		l.seedAnswered = l.config.Clock.Now()
+	}
 	if f.err != nil {
 		l.skipSeeds = !l.config.FirstStart
 		l.config.Failure("peer_fetch_failed", f.err, "peer", f.peer)
@@ -331,10 +413,10 @@
 		l.askPeerAfterRestore = false
 	}
 	l.noteConfirmation(f.delta.Freshness)
-	first := l.registry.Freshness().Revision == 0
+	first := l.blind()
 	l.registry.Merge(f.delta)
-	if first {
-		l.askAfterFirstView(f.delta.Freshness)
+	if first && !l.blind() {
+		l.gotFirstView(f.delta.Freshness)
 	}
 	if f.delta.From > 0 && f.delta.ConfigurationVersion > l.registry.Freshness().ConfigurationVersion {
 		// The peer has had the configuration since before the restore, so the changes do not include it.
@@ -349,7 +431,9 @@
 	if current == nil {
 		return
 	}
-	l.view.current.Store(current)
+	if l.view.current.Swap(current) == nil {
+		close(l.view.first)
+	}
 	if current.Content == l.publishedContent {
 		return
 	}
--- a/internal/storeview/storeview.go
+++ b/internal/storeview/storeview.go
@@ -78,6 +78,21 @@
 	// bootstrapInterval the time between two fetches from seeds then. The platform starts all VMs within 0.3 s.
 	bootstrapWait     = time.Second
 	bootstrapInterval = 50 * time.Millisecond
+	// fetchHold is how long a process without a view keeps the fetch of a peer waiting for the first one. It leaves the peer
+	// the time to receive the answer within fetchTimeout. maxWaitingFetches bounds the fetches that wait, each of which takes
+	// a connection and about 20 KB.
+	fetchHold         = 150 * time.Millisecond
+	maxWaitingFetches = 64
+	// blindReadInterval is the time between two reads by a seed that has no view, and maxBlindReads bounds those in flight.
+	// Other processes depend on the seeds: without a view nothing is served.
+	blindReadInterval = 100 * time.Millisecond
+	maxBlindReads     = 8
+	// minSecondRead and secondReadSpread bound the random time after which a process that no seed answers starts a second
+	// read beside one that hangs. The attempts of many processes are then spread over time.
+	minSecondRead    = 150 * time.Millisecond
+	secondReadSpread = 500 * time.Millisecond
+	// seedTTL is how long after the last answer of a seed a process relies on the seeds to read the store.
+	seedTTL = time.Second
 	// expireInterval is the time between two checks for expired entries.
 	expireInterval = 250 * time.Millisecond
 	eventQueueSize = 256
@@ -90,6 +105,9 @@
 	updates chan struct{}
 	events  chan event
 	dropped atomic.Uint64
+	// first is closed once there is a view. waiting is the number of fetches that wait for it.
+	first   chan struct{}
+	waiting atomic.Int32
 }
 
 // event is an input to the event loop. Exactly one field is set.
@@ -107,7 +125,7 @@
 
 // New returns a View that stays empty until Run is called.
 func New(config Config) *View {
-	return &View{config: config, updates: make(chan struct{}, 1), events: make(chan event, eventQueueSize)}
+	return &View{config: config, updates: make(chan struct{}, 1), events: make(chan event, eventQueueSize), first: make(chan struct{})}
 }
 
 // Current returns the current view, or nil before the first one.
@@ -151,8 +169,10 @@
 	return group.Wait()
 }
 
-// Since returns the changes after a revision.
+// Since returns the changes after a revision. While there is no view, it waits for the first one for up to fetchHold, so
+// that a peer that fetches it gets it at once.
 func (v *View) Since(ctx context.Context, revision registry.Revision) (registry.Delta, error) {
+	v.awaitFirst(ctx)
 	answer := make(chan registry.Delta, 1)
 	select {
 	case v.events <- event{command: func(r *registry.Registry) { answer <- r.Since(revision) }}:
@@ -167,6 +187,24 @@
 	}
 }
 
+// awaitFirst waits for the first view for up to fetchHold.
+func (v *View) awaitFirst(ctx context.Context) {
+	if v.Current() != nil {
+		return
+	}
+	defer v.waiting.Add(-1)
+	if v.waiting.Add(1) > maxWaitingFetches {
+		return
+	}
+	timer := time.NewTimer(fetchHold)
+	defer timer.Stop()
+	select {
+	case <-v.first:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func (v *View) deliver(ctx context.Context, e event) {
 	select {
 	case v.events <- e:
--- a/internal/storeview/storeview_test.go
+++ b/internal/storeview/storeview_test.go
@@ -53,13 +53,15 @@
 	cutWatches bool
 	// failNextRead is the error of the next read of the whole state.
 	failNextRead error
-	calls        int
+	// latency is the response time.
+	latency time.Duration
+	calls   int
 }
 
 func newFakeStore() *fakeStore {
 	noProcess := func(int) bool { return false }
 	return &fakeStore{
-		revision: 1, version: 1, entries: map[string]registry.Upstream{}, log: map[registry.Revision]string{},
+		revision: 1, version: 1, latency: storeLatency, entries: map[string]registry.Upstream{}, log: map[registry.Revision]string{},
 		writes: map[string]uint64{}, evacuations: map[string]registry.Evacuation{},
 		changed: make(chan struct{}), refuse: noProcess, ignore: noProcess,
 	}
@@ -129,7 +131,10 @@
 var errRefused = errors.New("refused")
 
 func (s *source) request(ctx context.Context) error {
-	time.Sleep(storeLatency)
+	s.store.mu.Lock()
+	latency := s.store.latency
+	s.store.mu.Unlock()
+	time.Sleep(latency)
 	s.store.mu.Lock()
 	s.store.calls++
 	refused, ignored := s.store.refuse(s.process), s.store.ignore(s.process)
@@ -530,7 +535,8 @@
 				time.Sleep(10 * time.Second)
 				f.isolated.Store(0)
 				f.store.set(func(s *fakeStore) { s.refuse = func(p int) bool { return p == 0 } })
-				time.Sleep(100 * time.Millisecond)
+				// A watch of the isolated process that was sent before must end first, if it is the reader.
+				time.Sleep(time.Second)
 				f.store.remove("a")
 				time.Sleep(5 * time.Second)
 				if !hasUpstream("a")(f.views[0].Current()) || hasUpstream("a")(f.views[5].Current()) {
