Use only entries that describe the server beside their agent

Open flows of a live server were reset with their next request, and the server got no new flows, because another writer had written an entry of an unnamed service with the IP of its VM.

Cause: Director.setUpstreams kept one entry for each IP, the one created last. The foreign entry replaced the server's, so the server was no holder of its service any more, its hints counted as those of a replaced server, and searches proved the flows lost without asking its agent.

Change: an entry of a service that nothing names is not used. Agents state the service and port of their server with their status, and of several entries with one IP that server's entry is used. Searches also ask the agents at the addresses of unused entries. Balancers log entry_unused with the reason.

--- a/flow/agents.go
+++ b/flow/agents.go
@@ -33,6 +33,10 @@
 	Work float64
 	// Speed is how fast the server processes requests relative to the median of its service, or zero if it is unknown.
 	Speed float64
+	// Service is the hash of the name of the server's service, and ServerPort the port at which the server receives
+	// packets. ServerPort is zero if the agent does not state them.
+	Service    uint64
+	ServerPort uint16
 	// RouteTimes are the times of its most used routes. Only some answers to heartbeats hold them.
 	RouteTimes RouteTimes
 	// View is the freshness of the agent's view; its revision is zero if the agent has none.
@@ -48,12 +52,15 @@
 	failureRate           float64
 	coldRate, work, speed float64
 	view                  registry.Freshness
+	service               uint64
+	serverPort            uint16
 }
 
 func reported(s *AgentStatus) reportedStatus {
 	return reportedStatus{
 		process: s.Process, accepting: s.Accepting, busy: s.Busy, slots: s.Slots, flows: s.Flows, serviceTime: s.ServiceTime,
 		failureRate: s.FailureRate, coldRate: s.ColdRate, work: s.Work, speed: s.Speed, view: s.View,
+		service: s.Service, serverPort: s.ServerPort,
 	}
 }
 
@@ -75,6 +82,8 @@
 	slots        int
 	draining     bool
 	warmAt       time.Duration
+	// serverPort is the port in the entry of the server.
+	serverPort uint16
 	// present is set if the view names the server.
 	present bool
 	// lastHeard is when the agent last sent its status, and waitingSince when it was first sent a message since then
@@ -126,6 +135,8 @@
 	// candidates are the upstreams ranked for new flows, and holders those ranked for searches. In holders a
 	// draining upstream is not demoted, because it is as likely an owner as any other.
 	candidates, holders []placement.Candidate
+	// claimed are the addresses in entries of the service that are not used. Only searches ask the agents there.
+	claimed []placement.Candidate
 	// peers caches the medians over the service's servers, as of peersUpdated.
 	peers        PeerStats
 	peersUpdated time.Duration
@@ -173,41 +184,50 @@
 func (d *Director) SetView(now time.Duration, view *registry.View) {
 	previous := d.view
 	d.view = view
-	if view == nil || previous != nil && previous.Content == view.Content {
+	if view == nil || previous != nil && previous.Content == view.Content && !d.reassignmentDue(now) {
 		return
 	}
-	d.setUpstreams(now, view.Upstreams)
-	d.setRoutes(view.Content)
-	d.setColdRates(view.Configuration)
+	d.reassignAt = 0
+	d.putContent(now, view.Content)
+}
+
+// putContent puts the content of the view into force.
+func (d *Director) putContent(now time.Duration, content *registry.Content) {
+	d.setUpstreams(now, content)
+	d.setRoutes(content)
+	d.setColdRates(content.Configuration)
 	d.sortAgents()
 	d.pruneAgents(now)
 }
 
-// setUpstreams replaces the upstreams by those of a view. If several entries have the same address, the latest one
-// wins.
-func (d *Director) setUpstreams(now time.Duration, upstreams []registry.Upstream) {
-	latest := make(map[IP]*registry.Upstream, len(upstreams))
-	for i := range upstreams {
-		u := &upstreams[i]
-		ip := IP(u.Address.Addr().As4())
-		if known := latest[ip]; known == nil || u.Newer(known) {
-			latest[ip] = u
-		}
-	}
+// setUpstreams replaces the upstreams by those of a view.
+func (d *Director) setUpstreams(now time.Duration, content *registry.Content) {
+	used, unused := d.assignAddresses(now, content)
 	d.services, d.byHash = map[string]*service{}, map[uint64]*service{}
 	for ip, a := range d.agents {
-		a.present = latest[ip] != nil
+		a.present = used[ip] != nil
 	}
-	for ip, u := range latest {
+	for ip, u := range used {
 		d.setUpstream(now, ip, u)
 	}
+	for i := range unused {
+		s := d.service(unused[i].Upstream.Service)
+		s.claimed = append(s.claimed, placement.Candidate{
+			Number: ipNumber(IP(unused[i].Upstream.Address.Addr().As4())), Place: unused[i].Upstream.Place, Weight: 1,
+		})
+	}
+	d.unused = unused
 }
 
 func (d *Director) setUpstream(now time.Duration, ip IP, u *registry.Upstream) {
 	s := d.service(u.Service)
 	a := d.agents[ip]
 	if a == nil || a.service != s.hash {
+		previous := a
 		a = &agent{ip: ip, nextHeartbeat: now}
+		if previous != nil && previous.serverOf(u) == serverMatches {
+			a.status, a.lastHeard = previous.status, previous.lastHeard
+		}
 		d.agents[ip] = a
 	}
 	if a.incarnation != u.Incarnation {
@@ -217,7 +237,7 @@
 		a.incarnation, a.runSince = u.Incarnation, now
 	}
 	a.service, a.place = s.hash, u.Place
-	a.slots, a.draining, a.warmAt = u.Slots, u.Draining, u.WarmAt
+	a.slots, a.draining, a.warmAt, a.serverPort = u.Slots, u.Draining, u.WarmAt, u.Address.Port()
 	a.present = true
 	candidate := placement.Candidate{Number: ipNumber(ip), Place: u.Place, Weight: 1}
 	s.holders = append(s.holders, candidate)
@@ -315,8 +335,12 @@
 	a.waitingSince, d.awaitingSince = 0, 0
 	a.leaving = a.leaving && status.Process == a.status.process
 	a.updateRun(now, d.config.MaxViewLag, &status)
+	moved := a.status.service != status.Service || a.status.serverPort != status.ServerPort
 	a.status = reported(&status)
 	a.sentFlows = 0
+	if moved && d.reassignAt == 0 && status.ServerPort != 0 && (a.service != status.Service || a.serverPort != status.ServerPort) {
+		d.reassignAt = now + reassignDelay
+	}
 }
 
 // HealthChange is a change in whether a balancer considers an agent responsive.
--- a/flow/director.go
+++ b/flow/director.go
@@ -233,6 +233,10 @@
 	routes       map[Endpoint]*route
 	agents       map[IP]*agent
 	sortedAgents []*agent
+	// unused holds the entries of the view that name no server to use. reassignAt is when the entries are assigned to the
+	// agents again because an agent has stated another server than its entry, or zero.
+	unused     []UnusedEntry
+	reassignAt time.Duration
 	// awaitingSince is when the first heartbeat was sent since an agent last sent its status, or zero.
 	awaitingSince time.Duration
 	hints         hints
@@ -331,7 +335,12 @@
 		// A hint does not prove that the flow is lost with its owner: another server may have taken a copy of the
 		// opening packet.
 		d.hints.remove(p.Key)
-		return d.search(now, p, raw, h.owner)
+		excluded := IP{}
+		if a != nil && a.present && a.service == h.service {
+			// A later run of the server can't hold the flow.
+			excluded = h.owner
+		}
+		return d.search(now, p, raw, excluded)
 	}
 	if h.firstUsed == 0 {
 		h.firstUsed = now
--- a/flow/search.go
+++ b/flow/search.go
@@ -208,9 +208,10 @@
 }
 
 // searchOrder returns the agents of some services in the order in which to ask them for a flow: first the
-// highest-ranked ones of each service, then the rest. Unresponsive ones come last.
+// highest-ranked ones of each service, then the rest. Unresponsive ones come last, and then those that only an unused
+// entry names.
 func (d *Director) searchOrder(now time.Duration, services []*service, key Key, excluded IP) (first, rest []holder) {
-	var unresponsiveAgents []holder
+	var unresponsiveAgents, claimed []holder
 	for _, s := range services {
 		d.rankBuf = placement.Rank(d.rankBuf[:0], key.Hash(), d.config.Place, s.holders)
 		asked := 0
@@ -227,8 +228,13 @@
 				rest = append(rest, a)
 			}
 		}
+		for i := range s.claimed {
+			if a := (holder{ip: ipFromNumber(s.claimed[i].Number), service: s.hash}); a.ip != excluded {
+				claimed = append(claimed, a)
+			}
+		}
 	}
-	rest = append(rest, unresponsiveAgents...)
+	rest = append(append(rest, unresponsiveAgents...), claimed...)
 	if len(first) == 0 {
 		return rest, nil
 	}
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -163,6 +163,7 @@
 		ServiceTime: t.load.mean, FailureRate: t.load.outcomes.failureRate,
 		ColdRate: t.cold.rateLeft(now),
 		Work:     t.load.work.expected(t.load.flows), Speed: t.load.speed.speed(now),
+		Service: t.service, ServerPort: t.config.Address.Port,
 	}
 }
 
--- a/internal/flowbalancer/loop.go
+++ b/internal/flowbalancer/loop.go
@@ -26,6 +26,8 @@
 	addresses   map[flow.IP]*net.UDPAddr
 	content     *registry.Content
 	evacuations flowlog.Evacuations
+	// unusedEntries holds the reasons that were last logged for the entries that are not used, by ID.
+	unusedEntries map[string]string
 	// lastSweep is when idle flows were last removed, and lastHealthLog when health changes were last checked for.
 	lastSweep, lastHealthLog time.Duration
 	// probe is the number of the last heartbeat.
@@ -106,6 +108,23 @@
 			"upstreams", len(view.Upstreams), "age", now-view.Confirmed)
 		l.evacuations.Update(now, view.Evacuations, l.config.Event)
 	}
+	l.logUnusedEntries()
+}
+
+// logUnusedEntries logs the entries of servers that are not used any more, or for another reason than before.
+func (l *loop) logUnusedEntries() {
+	unused := l.director.UnusedEntries()
+	if len(unused) == 0 && len(l.unusedEntries) == 0 {
+		return
+	}
+	reasons := make(map[string]string, len(unused))
+	for _, e := range unused {
+		reasons[e.Upstream.ID] = e.Reason
+		if l.unusedEntries[e.Upstream.ID] != e.Reason {
+			l.config.Event("entry_unused", "id", e.Upstream.ID, "service", e.Upstream.Service, "address", e.Upstream.Address, "reason", e.Reason)
+		}
+	}
+	l.unusedEntries = reasons
 }
 
 // turn records that the loop runs and returns the time. It is called first in each turn that may find packets from before a
--- a/internal/nodecodec/nodecodec.go
+++ b/internal/nodecodec/nodecodec.go
@@ -135,6 +135,7 @@
 	h.ColdRate = float32(s.ColdRate)
 	h.Work = float32(s.Work)
 	h.Speed = float32(s.Speed)
+	h.Service, h.ServerPort = s.Service, uint32(s.ServerPort)
 	putRouteTimes(h, s.RouteTimes)
 }
 
@@ -169,6 +170,7 @@
 		ServiceTime: time.Duration(h.ServiceTimeUs) * time.Microsecond, FailureRate: float64(h.Failing),
 		ColdRate: float64(h.ColdRate),
 		Work:     float64(h.Work), Speed: float64(h.Speed), RouteTimes: routeTimes(h),
+		Service: h.Service, ServerPort: uint16(h.ServerPort),
 	}
 }
 
