Keep idle flows for the time-out that the configuration states

After idle_timeout_ms was raised from 15 s to 30 s, flows that had been idle for 20 s were reset with their next order.

Cause: the configured time-out was decoded and distributed but not used. Agents dropped idle flows after a constant 15 s and then denied them without asking their servers. The claim to know every flow was also wrong after the eviction of a flow and without a configuration.

Change: agents and balancers keep the state of idle flows for the configured time, at least 15 s and at most the maximum age of a flow. An agent denies an unknown flow from memory only if it has dropped no flow that was seen within that time; otherwise it asks its server.

--- a/flow/agents.go
+++ b/flow/agents.go
@@ -196,6 +196,7 @@
 	d.setUpstreams(now, content)
 	d.setRoutes(content)
 	d.setColdRates(content.Configuration)
+	d.hints.idle = idleTimeout(content.Configuration, d.config.IdleTimeout, d.config.MaxFlowAge)
 	d.sortAgents()
 	d.pruneAgents(now)
 }
@@ -294,7 +295,7 @@
 // pruneAgents removes the agents that the view does not name, once the hints of their flows have expired as well.
 func (d *Director) pruneAgents(now time.Duration) {
 	d.sortedAgents = slices.DeleteFunc(d.sortedAgents, func(a *agent) bool {
-		gone := !a.present && now-a.lastHeard > d.config.IdleTimeout
+		gone := !a.present && now-a.lastHeard > d.hints.idle
 		if gone {
 			delete(d.agents, a.ip)
 		}
--- a/flow/director.go
+++ b/flow/director.go
@@ -13,7 +13,8 @@
 	Place string
 	// MaxFlows bounds the hints. A hint takes about 150 bytes; losing one costs a search.
 	MaxFlows int
-	// IdleTimeout is how long the hint of an idle flow is kept.
+	// IdleTimeout is how long the hint of an idle flow is kept at least. A configuration may state a longer time, of which
+	// at most MaxFlowAge counts.
 	IdleTimeout time.Duration
 	// HedgeAfter is how long an agent may leave an opening packet unanswered before it is sent to the next agent as
 	// well. It must exceed a round trip; a long time adds to the latency of clients.
--- a/flow/hints.go
+++ b/flow/hints.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/bramleyrack/bramleyrack/registry"
 )
 
 // hint is the cached owner of a flow at a balancer.
@@ -19,7 +21,7 @@
 	confirmed bool
 }
 
-// hints caches the owners of the most recently seen flows.
+// hints caches the owners of the most recently seen flows. A hint is kept until its flow has been idle for the given time.
 type hints struct {
 	idle time.Duration
 	lru  *simplelru.LRU[Key, *hint]
@@ -62,3 +64,13 @@
 		h.lru.Remove(key)
 	}
 }
+
+// idleTimeout returns how long the state of an idle flow is kept under a configuration, which may be nil. A configuration
+// with a lower time-out than the given least one has no effect, since it only permits to drop the state sooner. Flows older
+// than maxAge need not be kept.
+func idleTimeout(c *registry.Configuration, least, maxAge time.Duration) time.Duration {
+	if c == nil {
+		return least
+	}
+	return max(least, min(c.IdleTimeout, maxAge))
+}
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -60,10 +60,13 @@
 	evacuation registry.Evacuation
 	evacuated  bool
 	flows      *simplelru.LRU[Key, *trackedFlow]
-	load       load
-	cold       coldStart
-	server     serverHealth
-	turnedAway TurnedAway
+	// idleTimeout is how long an idle flow is tracked. completeSince is the time since which the server's flows were tracked
+	// without a gap: every flow with a later packet is tracked.
+	idleTimeout, completeSince time.Duration
+	load                       load
+	cold                       coldStart
+	server                     serverHealth
+	turnedAway                 TurnedAway
 	// resumed is when the agent continued after a pause, or zero.
 	resumed  time.Duration
 	probes   []probe
@@ -76,7 +79,7 @@
 
 // NewTracker returns the Tracker of an agent that starts now. The limits in config must be positive.
 func NewTracker(config TrackerConfig, now time.Duration) *Tracker {
-	t := &Tracker{config: config, service: ServiceHash(config.Service), started: now, load: newLoad(config), cold: newColdStart(now, config.RegistrationTime), server: newServerHealth(config), shortage: newShortage(config)}
+	t := &Tracker{config: config, service: ServiceHash(config.Service), started: now, load: newLoad(config), cold: newColdStart(now, config.RegistrationTime), server: newServerHealth(config), shortage: newShortage(config), idleTimeout: config.IdleTimeout, completeSince: now}
 	flows, err := simplelru.NewLRU(config.MaxFlows, func(_ Key, f *trackedFlow) { t.end(f) })
 	if err != nil {
 		panic(err)
@@ -114,6 +117,7 @@
 		return
 	}
 	t.version = c.Version
+	t.idleTimeout = idleTimeout(c, t.config.IdleTimeout, t.config.MaxFlowAge)
 	t.versions.discardUpTo(t.version)
 	t.routes = make(map[Endpoint]*registry.Route, len(c.Routes))
 	for i := range c.Routes {
@@ -233,7 +237,7 @@
 // fromOpenFlow decides on a packet of a flow that its client considers open.
 func (t *Tracker) fromOpenFlow(now time.Duration, p *Packet, raw []byte, request Request) Verdict {
 	f, known := t.flows.Peek(p.Key)
-	if !known && now-t.started > t.config.IdleTimeout {
+	if !known && t.knowsAllFlows(now) {
 		return t.deny(request, "server does not hold the flow")
 	}
 	silent := !t.server.responsive() && !t.server.allowTrial(now)
@@ -248,6 +252,18 @@
 	return t.deliver(now, p, raw, request)
 }
 
+// knowsAllFlows reports whether the agent tracks every flow of its server that has not been idle for too long. It does not
+// shortly after its start, after it had to drop a flow, and after a configuration has raised the idle time-out.
+func (t *Tracker) knowsAllFlows(now time.Duration) bool {
+	return t.routes != nil && now-t.completeSince > t.idleTimeout
+}
+
+// forget removes a flow that the server may still hold.
+func (t *Tracker) forget(key Key, f *trackedFlow) {
+	t.completeSince = max(t.completeSince, f.lastSeen)
+	t.flows.Remove(key)
+}
+
 // repeatable reports whether the requests of a flow may run twice. A silent server may still answer, so only such flows
 // are reset before it is known to be gone.
 func (t *Tracker) repeatable(key Key) bool {
@@ -318,6 +334,9 @@
 func (t *Tracker) track(now time.Duration, p *Packet, initial state) *trackedFlow {
 	f, ok := t.flows.Get(p.Key)
 	if !ok {
+		if oldestKey, oldest, full := t.flows.GetOldest(); full && t.flows.Len() >= t.config.MaxFlows {
+			t.forget(oldestKey, oldest)
+		}
 		f = &trackedFlow{state: initial}
 		t.flows.Add(p.Key, f)
 		t.load.flows++
@@ -413,10 +432,10 @@
 	t.load.advance(now)
 	for {
 		key, oldest, ok := t.flows.GetOldest()
-		if !ok || now-oldest.lastSeen <= t.config.IdleTimeout {
+		if !ok || now-oldest.lastSeen <= t.idleTimeout {
 			break
 		}
-		t.flows.Remove(key)
+		t.forget(key, oldest)
 	}
 	t.load.expire(now)
 }
--- a/flow/tracker_config.go
+++ b/flow/tracker_config.go
@@ -12,9 +12,10 @@
 	// MaxFlows bounds the tracked flows. A flow takes about 250 bytes; packets of a flow that was evicted are
 	// checked with the server again.
 	MaxFlows int
-	// IdleTimeout is how long an idle flow is tracked. An agent that has been running for longer knows every flow
-	// of its server.
-	IdleTimeout time.Duration
+	// IdleTimeout is how long an idle flow is tracked at least. A configuration may state a longer time, of which at most
+	// MaxFlowAge counts, the age above which a flow need not be found again. A flow that is not tracked is asked for at the
+	// server until the agent has been running for that time.
+	IdleTimeout, MaxFlowAge time.Duration
 	// AnswerTimeout is how long a server may take to answer an opening packet.
 	AnswerTimeout time.Duration
 	// MaxUnanswered is how many answer time-outs in a row make the server unhealthy, so that new flows are passed
@@ -84,6 +85,7 @@
 		Address:            address,
 		MaxFlows:           1 << 14,
 		IdleTimeout:        15 * time.Second,
+		MaxFlowAge:         time.Minute,
 		AnswerTimeout:      60 * time.Millisecond,
 		MaxUnanswered:      2,
 		TrialInterval:      200 * time.Millisecond,
