Take a denial as proof only from an agent that knows all flows

A route moved, all processes were killed and started again, and the next request on each open flow of the route was reset, although its server lived and held the flow.

Cause: while former routes are unknown, a search asks the agents of all services, which answer from what they track and do not ask their servers. An agent that has restarted tracks nothing, but its denial counted.

Change: in such a search an agent marks its denial as outdated, which earlier versions respect as well, unless it has tracked all flows for longer than the idle time-out or the whole run of its server. Denials do not count while an agent of an earlier version is present. A store that never held another configuration has no former routes. A report on a flow of another service shows a former route, which later searches use.

The simulation now states when entries and routes were written, and one property test accepts packets that stay undelivered, never a reset.

--- a/cmd/bramley-flow-agent/main.go
+++ b/cmd/bramley-flow-agent/main.go
@@ -48,6 +48,7 @@
 	tracker := flow.DefaultTrackerConfig(p.Settings.Service, flow.EndpointOf(p.Settings.Server))
 	tracker.Place = p.Settings.Place
 	tracker.MaxFlowAge = p.Settings.MaxFlowAge
+	tracker.StartTime = uint64(p.Clock.StartTime().UnixMilli())
 	a, err := flowagent.New(flowagent.Config{
 		View:              p.View,
 		Clock:             p.Clock,
--- a/flow/agents.go
+++ b/flow/agents.go
@@ -195,6 +195,7 @@
 func (d *Director) putContent(now time.Duration, content *registry.Content) {
 	d.setUpstreams(now, content)
 	d.setRoutes(content)
+	d.addNoticedFormers(now)
 	d.setColdRates(content.Configuration)
 	d.hints.idle = idleTimeout(content.Configuration, d.config.IdleTimeout, d.config.MaxFlowAge)
 	d.sortAgents()
--- a/flow/director.go
+++ b/flow/director.go
@@ -227,11 +227,13 @@
 
 // Director makes the decisions of one balancer. It is not safe for concurrent use.
 type Director struct {
-	config       DirectorConfig
-	view         *registry.View
-	services     map[string]*service
-	byHash       map[uint64]*service
-	routes       map[Endpoint]*route
+	config   DirectorConfig
+	view     *registry.View
+	services map[string]*service
+	byHash   map[uint64]*service
+	routes   map[Endpoint]*route
+	// noticed holds the former services of addresses that reports on flows have shown.
+	noticed      map[Endpoint][]noticedFormer
 	agents       map[IP]*agent
 	sortedAgents []*agent
 	// unused holds the entries of the view that name no server to use. reassignAt is when the entries are assigned to the
@@ -263,6 +265,7 @@
 		config:          config,
 		services:        map[string]*service{},
 		routes:          map[Endpoint]*route{},
+		noticed:         map[Endpoint][]noticedFormer{},
 		agents:          map[IP]*agent{},
 		hints:           newHints(config.MaxFlows, config.IdleTimeout),
 		openings:        newOpenings(config),
--- a/flow/moved_route_test.go
+++ b/flow/moved_route_test.go
@@ -109,6 +109,136 @@
 	}
 }
 
+// TestRestartedAgentProvesNoLoss covers the loss of all processes after a route has moved. An agent that has restarted must
+// not ask its server for a flow of another service, so its denial was taken as proof and the flow was reset.
+func TestRestartedAgentProvesNoLoss(t *testing.T) {
+	tracker := newTracker(orderView(5))
+	r := request(flow.PurposeSearch)
+	r.Wide = true
+	if v := tracker.FromNode(start, dataPacket(1), nil, r); v.Note != flow.NoteDenied || !v.Request.Outdated() {
+		t.Fatalf("got note %d, outdated %v, want a denial that proves nothing", v.Note, v.Request.Outdated())
+	}
+	r.Remaining = []flow.IP{agentIP(3)}
+	if v := tracker.FromNode(start, dataPacket(1), nil, r); v.Action != flow.Forward || !v.Request.Outdated() {
+		t.Fatalf("got %v, outdated %v, want the mark to be passed on", v.Action, v.Request.Outdated())
+	}
+	r.Remaining = nil
+	later := start + flow.DefaultTrackerConfig("", flow.Endpoint{}).IdleTimeout + time.Second
+	if v := tracker.FromNode(later, dataPacket(1), nil, r); v.Note != flow.NoteDenied || v.Request.Outdated() {
+		t.Fatalf("got note %d, outdated %v, want proof from an agent that has tracked all flows", v.Note, v.Request.Outdated())
+	}
+}
+
+// TestAgentThatStartedWithItsServerProvesLosses covers a power failure: an agent that has tracked the whole run of its server
+// knows at once which flows that does not hold, and only then.
+func TestAgentThatStartedWithItsServerProvesLosses(t *testing.T) {
+	const startTime = 1_800_000_000_000
+	for name, c := range map[string]struct {
+		born              uint64
+		created, written  registry.Revision
+		earlier, provides bool
+	}{
+		"both started together":                   {startTime - 27, 9, 8, false, true},
+		"server started later":                    {startTime + 5000, 9, 8, false, true},
+		"server is older":                         {startTime - 400, 9, 8, false, false},
+		"entry is older than the configuration":   {startTime - 27, 8, 9, false, false},
+		"revision of the configuration not known": {startTime - 27, 9, 0, false, false},
+		"server restarted under the agent":        {startTime + 5000, 8, 9, true, true},
+		"first view showed an earlier run":        {startTime - 400, 8, 9, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			config := flow.DefaultTrackerConfig("orders", flow.Endpoint{IP: agentIP(1), Port: simPort})
+			config.StartTime = startTime
+			tracker := flow.NewTracker(config, start)
+			view := func(version uint64, born uint64) *registry.View {
+				u := upstreamOf(1, "orders")
+				u.Incarnation, u.Created = born, c.created
+				v := viewAt(start, version, u)
+				v.Configuration.Revision = c.written
+				return v
+			}
+			if c.earlier {
+				tracker.SetView(view(4, startTime-60_000))
+			}
+			tracker.SetView(view(5, c.born))
+			r := request(flow.PurposeSearch)
+			r.Wide = true
+			if v := tracker.FromNode(start, dataPacket(1), nil, r); v.Note != flow.NoteDenied || v.Request.Outdated() == c.provides {
+				t.Fatalf("got note %d, outdated %v", v.Note, v.Request.Outdated())
+			}
+		})
+	}
+}
+
+// TestUnprovedLossResetsNoFlow covers a search of all services that an agent could only deny without knowing.
+func TestUnprovedLossResetsNoFlow(t *testing.T) {
+	d := flow.NewDirector(flow.DefaultDirectorConfig("here"), start)
+	d.SetView(start, movedView(5, time.Second, nil, upstreamOf(1, "orders"), upstreamOf(3, "photos")))
+	got := d.FromClient(start, dataPacket(1), nil)
+	wide, _, _ := d.HandleDenial(start, flow.Denial{Key: dataPacket(1).Key, SearchID: got.Request.SearchID})
+	wantForward(t, wide, flow.PurposeSearch)
+	last, _, _ := d.HandleDenial(start, flow.Denial{Key: dataPacket(1).Key, SearchID: got.Request.SearchID, Outdated: true})
+	if last.Action != flow.Drop {
+		t.Fatalf("got %v, want the packet dropped: %s", last.Action, last.Reason)
+	}
+	for now := start; now < start+2*time.Second; now += 50 * time.Millisecond {
+		if resumed, p, _ := d.NextResumedSearch(now); p != nil && resumed.Action == flow.Reset {
+			t.Fatalf("flow was reset later: %s", resumed.Reason)
+		}
+	}
+}
+
+// TestDenialsOfEarlierVersionsProveNoLoss covers an upgrade in which agents of the earlier version run beside new balancers:
+// those deny flows of which they can't know.
+func TestDenialsOfEarlierVersionsProveNoLoss(t *testing.T) {
+	for name, states := range map[string]bool{"earlier version": false, "present version": true} {
+		d := flow.NewDirector(flow.DefaultDirectorConfig("here"), start)
+		view := movedView(5, time.Second, nil, upstreamOf(1, "orders"), upstreamOf(3, "photos"))
+		view.Configuration.Services = map[string]registry.Service{"orders": {}, "photos": {}}
+		d.SetView(start, view)
+		d.UpdateStatus(start, servingStatus(3, "photos"))
+		if d.UpdateStatus(start, statusOf(1, 0, 0)); states {
+			d.UpdateStatus(start, servingStatus(1, "orders"))
+		}
+		got := d.FromClient(start, dataPacket(1), nil)
+		denial := flow.Denial{Key: dataPacket(1).Key, SearchID: got.Request.SearchID}
+		wide, _, _ := d.HandleDenial(start, denial)
+		wantForward(t, wide, flow.PurposeSearch)
+		if last, _, _ := d.HandleDenial(start, denial); (last.Action == flow.Reset) != states {
+			t.Errorf("%s: got %v: %s", name, last.Action, last.Reason)
+		}
+	}
+}
+
+// TestFoundFlowShowsAFormerRoute covers a balancer that does not know former routes: once an agent has reported a flow of the
+// former service, the searches for the others ask that service too, whose servers may get their packets.
+func TestFoundFlowShowsAFormerRoute(t *testing.T) {
+	d := flow.NewDirector(flow.DefaultDirectorConfig("here"), start)
+	servers := []registry.Upstream{upstreamOf(1, "orders"), upstreamOf(3, "photos"), upstreamOf(5, "orders")}
+	view := func(version uint64, routesKnown time.Duration) *registry.View {
+		v := movedView(version, routesKnown, nil, servers...)
+		v.Configuration.Services = map[string]registry.Service{"orders": {}, "photos": {}}
+		return v
+	}
+	d.SetView(start, view(5, time.Second))
+	d.HandleReport(start, flow.Report{Key: dataPacket(1).Key, Held: true, From: agentIP(1), Service: flow.ServiceHash("orders")})
+	wantAsked := func(now time.Duration, n, agents int) {
+		t.Helper()
+		got := d.FromClient(now, dataPacket(n), nil)
+		wantForward(t, got, flow.PurposeSearch)
+		if requests := requestsByAgent(got); len(requests) != agents || got.Request.Wide {
+			t.Fatalf("asked %v, wide %v, want %d agents", requests, got.Request.Wide, agents)
+		}
+	}
+	wantAsked(start, 2, 3)
+	now := start + 30*time.Second
+	d.SetView(now, view(6, 31*time.Second))
+	wantAsked(now, 3, 3)
+	now = start + 2*time.Minute
+	d.SetView(now, view(7, 121*time.Second))
+	wantAsked(now, 4, 1)
+}
+
 // TestSearchKeepsTheServiceOfItsAgents covers an address that a server of another service uses again during a search.
 // The second round must not ask its agent for a flow of the new service.
 func TestSearchKeepsTheServiceOfItsAgents(t *testing.T) {
--- a/flow/openings.go
+++ b/flow/openings.go
@@ -136,5 +136,6 @@
 		return nil
 	}
 	d.hints.put(r.Key, hint{owner: r.From, service: r.Service, created: now, seen: now})
+	d.noteFormer(now, r.Key.Service, r.Service)
 	return d.finishSearch(now, r.Key)
 }
--- a/flow/property_test.go
+++ b/flow/property_test.go
@@ -151,6 +151,16 @@
 	}
 }
 
+// restartAllProcesses restarts all balancers and agents at once. The servers keep running.
+func restartAllProcesses(sim *simulation) {
+	for _, server := range sim.servers {
+		if server.running && server.tracker != nil {
+			sim.startAgent(server)
+		}
+	}
+	restartAllBalancers(sim)
+}
+
 // crashServer restarts a server, which loses its flows.
 func crashServer(sim *simulation) {
 	server := sim.servers[sim.rnd.Intn(len(sim.servers))]
@@ -288,6 +298,23 @@
 	}
 }
 
+// TestLossOfAllProcessesBreaksNoFlow lets all balancers and agents restart at once after routes have moved. No process knows
+// the former routes, and no agent which flows its server holds, so denials prove nothing.
+func TestLossOfAllProcessesBreaksNoFlow(t *testing.T) {
+	changes := slices.Concat(routeChanges, []func(sim *simulation){restartAllProcesses, reuseAddress, crashServer})
+	answered := 0
+	for seed := range int64(*propertySeeds) {
+		sim := simulateWith(t, seed, simOptions{slots: 50, places: 1, unfindable: true}, changes)
+		for _, violation := range sim.violations {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+		answered += sim.counts["flows opened"]
+	}
+	if answered < 200*(*propertySeeds) {
+		t.Fatalf("%d flows opened, want at least %d of %d", answered, 200*(*propertySeeds), 240*(*propertySeeds))
+	}
+}
+
 func TestFailuresResetNoLiveFlow(t *testing.T) {
 	resets := 0
 	for seed := range int64(*propertySeeds) {
--- a/flow/search.go
+++ b/flow/search.go
@@ -21,6 +21,9 @@
 type search struct {
 	number  uint64
 	started time.Duration
+	// since is when the first search for the packet was started. A search of all services that proved nothing starts again
+	// when the view changes only until ResumeTimeout after that: agents that have restarted learn nothing from a new view.
+	since time.Duration
 	// attempt counts the earlier searches for the flow that found no owner in time.
 	attempt int
 	packet  Packet
@@ -35,7 +38,7 @@
 	// chains is the number of chains that have not reported a denial yet.
 	chains int
 	// changed is the revision of the last change in the view when the search began. outdated is set if an agent
-	// knew of a later one, so that a newer server may hold the flow.
+	// knew of a later one, so that a newer server may hold the flow, or could not know whether its server holds it.
 	changed  registry.Revision
 	outdated bool
 	// waiting holds further packets of the flow.
@@ -98,7 +101,7 @@
 	}
 	d.searches.lastNumber++
 	s := &search{
-		number: d.searches.lastNumber, started: now, packet: *p, raw: slices.Clone(raw), changed: d.view.Changed,
+		number: d.searches.lastNumber, started: now, since: now, packet: *p, raw: slices.Clone(raw), changed: d.view.Changed,
 		asked: r.holders(), excluded: excluded,
 	}
 	if repeated {
@@ -260,6 +263,9 @@
 		return s.reset()
 	}
 	d.searches.inconclusive = append(d.searches.inconclusive, s)
+	if s.wide && s.outdated {
+		return Decision{Reason: "former routes are not all known, and not every agent knows which flows its server holds"}
+	}
 	return Decision{Reason: "no server is known to hold the flow, but the search is inconclusive"}
 }
 
@@ -283,8 +289,8 @@
 type Denial struct {
 	Key      Key
 	SearchID uint64
-	// Outdated is set if an agent knew of a later change of the view than the searching balancer, so that a newer
-	// server may hold the flow.
+	// Outdated is set if the denial proves nothing: an agent knew of a later change of the view than the searching
+	// balancer, so that a newer server may hold the flow, or could not know whether its server holds the flow.
 	Outdated bool
 }
 
@@ -311,7 +317,15 @@
 // may hold it were asked.
 func (d *Director) provesLoss(now time.Duration, s *search) bool {
 	return (s.wide || d.historyComplete(now)) && !s.outdated && s.changed == d.view.Changed && d.missingMeansRemoved(now) &&
-		(d.repeatable(s.packet.Key) || !d.suspendedHolder(now, s))
+		(d.repeatable(s.packet.Key) || !d.suspendedHolder(now, s)) && (!s.wide || d.agentsQualifyDenials())
+}
+
+// agentsQualifyDenials reports whether no agent is known to run an earlier version, which denies the flows of a search of
+// all services also if it can't know whether its server holds them. Such agents do not state their server.
+func (d *Director) agentsQualifyDenials() bool {
+	return !slices.ContainsFunc(d.sortedAgents, func(a *agent) bool {
+		return a.present && a.status.process != 0 && a.status.serverPort == 0
+	})
 }
 
 // suspendedHolder reports whether a server that may hold the flow of a search could not be asked because its agent may
@@ -349,7 +363,7 @@
 	}
 	for i := 0; i < len(d.searches.inconclusive); i++ {
 		s := d.searches.inconclusive[i]
-		expired := now-s.started > d.config.ResumeTimeout
+		expired := now-s.resumableSince() > d.config.ResumeTimeout
 		proved := d.provesLoss(now, s)
 		if !expired && !proved && s.changed == d.view.Changed {
 			continue
@@ -362,12 +376,24 @@
 			return s.reset(), &s.packet, s.raw
 		default:
 			s.packet.addWait(now - s.started)
-			return d.search(now, &s.packet, s.raw, IP{}), &s.packet, s.raw
+			decision := d.search(now, &s.packet, s.raw, IP{})
+			if next, ok := d.searches.lru.Peek(s.packet.Key); ok {
+				next.since = s.since
+			}
+			return decision, &s.packet, s.raw
 		}
 	}
 	return Decision{}, nil, nil
 }
 
+// resumableSince returns the time from which the time counts for which an inconclusive search may start again.
+func (s *search) resumableSince() time.Duration {
+	if s.wide && s.outdated {
+		return s.since
+	}
+	return s.started
+}
+
 // searchTimeout returns how long a search may take. Each attempt gets twice the time of the one before, since a slow
 // answer is as likely as a lost one.
 func (d *Director) searchTimeout(s *search) time.Duration {
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -49,10 +49,12 @@
 
 // simServer is a server and the agent beside it.
 type simServer struct {
-	id          string
-	ip          flow.IP
-	service     string
+	id      string
+	ip      flow.IP
+	service string
+	// incarnation is the time of the server's start in milliseconds, and created the revision of its entry's creation.
 	incarnation uint64
+	created     registry.Revision
 	running     bool
 	registered  bool
 	draining    bool
@@ -109,8 +111,10 @@
 	queue    simQueue
 	order    int
 	revision registry.Revision
-	version  uint64
-	routes   map[flow.Endpoint][]registry.Share
+	// routesChanged is the revision of the last change of a route.
+	routesChanged registry.Revision
+	version       uint64
+	routes        map[flow.Endpoint][]registry.Share
 	// allowed holds the services to which the new flows of an address were ever directed, and configurations every
 	// configuration so far with the revision at which it was published.
 	allowed        map[flow.Endpoint]map[string]bool
@@ -153,6 +157,9 @@
 	// routesKnown is the length of the period before the start whose routes the balancers know.
 	routesKnown time.Duration
 	services    map[string]registry.Service
+	// unfindable is set if all processes may lose what they know of former routes, so that nobody may find a flow. It must
+	// not be reset then.
+	unfindable bool
 	// serve, if set, replaces the default request processing; each flow then carries only one request.
 	serve func(server *simServer, p flow.Packet, answer func())
 	// reset, if set, is called for every flow that was reset.
@@ -198,6 +205,7 @@
 		}
 	}
 	sim.routes[endpoint] = shares
+	sim.routesChanged = sim.revision + 1
 	if len(shares) > 0 {
 		return
 	}
@@ -233,7 +241,7 @@
 
 // snapshot returns the current state of the store.
 func (sim *simulation) snapshot() registry.Snapshot {
-	s := registry.Snapshot{Revision: sim.revision, Configuration: &registry.Configuration{Version: sim.version, Services: sim.options.services}, Evacuations: sim.evacuations}
+	s := registry.Snapshot{Revision: sim.revision, Configuration: &registry.Configuration{Version: sim.version, Revision: sim.routesChanged, Services: sim.options.services}, Evacuations: sim.evacuations}
 	for endpoint, shares := range sim.routes {
 		s.Configuration.Routes = append(s.Configuration.Routes, registry.Route{
 			Address: endpoint.AddrPort(), Shares: shares, Repeatable: true,
@@ -251,7 +259,7 @@
 func (s *simServer) entry(options simOptions) registry.Upstream {
 	return registry.Upstream{
 		ID: s.id, Service: s.service, Address: netip.AddrPortFrom(netip.AddrFrom4(s.ip), simPort), Place: simPlace(int(s.ip[3]), options.places),
-		Slots: options.slots, Draining: s.draining, Incarnation: s.incarnation, WarmAt: s.warmAt,
+		Slots: options.slots, Draining: s.draining, Incarnation: s.incarnation, WarmAt: s.warmAt, Created: s.created,
 	}
 }
 
@@ -372,7 +380,7 @@
 func (sim *simulation) addServerAt(ip flow.IP, service string) *simServer {
 	server := &simServer{
 		id: fmt.Sprint("s", len(sim.servers)), ip: ip, service: service, running: true, registered: true,
-		incarnation: uint64(sim.now), flows: map[flow.Key]*simFlow{},
+		incarnation: uint64(sim.now.Milliseconds()), created: sim.revision + 2, flows: map[flow.Key]*simFlow{},
 	}
 	sim.servers = append(sim.servers, server)
 	sim.byIP[server.ip] = server
@@ -383,6 +391,7 @@
 func (sim *simulation) startAgent(server *simServer) {
 	server.process++
 	config := flow.DefaultTrackerConfig(server.service, flow.Endpoint{IP: server.ip, Port: simPort})
+	config.StartTime = uint64(sim.now.Milliseconds())
 	server.tracker = flow.NewTracker(config, sim.now)
 	sim.revisions[server.ip] = 0
 	if sim.revision > 0 {
@@ -760,6 +769,10 @@
 			sim.counts["lost flows not reset"]++
 			c.closed = true
 			return
+		case overdue && sim.options.unfindable:
+			sim.counts["packets not delivered"]++
+			c.closed = true
+			return
 		case overdue:
 			sim.violate("packet %d of flow %v did not reach server %s in %v", p.Seq, c.key, c.server.id, sim.now-started)
 			c.closed = true
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -63,6 +63,7 @@
 	// idleTimeout is how long an idle flow is tracked. completeSince is the time since which the server's flows were tracked
 	// without a gap: every flow with a later packet is tracked.
 	idleTimeout, completeSince time.Duration
+	run                        serverRun
 	load                       load
 	cold                       coldStart
 	server                     serverHealth
@@ -109,6 +110,7 @@
 	t.evacuation, t.evacuated = view.Evacuation(t.place())
 	t.setCold(view)
 	t.setRoutes(view.Configuration)
+	t.run.observe(t.entry, view.Configuration, t.config.StartTime)
 	t.held.recheck = true
 }
 
@@ -192,7 +194,7 @@
 	case otherService && !t.holds(p.Key):
 		return t.deny(request, "server belongs to another service")
 	case request.Wide && !t.holds(p.Key):
-		return t.deny(request, "server is not known to hold the flow")
+		return t.denyWide(now, request)
 	case request.Purpose == PurposeOpen && t.holdsOpening(p.Key):
 		return Verdict{Decision: Decision{Reason: "a copy of the opening packet waits for a free slot"}, Note: NoteWaiting, Balancer: request.Balancer}
 	case request.Purpose == PurposeOpen:
@@ -226,10 +228,21 @@
 	return Verdict{Decision: Decision{Request: request, Reason: reason}, Note: NoteDenied, Balancer: request.Balancer}
 }
 
-// outdated replaces the revision in a search request once an agent knew of a later change.
+// denyWide handles a packet of a search of all services whose flow the agent does not track. The server may hold the flow
+// if the agent has not tracked all flows of it, but it must not get packets of services that may not be its own.
+func (t *Tracker) denyWide(now time.Duration, request Request) Verdict {
+	if t.knowsAllFlows(now) || t.run.whole {
+		return t.deny(request, "server is not known to hold the flow")
+	}
+	request.Changed = outdated
+	return t.deny(request, "agent does not know all flows of its server")
+}
+
+// outdated replaces the revision in a search request once an agent knew of a later change, or could not know whether its
+// server holds the flow.
 const outdated = 0
 
-// Outdated reports whether an agent knew of a later change of the view than the searching balancer.
+// Outdated reports whether the denials of the agents so far prove nothing.
 func (r *Request) Outdated() bool {
 	return r.Changed == outdated
 }
@@ -261,6 +274,7 @@
 // forget removes a flow that the server may still hold.
 func (t *Tracker) forget(key Key, f *trackedFlow) {
 	t.completeSince = max(t.completeSince, f.lastSeen)
+	t.run.whole = false
 	t.flows.Remove(key)
 }
 
@@ -334,7 +348,7 @@
 func (t *Tracker) track(now time.Duration, p *Packet, initial state) *trackedFlow {
 	f, ok := t.flows.Get(p.Key)
 	if !ok {
-		if oldestKey, oldest, full := t.flows.GetOldest(); full && t.flows.Len() >= t.config.MaxFlows {
+		if oldestKey, oldest, any := t.flows.GetOldest(); any && t.flows.Len() >= t.config.MaxFlows {
 			t.forget(oldestKey, oldest)
 		}
 		f = &trackedFlow{state: initial}
--- a/flow/tracker_config.go
+++ b/flow/tracker_config.go
@@ -9,6 +9,9 @@
 	Address Endpoint
 	// Place is the availability zone of the VM. The entry of the server takes precedence.
 	Place string
+	// StartTime is the Unix millisecond at which the agent started, or zero if it is not known. It is compared with the
+	// incarnation of the server, which comes from the same clock.
+	StartTime uint64
 	// MaxFlows bounds the tracked flows. A flow takes about 250 bytes; packets of a flow that was evicted are
 	// checked with the server again.
 	MaxFlows int
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -24,6 +24,11 @@
 	return &Clock{start: time.Now(), bootAtStart: sinceBoot()}
 }
 
+// StartTime returns the time of day at which the clock was created.
+func (c *Clock) StartTime() time.Time {
+	return c.start
+}
+
 // sinceBoot returns the time since the machine booted, including suspension.
 func sinceBoot() time.Duration {
 	var t unix.Timespec
--- a/internal/nodecodec/delta.go
+++ b/internal/nodecodec/delta.go
@@ -51,7 +51,7 @@
 }
 
 func encodeConfiguration(c *registry.Configuration) *nodev1.Configuration {
-	m := &nodev1.Configuration{Version: c.Version, IdleTimeoutMs: uint64(c.IdleTimeout.Milliseconds())}
+	m := &nodev1.Configuration{Version: c.Version, Revision: uint64(c.Revision), IdleTimeoutMs: uint64(c.IdleTimeout.Milliseconds())}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		route := &nodev1.Route{Ip: packIP(flow.IP(r.Address.Addr().As4())), Port: uint32(r.Address.Port()), Repeatable: r.Repeatable, TargetMs: uint32(r.Target.Milliseconds()), TimeoutMs: uint32(r.Timeout.Milliseconds()), Priority: uint32(r.Priority)}
@@ -117,7 +117,7 @@
 }
 
 func decodeConfiguration(m *nodev1.Configuration) *registry.Configuration {
-	c := &registry.Configuration{Version: m.Version, IdleTimeout: time.Duration(m.IdleTimeoutMs) * time.Millisecond}
+	c := &registry.Configuration{Version: m.Version, Revision: registry.Revision(m.Revision), IdleTimeout: time.Duration(m.IdleTimeoutMs) * time.Millisecond}
 	for _, r := range m.Routes {
 		route := registry.Route{Address: addrPort(r.Ip, r.Port), Repeatable: r.Repeatable, Target: time.Duration(r.TargetMs) * time.Millisecond, Timeout: time.Duration(r.TimeoutMs) * time.Millisecond, Priority: int(r.Priority)}
 		for _, share := range r.Shares {
--- a/internal/nodecodec/nodecodec_test.go
+++ b/internal/nodecodec/nodecodec_test.go
@@ -103,7 +103,7 @@
 		From:      registry.NewRevision(65535, 3),
 		Freshness: registry.Freshness{Revision: registry.NewRevision(65535, 8), Changed: registry.NewRevision(65535, 7), ConfigurationVersion: 12, Confirmed: now - time.Second, ContinuousSince: now - time.Minute, Reader: 5, RoutesKnownSince: now - 30*time.Second},
 		Former:    []registry.FormerShare{{Address: netip.MustParseAddrPort("198.18.0.1:443"), Service: "b", Until: now - 10*time.Second}},
-		Configuration: &registry.Configuration{Version: 12, IdleTimeout: 15 * time.Second, Routes: []registry.Route{{
+		Configuration: &registry.Configuration{Version: 12, Revision: 77, IdleTimeout: 15 * time.Second, Routes: []registry.Route{{
 			Address: netip.MustParseAddrPort("198.18.0.1:443"), Shares: []registry.Share{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}},
 			Repeatable: true, Target: 200 * time.Millisecond, Timeout: 4 * time.Second, Priority: 2,
 		}}, Services: map[string]registry.Service{"a": {ColdStart: 7500 * time.Millisecond, ColdRate: 12.5}, "b": {}}},
--- a/registry/history_test.go
+++ b/registry/history_test.go
@@ -120,3 +120,18 @@
 	wantRoutesKnownSince(t, r, 3*time.Minute)
 	wantFormer(t, r, "a")
 }
+
+// TestFirstConfigurationHasNoFormerRoutes covers the loss of all processes while the first configuration is in force: every
+// route of the past is known at once.
+func TestFirstConfigurationHasNoFormerRoutes(t *testing.T) {
+	r := registry.New(registry.DefaultConfig(1))
+	r.Replace(registry.Snapshot{Revision: 9, Confirmed: time.Hour, Configuration: routed(5, "a"), FirstConfiguration: true})
+	wantRoutesKnownSince(t, r, time.Hour-registry.DefaultConfig(1).RouteRetention)
+}
+
+// TestConfigurationChangedAfterTheFirstReadIsNotTakenAsFirst covers a process that knows another configuration already.
+func TestConfigurationChangedAfterTheFirstReadIsNotTakenAsFirst(t *testing.T) {
+	r := readRegistry(time.Hour, routed(5, "a"))
+	r.Replace(registry.Snapshot{Revision: 9, Confirmed: 2 * time.Hour, Configuration: routed(6, "b"), FirstConfiguration: true})
+	wantRoutesKnownSince(t, r, 2*time.Hour)
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -134,7 +134,10 @@
 	}
 	r.confirm(s.Revision, s.Confirmed)
 	before := r.content
-	if r.configuration.version() < s.Configuration.version() {
+	switch {
+	case r.configuration == nil && s.FirstConfiguration:
+		r.history.since = s.Confirmed - r.config.RouteRetention
+	case r.configuration.version() < s.Configuration.version():
 		// Other configurations may have been in force between the known one and the one that was read.
 		r.history.since = s.Confirmed
 	}
--- a/registry/types.go
+++ b/registry/types.go
@@ -28,6 +28,8 @@
 // Configuration is one version of the configuration that operators publish. It is immutable.
 type Configuration struct {
 	Version uint64
+	// Revision is the store's revision at which the configuration was written, or zero if it is not known.
+	Revision Revision
 	Routes  []Route
 	// IdleTimeout is the time after which the state of an idle flow may be dropped.
 	IdleTimeout time.Duration
@@ -107,10 +109,12 @@
 	Revision Revision
 	// Confirmed is a time at or after which the store held this state.
 	Confirmed time.Duration
-	// Configuration is nil if operators have not published one yet.
-	Configuration *Configuration
-	Upstreams     []Upstream
-	Evacuations   []Evacuation
+	// Configuration is nil if operators have not published one yet. FirstConfiguration is set if the store has never held
+	// another one.
+	Configuration      *Configuration
+	FirstConfiguration bool
+	Upstreams          []Upstream
+	Evacuations        []Evacuation
 }
 
 // Changes holds the changes of the store after revision After, up to Revision.
