--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -105,7 +105,7 @@
 	}
 	t.gone = t.entry == nil && (t.gone || previous != nil)
 	if t.entry != nil {
-		t.load.slots = max(1, t.entry.Slots)
+		t.load.slots = min(max(1, t.entry.Slots), registry.MaxSlots)
 	}
 	t.evacuation, t.evacuated = view.Evacuation(t.place())
 	t.setCold(view)
--- a/internal/nodecodec/delta.go
+++ b/internal/nodecodec/delta.go
@@ -134,14 +134,15 @@
 	return c
 }
 
+// decodeUpstream converts a server. A peer of an earlier version may send limits that no server has.
 func decodeUpstream(now time.Duration, m *nodev1.Upstream) registry.Upstream {
 	u := registry.Upstream{
-		ID: m.Id, Service: m.Service, Address: addrPort(m.Ip, m.Port), Place: m.Place, Slots: int(m.Slots),
+		ID: m.Id, Service: m.Service, Address: addrPort(m.Ip, m.Port), Place: m.Place, Slots: int(min(m.Slots, registry.MaxSlots)),
 		Draining: m.Draining, Incarnation: m.Incarnation, Created: registry.Revision(m.Created),
 		Sequence: m.Sequence,
 	}
 	if m.ColdMs > 0 {
-		u.WarmAt = now + time.Duration(m.ColdMs)*time.Millisecond
+		u.WarmAt = now + time.Duration(min(m.ColdMs, uint64(registry.MaxWarmUp.Milliseconds())))*time.Millisecond
 	}
 	return u
 }
--- a/registry/types.go
+++ b/registry/types.go
@@ -53,6 +53,14 @@
 	return c.Version
 }
 
+// Limits of an Upstream. Entries beyond them do not come from servers.
+const (
+	// MaxSlots is the highest number of slots.
+	MaxSlots = 1 << 16
+	// MaxWarmUp is the longest remaining warm-up time.
+	MaxWarmUp = 24 * time.Hour
+)
+
 // Upstream is a registered server.
 type Upstream struct {
 	// ID is the name under which the server registered. A restarted server may use the same ID.
