Keep flows of a server whose entry another writer has written over

Callers would see: repeatable flows of a live server are reset if another writer writes over its entry, until the server writes it again.

Cause: a missing entry counted as proof once the agent's last status was older than 0.5 s, but agents in other places are asked only once a second, and searches did not ask agents whose servers the view does not name.

Change: the owner of a flow is not gone while its agent answers. Before a flow counts as lost, the agents of its services that answer without an entry are asked. A first read with unreadable entries counts like one after an outage.

Evidence: TestOverwrittenEntryLosesNoFlow failed before.

--- a/flow/addresses_test.go
+++ b/flow/addresses_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -143,3 +144,42 @@
 		t.Fatalf("got %v to %v: %s", got.Action, got.To, got.Reason)
 	}
 }
+
+// TestOverwrittenEntryLosesNoFlow covers an entry of a live server that another writer has written over, so that the view does
+// not name the server until it writes again. Its repeatable flows were reset although its agent answered.
+func TestOverwrittenEntryLosesNoFlow(t *testing.T) {
+	view := func(at time.Duration, version uint64, upstreams ...registry.Upstream) *registry.View {
+		v := viewAt(at, version, upstreams...)
+		v.Configuration.Routes[0].Repeatable = true
+		return v
+	}
+	for name, c := range map[string]struct {
+		answered time.Duration
+		lost     bool
+	}{
+		"agent answers":         {700 * time.Millisecond, false},
+		"agent does not answer": {3 * time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := flow.NewDirector(flow.DefaultDirectorConfig("here"), start)
+			d.SetView(start, view(start, 5, upstreamOf(1, "orders"), upstreamOf(2, "orders")))
+			d.HandleReport(start, flow.Report{Key: dataPacket(1).Key, Held: true, From: agentIP(2), Service: flow.ServiceHash("orders")})
+			now := start + 5*time.Second
+			d.UpdateStatus(now-c.answered, servingStatus(2, "orders"))
+			d.UpdateStatus(now, servingStatus(1, "orders"))
+			d.SetView(now, view(now, 6, upstreamOf(1, "orders")))
+			for n := 1; n <= 2; n++ {
+				got := d.FromClient(now, dataPacket(n), nil)
+				if !c.lost && got.Request.Purpose == flow.PurposeDeliver && got.To == agentIP(2) {
+					continue
+				}
+				for got.Action == flow.Forward && !slices.Contains(agentsAsked(got), agentIP(2)) {
+					got, _, _ = d.HandleDenial(now, flow.Denial{Key: dataPacket(n).Key, SearchID: got.Request.SearchID})
+				}
+				if (got.Action == flow.Reset) != c.lost {
+					t.Errorf("flow %d: got %v: %s", n, got.Action, got.Reason)
+				}
+			}
+		})
+	}
+}
--- a/flow/agents.go
+++ b/flow/agents.go
@@ -291,6 +291,12 @@
 		d.sortedAgents = append(d.sortedAgents, a)
 	}
 	slices.SortFunc(d.sortedAgents, func(a, b *agent) int { return cmp.Compare(ipNumber(a.ip), ipNumber(b.ip)) })
+	d.unlisted = d.unlisted[:0]
+	for _, a := range d.sortedAgents {
+		if !a.present {
+			d.unlisted = append(d.unlisted, a)
+		}
+	}
 }
 
 // pruneAgents removes the agents that the view does not name, once the hints of their flows have expired as well.
@@ -302,6 +308,7 @@
 		}
 		return gone
 	})
+	d.unlisted = slices.DeleteFunc(d.unlisted, func(a *agent) bool { return d.agents[a.ip] != a })
 }
 
 func ipNumber(ip IP) uint32 {
--- a/flow/director.go
+++ b/flow/director.go
@@ -236,6 +236,8 @@
 	noticed      map[Endpoint][]noticedFormer
 	agents       map[IP]*agent
 	sortedAgents []*agent
+	// unlisted holds the agents whose servers the view does not name.
+	unlisted []*agent
 	// unused holds the entries of the view that name no server to use. reassignAt is when the entries are assigned to the
 	// agents again because an agent has stated another server than its entry, or zero.
 	unused     []UnusedEntry
@@ -368,7 +370,7 @@
 	switch {
 	case a.service != h.service:
 		return replaced
-	case now-a.lastHeard <= d.config.StatusTTL:
+	case now-a.lastHeard <= d.config.StatusTTL, !a.present && d.answers(now, a):
 		return false
 	case !a.present && !d.repeatable(key) && d.maybeSuspended(now, a):
 		return false
@@ -378,6 +380,12 @@
 	return replaced
 }
 
+// answers reports whether an agent has answered the latest heartbeat. It then knows better than the store whether its server
+// is gone: another writer may have written over the entry.
+func (d *Director) answers(now time.Duration, a *agent) bool {
+	return now-a.lastHeard <= d.config.RemoteInterval+d.config.UnresponsiveAfter && !a.unresponsive(now, d.config.UnresponsiveAfter)
+}
+
 // repeatable reports whether the requests of a flow may run twice.
 func (d *Director) repeatable(key Key) bool {
 	r := d.routes[key.Service]
--- a/flow/search.go
+++ b/flow/search.go
@@ -33,8 +33,9 @@
 	// asked holds the services whose agents were asked, and excluded is an agent that denied the flow before.
 	asked    []*service
 	excluded IP
-	// wide is set once the agents of all services were asked.
-	wide bool
+	// wide is set once the agents of all services were asked, and unlisted once those were whose servers the view does not
+	// name although they answer.
+	wide, unlisted bool
 	// chains is the number of chains that have not reported a denial yet.
 	chains int
 	// changed is the revision of the last change in the view when the search began. outdated is set if an agent
@@ -50,6 +51,8 @@
 type holder struct {
 	ip      IP
 	service uint64
+	// wide is set if the service is not known to get flows of the address.
+	wide bool
 }
 
 // QueuedPacket is a packet that waited for the search for the owner of its flow.
@@ -163,6 +166,7 @@
 // chain is a list of agents of one service that are asked one after the other.
 type chain struct {
 	service uint64
+	wide    bool
 	agents  []IP
 }
 
@@ -172,7 +176,7 @@
 	for _, a := range agents {
 		last := len(chains) - 1
 		if last < 0 || chains[last].service != a.service || len(chains[last].agents) >= length {
-			chains = append(chains, chain{service: a.service})
+			chains = append(chains, chain{service: a.service, wide: a.wide})
 			last++
 		}
 		chains[last].agents = append(chains[last].agents, a.ip)
@@ -190,7 +194,7 @@
 			Remaining: c.agents[1:],
 			SearchID:  s.number,
 			Changed:   d.view.Changed,
-			Wide:      s.wide,
+			Wide:      c.wide,
 		}})
 	}
 	s.chains = len(branches)
@@ -252,11 +256,21 @@
 		if agents := append(first, rest...); d.wideMessages.take(now, len(agents)) {
 			s.wide = true
 			if len(agents) > 0 {
+				for i := range agents {
+					agents[i].wide = true
+				}
 				d.searches.lru.Add(s.packet.Key, s)
 				return d.startChains(now, s, agents, "former routes are not all known")
 			}
 		}
 	}
+	if !s.unlisted {
+		s.unlisted = true
+		if agents := d.unlistedHolders(now, s); len(agents) > 0 {
+			d.searches.lru.Add(s.packet.Key, s)
+			return d.startChains(now, s, agents, "agents without an entry answer")
+		}
+	}
 	d.searches.lru.Remove(s.packet.Key)
 	if d.provesLoss(now, s) {
 		d.searches.lost++
@@ -269,6 +283,17 @@
 	return Decision{Reason: "no server is known to hold the flow, but the search is inconclusive"}
 }
 
+// unlistedHolders returns the agents of the asked services that answer although the view does not name their servers. Such a
+// server may have lost its entry to another writer.
+func (d *Director) unlistedHolders(now time.Duration, s *search) (agents []holder) {
+	for _, a := range d.unlisted {
+		if a.ip != s.excluded && d.answers(now, a) && slices.ContainsFunc(s.asked, func(asked *service) bool { return asked.hash == a.service }) {
+			agents = append(agents, holder{ip: a.ip, service: a.service})
+		}
+	}
+	return agents
+}
+
 // historyComplete reports whether the view holds every route of the last MaxFlowAge.
 func (d *Director) historyComplete(now time.Duration) bool {
 	return now-d.view.RoutesKnownSince >= d.config.MaxFlowAge
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -76,7 +76,8 @@
 	removed              map[string]removal
 	// content is nil after a change, until View rebuilds it.
 	content *Content
-	// readFailed is set if the store did not answer before the first successful read.
+	// readFailed is set if the store did not answer before the first successful read, or if that may lack the entry of a
+	// live server.
 	readFailed bool
 }
 
@@ -132,6 +133,7 @@
 		r.completeSince = s.Revision
 		r.freshness.Changed = s.Revision
 	}
+	r.readFailed = r.readFailed || s.Unreadable
 	r.confirm(s.Revision, s.Confirmed)
 	before := r.content
 	switch {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -491,3 +491,18 @@
 	exchange(cutOff, connected)
 	wantIDs(t, cutOff)
 }
+
+// TestUnreadableEntryLeavesRemovalsUncertain covers a process whose first read may lack the entry of a live server, because
+// another writer has written over it.
+func TestUnreadableEntryLeavesRemovalsUncertain(t *testing.T) {
+	config := registry.DefaultConfig(1)
+	r := registry.New(config)
+	r.Replace(registry.Snapshot{Revision: 9, Confirmed: time.Hour, Unreadable: true})
+	for after, removed := range map[time.Duration]bool{config.PeerGracePeriod: false, config.LapsedRetention: true} {
+		f := r.Freshness()
+		f.Confirmed += after
+		if got := f.MissingMeansRemoved(config); got != removed {
+			t.Errorf("after %v: a missing entry counts as removed: %v", after, got)
+		}
+	}
+}
--- a/registry/types.go
+++ b/registry/types.go
@@ -30,7 +30,7 @@
 	Version uint64
 	// Revision is the store's revision at which the configuration was written, or zero if it is not known.
 	Revision Revision
-	Routes  []Route
+	Routes   []Route
 	// IdleTimeout is the time after which the state of an idle flow may be dropped.
 	IdleTimeout time.Duration
 	// Services holds the settings of the services by name. A service without settings may be missing.
@@ -122,7 +122,10 @@
 	Configuration      *Configuration
 	FirstConfiguration bool
 	Upstreams          []Upstream
-	Evacuations        []Evacuation
+	// Unreadable is set if there are entries that name no server. One may have been written over that of a live server,
+	// which writes it again.
+	Unreadable  bool
+	Evacuations []Evacuation
 }
 
 // Changes holds the changes of the store after revision After, up to Revision.
