Ask agents without an entry only shortly after the entry went missing

Change: such an agent is asked only for 2.2 s after its entry went missing, within which a live server writes it again, and not if the server was draining.

--- a/flow/agents.go
+++ b/flow/agents.go
@@ -84,8 +84,9 @@
 	warmAt       time.Duration
 	// serverPort is the port in the entry of the server.
 	serverPort uint16
-	// present is set if the view names the server.
-	present bool
+	// present is set if the view names the server. If not, it has not done so since unlistedSince.
+	present       bool
+	unlistedSince time.Duration
 	// lastHeard is when the agent last sent its status, and waitingSince when it was first sent a message since then
 	// that requires an answer; zero if nothing is outstanding.
 	lastHeard, waitingSince time.Duration
@@ -207,6 +208,9 @@
 	used, unused := d.assignAddresses(now, content)
 	d.services, d.byHash = map[string]*service{}, map[uint64]*service{}
 	for ip, a := range d.agents {
+		if a.present && used[ip] == nil {
+			a.unlistedSince = now
+		}
 		a.present = used[ip] != nil
 	}
 	for ip, u := range used {
--- a/flow/search.go
+++ b/flow/search.go
@@ -283,11 +283,12 @@
 	return Decision{Reason: "no server is known to hold the flow, but the search is inconclusive"}
 }
 
-// unlistedHolders returns the agents of the asked services that answer although the view does not name their servers. Such a
-// server may have lost its entry to another writer.
+// unlistedHolders returns the agents of the asked services that answer although the view does not name their servers any
+// more. Such a server may have lost its entry to another writer; it writes the entry again soon, unless it is gone.
 func (d *Director) unlistedHolders(now time.Duration, s *search) (agents []holder) {
 	for _, a := range d.unlisted {
-		if a.ip != s.excluded && d.answers(now, a) && slices.ContainsFunc(s.asked, func(asked *service) bool { return asked.hash == a.service }) {
+		if now-a.unlistedSince <= d.config.Registry.LapsedRetention && !a.draining && a.ip != s.excluded && d.answers(now, a) &&
+			slices.ContainsFunc(s.asked, func(asked *service) bool { return asked.hash == a.service }) {
 			agents = append(agents, holder{ip: a.ip, service: a.service})
 		}
 	}
