Ask an agent once in a search, also if two entries state its address

Cause: after a power failure servers come back with another ID, and the entries of their earlier runs stand for some seconds. Entries that are not used are searched too, so every such agent was asked twice.

Evidence: TestAgentIsAskedOnce failed before.

--- a/flow/addresses_test.go
+++ b/flow/addresses_test.go
@@ -183,3 +183,18 @@
 		})
 	}
 }
+
+// TestAgentIsAskedOnce covers a server that has restarted with another ID: the entry of its earlier run still stands. Asking
+// its agent twice doubled the traffic of searches after a power failure.
+func TestAgentIsAskedOnce(t *testing.T) {
+	later := upstreamOf(1, "orders")
+	later.ID, later.Created, later.Incarnation = "later", 1000, 2
+	d := newDirector(upstreamOf(1, "orders"), upstreamOf(3, "orders"), later)
+	got := d.FromClient(start, dataPacket(1), nil)
+	if asked := len(got.Request.Remaining) + 1 + len(got.Branches); asked != 2 {
+		t.Fatalf("%d agents were asked, want 2", asked)
+	}
+	if next, p, _ := d.HandleDenial(start, flow.Denial{Key: dataPacket(1).Key, SearchID: got.Request.SearchID}); p == nil || next.Action != flow.Reset {
+		t.Fatalf("got %v after all denials: %s", next.Action, next.Reason)
+	}
+}
--- a/flow/agents.go
+++ b/flow/agents.go
@@ -136,8 +136,9 @@
 	// candidates are the upstreams ranked for new flows, and holders those ranked for searches. In holders a
 	// draining upstream is not demoted, because it is as likely an owner as any other.
 	candidates, holders []placement.Candidate
-	// claimed are the addresses in entries of the service that are not used. Only searches ask the agents there.
-	claimed []placement.Candidate
+	// claimed are the addresses in entries of the service that are not used, unless another entry of the service states them.
+	// Only searches ask the agents there.
+	claimed []IP
 	// peers caches the medians over the service's servers, as of peersUpdated.
 	peers        PeerStats
 	peersUpdated time.Duration
@@ -217,10 +218,12 @@
 		d.setUpstream(now, ip, u)
 	}
 	for i := range unused {
-		s := d.service(unused[i].Upstream.Service)
-		s.claimed = append(s.claimed, placement.Candidate{
-			Number: ipNumber(IP(unused[i].Upstream.Address.Addr().As4())), Place: unused[i].Upstream.Place, Weight: 1,
-		})
+		u := unused[i].Upstream
+		ip := IP(u.Address.Addr().As4())
+		if known := used[ip]; known == nil || known.Service != u.Service {
+			s := d.service(u.Service)
+			s.claimed = append(s.claimed, ip)
+		}
 	}
 	d.unused = unused
 }
--- a/flow/search.go
+++ b/flow/search.go
@@ -235,9 +235,9 @@
 				rest = append(rest, a)
 			}
 		}
-		for i := range s.claimed {
-			if a := (holder{ip: ipFromNumber(s.claimed[i].Number), service: s.hash}); a.ip != excluded {
-				claimed = append(claimed, a)
+		for _, ip := range s.claimed {
+			if ip != excluded {
+				claimed = append(claimed, holder{ip: ip, service: s.hash})
 			}
 		}
 	}
