Compare sequence numbers of entries only in a restored store

Callers would see: a draining server gets new flows after another writer has written a copy of its entry with a high sequence number.

Cause: entries with a lower sequence number of the same run were ignored, which is meant for a store that was restored from a copy, in every store.

Change: they are ignored only if the store's era shows a restore.

Evidence: TestForeignSequenceHidesNoWrites failed before.

--- a/registry/registry.go
+++ b/registry/registry.go
@@ -241,14 +241,16 @@
 	r.putUpstream(u, revision)
 }
 
-// putUpstream adds or replaces an entry, unless a later one of the same run of the server is known. An entry without a
+// putUpstream adds or replaces an entry, unless the store was restored and a later one of the same run of the server is known.
+// A store that was not restored states the writes in their order, and its sequence numbers may come from another writer. An entry without a
 // difference still counts as a change, because a peer may have seen a different state in between.
 func (r *Registry) putUpstream(u *Upstream, revision Revision) {
-	if gone, ok := r.removed[u.ID]; ok && u.staleAfter(gone.incarnation, gone.sequence) {
+	restored := revision.Era() > 0
+	if gone, ok := r.removed[u.ID]; ok && restored && u.staleAfter(gone.incarnation, gone.sequence) {
 		return
 	}
 	if e := r.upstreams[u.ID]; e != nil {
-		if u.staleAfter(e.Incarnation, e.Sequence) {
+		if restored && u.staleAfter(e.Incarnation, e.Sequence) {
 			u = &e.Upstream
 		}
 		if !e.lapsed && e.equivalent(u) {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"math/rand"
 	"net/netip"
 	"os"
@@ -506,3 +507,21 @@
 		}
 	}
 }
+
+// TestForeignSequenceHidesNoWrites covers another writer that has written over the entry of a server with the highest sequence
+// number. The server's own writes were ignored from then on, so a draining server got new flows.
+func TestForeignSequenceHidesNoWrites(t *testing.T) {
+	r := registry.New(registry.DefaultConfig(1))
+	entry := registry.Upstream{ID: "a", Service: "s", Incarnation: 7, Sequence: 5}
+	r.Replace(registry.Snapshot{Revision: 9, Confirmed: time.Hour, Upstreams: []registry.Upstream{entry}})
+	for i, sequence := range []uint64{math.MaxInt64, 6} {
+		entry.Sequence, entry.Draining = sequence, i == 1
+		changes := registry.Changes{After: registry.Revision(9 + i), Revision: registry.Revision(10 + i), Confirmed: time.Hour, Upstreams: []registry.Upstream{entry}}
+		if _, err := r.Apply(changes); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if u := r.View().Upstreams[0]; !u.Draining {
+		t.Fatalf("got %+v, want the draining server", u)
+	}
+}
