--- a/flow/agents.go
+++ b/flow/agents.go
@@ -154,7 +154,7 @@
 type route struct {
 	services []*service
 	weights  []uint32
-	total    uint32
+	total    uint64
 	// repeatable is set if running a request of the route twice does no harm.
 	repeatable bool
 	// former are the services to which earlier configurations directed the new flows. Open flows stay with them.
@@ -172,12 +172,12 @@
 	if len(r.services) == 1 {
 		return r.services[0]
 	}
-	point := uint32(key.Hash()>>32) % r.total
+	point := (key.Hash() >> 32) % r.total
 	for i, weight := range r.weights {
-		if point < weight {
+		if point < uint64(weight) {
 			return r.services[i]
 		}
-		point -= weight
+		point -= uint64(weight)
 	}
 	return r.services[len(r.services)-1]
 }
@@ -277,7 +277,7 @@
 			}
 			r.services = append(r.services, d.service(share.Service))
 			r.weights = append(r.weights, share.Weight)
-			r.total += share.Weight
+			r.total += uint64(share.Weight)
 		}
 		if r.total > 0 {
 			d.routes[EndpointOf(c.Routes[i].Address)] = r
--- a/flow/director_test.go
+++ b/flow/director_test.go
@@ -788,3 +788,19 @@
 	}
 	runtime.KeepAlive(view)
 }
+
+// TestLargeWeightsAddUp covers a traffic split whose weights exceed 32 bits together. The route was taken for one without any
+// service, and its flows were refused.
+func TestLargeWeightsAddUp(t *testing.T) {
+	view := viewAt(start, 5, upstreamOf(1, "orders"), upstreamOf(3, "photos"))
+	view.Configuration.Routes[0].Shares = []registry.Share{{Service: "orders", Weight: 1 << 31}, {Service: "photos", Weight: 1 << 31}}
+	d := flow.NewDirector(flow.DefaultDirectorConfig("here"), start)
+	d.SetView(start, view)
+	got := map[flow.IP]int{}
+	for n := range 100 {
+		got[d.FromClient(start, opening(n), nil).To]++
+	}
+	if got[agentIP(1)] < 25 || got[agentIP(3)] < 25 {
+		t.Fatalf("flows by agent: %v", got)
+	}
+}
