--- a/flow/server_run.go
+++ b/flow/known_flows.go
@@ -1,6 +1,10 @@
 package flow
 
-import "github.com/bramleyrack/bramleyrack/registry"
+import (
+	"time"
+
+	"github.com/bramleyrack/bramleyrack/registry"
+)
 
 // startTolerance is how much earlier than the agent a server may have started, in milliseconds, that counts as started
 // together with it. After a power failure an agent starts some tens of milliseconds after its server. It must be below the
@@ -29,3 +33,26 @@
 	r.whole = startTime > 0 && entry.Incarnation+startTolerance >= startTime &&
 		(replaced || c.Revision > 0 && entry.Created > c.Revision)
 }
+
+// knowsAllFlows reports whether the agent tracks every flow of its server that has not been idle for too long. It does not
+// shortly after its start, after it had to drop a flow, and after a configuration has raised the idle time-out.
+func (t *Tracker) knowsAllFlows(now time.Duration) bool {
+	return t.routes != nil && now-t.completeSince > t.idleTimeout
+}
+
+// forget removes a flow that the server may still hold.
+func (t *Tracker) forget(key Key, f *trackedFlow) {
+	t.completeSince = max(t.completeSince, f.lastSeen)
+	t.run.whole = false
+	t.flows.Remove(key)
+}
+
+// denyWide handles a packet of a search of all services whose flow the agent does not track. The server may hold the flow
+// if the agent has not tracked all flows of it, but it must not get packets of services that may not be its own.
+func (t *Tracker) denyWide(now time.Duration, request Request) Verdict {
+	if t.knowsAllFlows(now) || t.run.whole {
+		return t.deny(request, "server is not known to hold the flow")
+	}
+	request.Changed = outdated
+	return t.deny(request, "agent does not know all flows of its server")
+}
--- a/flow/search.go
+++ b/flow/search.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -283,34 +282,6 @@
 	return Decision{Reason: "no server is known to hold the flow, but the search is inconclusive"}
 }
 
-// unlistedHolders returns the agents of the asked services that answer although the view does not name their servers any
-// more. Such a server may have lost its entry to another writer; it writes the entry again soon, unless it is gone.
-func (d *Director) unlistedHolders(now time.Duration, s *search) (agents []holder) {
-	for _, a := range d.unlisted {
-		if now-a.unlistedSince <= d.config.Registry.LapsedRetention && !a.draining && a.ip != s.excluded && d.answers(now, a) &&
-			slices.ContainsFunc(s.asked, func(asked *service) bool { return asked.hash == a.service }) {
-			agents = append(agents, holder{ip: a.ip, service: a.service})
-		}
-	}
-	return agents
-}
-
-// historyComplete reports whether the view holds every route of the last MaxFlowAge.
-func (d *Director) historyComplete(now time.Duration) bool {
-	return now-d.view.RoutesKnownSince >= d.config.MaxFlowAge
-}
-
-// servicesExcept returns the services that are not in a list, in the order of their names.
-func (d *Director) servicesExcept(list []*service) []*service {
-	var others []*service
-	for _, name := range slices.Sorted(maps.Keys(d.services)) {
-		if s := d.services[name]; !slices.ContainsFunc(list, func(asked *service) bool { return asked.hash == s.hash }) {
-			others = append(others, s)
-		}
-	}
-	return others
-}
-
 // Denial is the report of the last agent in a chain that none of the chain's agents holds the flow.
 type Denial struct {
 	Key      Key
@@ -339,32 +310,6 @@
 	return d.searchWidely(now, s), &s.packet, s.raw
 }
 
-// provesLoss reports whether the denials of a search prove that its flow is lost, which requires that all servers that
-// may hold it were asked.
-func (d *Director) provesLoss(now time.Duration, s *search) bool {
-	return (s.wide || d.historyComplete(now)) && !s.outdated && s.changed == d.view.Changed && d.missingMeansRemoved(now) &&
-		(d.repeatable(s.packet.Key) || !d.suspendedHolder(now, s)) && (!s.wide || d.agentsQualifyDenials())
-}
-
-// agentsQualifyDenials reports whether no agent is known to run an earlier version, which denies the flows of a search of
-// all services also if it can't know whether its server holds them. Such agents do not state their server.
-func (d *Director) agentsQualifyDenials() bool {
-	return !slices.ContainsFunc(d.sortedAgents, func(a *agent) bool {
-		return a.present && a.status.process != 0 && a.status.serverPort == 0
-	})
-}
-
-// suspendedHolder reports whether a server that may hold the flow of a search could not be asked because its agent may
-// be suspended.
-func (d *Director) suspendedHolder(now time.Duration, s *search) bool {
-	for _, a := range d.sortedAgents {
-		if d.maybeSuspended(now, a) && slices.ContainsFunc(s.asked, func(asked *service) bool { return asked.hash == a.service }) {
-			return true
-		}
-	}
-	return false
-}
-
 // maxAttempts bounds how often the search for one packet is started. After that, the client's next copy starts it.
 const maxAttempts = 3
 
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -228,16 +228,6 @@
 	return Verdict{Decision: Decision{Request: request, Reason: reason}, Note: NoteDenied, Balancer: request.Balancer}
 }
 
-// denyWide handles a packet of a search of all services whose flow the agent does not track. The server may hold the flow
-// if the agent has not tracked all flows of it, but it must not get packets of services that may not be its own.
-func (t *Tracker) denyWide(now time.Duration, request Request) Verdict {
-	if t.knowsAllFlows(now) || t.run.whole {
-		return t.deny(request, "server is not known to hold the flow")
-	}
-	request.Changed = outdated
-	return t.deny(request, "agent does not know all flows of its server")
-}
-
 // outdated replaces the revision in a search request once an agent knew of a later change, or could not know whether its
 // server holds the flow.
 const outdated = 0
@@ -265,19 +255,6 @@
 	return t.deliver(now, p, raw, request)
 }
 
-// knowsAllFlows reports whether the agent tracks every flow of its server that has not been idle for too long. It does not
-// shortly after its start, after it had to drop a flow, and after a configuration has raised the idle time-out.
-func (t *Tracker) knowsAllFlows(now time.Duration) bool {
-	return t.routes != nil && now-t.completeSince > t.idleTimeout
-}
-
-// forget removes a flow that the server may still hold.
-func (t *Tracker) forget(key Key, f *trackedFlow) {
-	t.completeSince = max(t.completeSince, f.lastSeen)
-	t.run.whole = false
-	t.flows.Remove(key)
-}
-
 // repeatable reports whether the requests of a flow may run twice. A silent server may still answer, so only such flows
 // are reset before it is known to be gone.
 func (t *Tracker) repeatable(key Key) bool {
@@ -348,7 +325,7 @@
 func (t *Tracker) track(now time.Duration, p *Packet, initial state) *trackedFlow {
 	f, ok := t.flows.Get(p.Key)
 	if !ok {
-		if oldestKey, oldest, any := t.flows.GetOldest(); any && t.flows.Len() >= t.config.MaxFlows {
+		if oldestKey, oldest, ok := t.flows.GetOldest(); ok && t.flows.Len() >= t.config.MaxFlows {
 			t.forget(oldestKey, oldest)
 		}
 		f = &trackedFlow{state: initial}
