--- a/internal/nodecodec/nodecodec_test.go
+++ b/internal/nodecodec/nodecodec_test.go
@@ -67,7 +67,7 @@
 		Client:  flow.EndpointOf(netip.MustParseAddrPort("100.64.0.7:40001")),
 		Service: flow.EndpointOf(netip.MustParseAddrPort("198.18.0.1:443")),
 	}
-	status := flow.AgentStatus{From: flow.IP{10, 0, 0, 1}, Process: 9, Accepting: true, Busy: 3, Slots: 5, Flows: 70, ServiceTime: 43 * time.Millisecond, FailureRate: 0.25, ColdRate: 10.5, Work: 1.5, Speed: 0.5, RouteTimes: flow.RouteTimes{{Key: 7, Time: 19 * time.Millisecond}, {Key: 1 << 31, Time: 25 * time.Millisecond}}}
+	status := flow.AgentStatus{From: flow.IP{10, 0, 0, 1}, Process: 9, Accepting: true, Busy: 3, Slots: 5, Flows: 70, ServiceTime: 43 * time.Millisecond, FailureRate: 0.25, ColdRate: 10.5, Work: 1.5, Speed: 0.5, Service: 77, ServerPort: 8080, RouteTimes: flow.RouteTimes{{Key: 7, Time: 19 * time.Millisecond}, {Key: 1 << 31, Time: 25 * time.Millisecond}}}
 	freshness := registry.Freshness{Revision: registry.NewRevision(3, 8), Changed: 1<<64 - 1, ConfigurationVersion: 1 << 40, Confirmed: now - 250*time.Millisecond, ContinuousSince: now - time.Minute, Interrupted: true, Reader: 5, RoutesKnownSince: now - 20*time.Second}
 	status.View = freshness
 	var sent, received nodev1.Header
