Prove a loss in a wide search only after the maximum age of a flow

But while wide searches prove nothing, packets of a flow of a former route reach no agent, so a second order 10 s after the first one could still be reset. The agent must now have run for the maximum age of a flow, unless it has tracked the whole run of its server.

Denials of agents of the earlier version do not count either while the configuration states an idle time-out above the 15 s that they know.

Evidence: TestRestartedAgentProvesNoLoss, extended, and TestDenialsOfEarlierVersionsProveNoLossOfIdleFlows failed before. The former test expected proof after the idle time-out, which was wrong.

--- a/flow/idle_test.go
+++ b/flow/idle_test.go
@@ -105,3 +105,30 @@
 	}
 	wantForward(t, d.FromClient(now, dataPacket(1), nil), flow.PurposeDeliver)
 }
+
+// TestDenialsOfEarlierVersionsProveNoLossOfIdleFlows covers an upgrade under a configuration with a long idle time-out, which
+// the agents of the earlier version ignore.
+func TestDenialsOfEarlierVersionsProveNoLossOfIdleFlows(t *testing.T) {
+	for name, c := range map[string]struct {
+		timeout time.Duration
+		states  bool
+		reset   bool
+	}{
+		"long time-out, earlier version":    {30 * time.Second, false, false},
+		"long time-out, present version":    {30 * time.Second, true, true},
+		"default time-out, earlier version": {15 * time.Second, false, true},
+	} {
+		d := flow.NewDirector(flow.DefaultDirectorConfig("here"), start)
+		view := viewAt(start, 5, upstreamOf(1, "orders"))
+		view.Configuration.IdleTimeout = c.timeout
+		d.SetView(start, view)
+		if d.UpdateStatus(start, statusOf(1, 0, 0)); c.states {
+			d.UpdateStatus(start, servingStatus(1, "orders"))
+		}
+		got := d.FromClient(start, dataPacket(1), nil)
+		last, _, _ := d.HandleDenial(start, flow.Denial{Key: dataPacket(1).Key, SearchID: got.Request.SearchID})
+		if (last.Action == flow.Reset) != c.reset {
+			t.Errorf("%s: got %v: %s", name, last.Action, last.Reason)
+		}
+	}
+}
--- a/flow/known_flows.go
+++ b/flow/known_flows.go
@@ -48,9 +48,11 @@
 }
 
 // denyWide handles a packet of a search of all services whose flow the agent does not track. The server may hold the flow
-// if the agent has not tracked all flows of it, but it must not get packets of services that may not be its own.
+// if the agent has not tracked all flows of it, but it must not get packets of services that may not be its own. After the
+// loss of all processes, the packets of such a flow reach no agent, so an agent that has restarted does not learn of it while
+// its client uses it. The agent then knows that only once the flow is older than MaxFlowAge.
 func (t *Tracker) denyWide(now time.Duration, request Request) Verdict {
-	if t.knowsAllFlows(now) || t.run.whole {
+	if t.run.whole || t.knowsAllFlows(now) && now-t.started > t.config.MaxFlowAge {
 		return t.deny(request, "server is not known to hold the flow")
 	}
 	request.Changed = outdated
--- a/flow/moved_route_test.go
+++ b/flow/moved_route_test.go
@@ -123,9 +123,11 @@
 		t.Fatalf("got %v, outdated %v, want the mark to be passed on", v.Action, v.Request.Outdated())
 	}
 	r.Remaining = nil
-	later := start + flow.DefaultTrackerConfig("", flow.Endpoint{}).IdleTimeout + time.Second
-	if v := tracker.FromNode(later, dataPacket(1), nil, r); v.Note != flow.NoteDenied || v.Request.Outdated() {
-		t.Fatalf("got note %d, outdated %v, want proof from an agent that has tracked all flows", v.Note, v.Request.Outdated())
+	config := flow.DefaultTrackerConfig("", flow.Endpoint{})
+	for after, outdated := range map[time.Duration]bool{config.IdleTimeout + time.Second: true, config.MaxFlowAge + time.Second: false} {
+		if v := tracker.FromNode(start+after, dataPacket(1), nil, r); v.Note != flow.NoteDenied || v.Request.Outdated() != outdated {
+			t.Errorf("after %v: got note %d, outdated %v", after, v.Note, v.Request.Outdated())
+		}
 	}
 }
 
--- a/flow/proof.go
+++ b/flow/proof.go
@@ -26,11 +26,13 @@
 // may hold it were asked.
 func (d *Director) provesLoss(now time.Duration, s *search) bool {
 	return (s.wide || d.historyComplete(now)) && !s.outdated && s.changed == d.view.Changed && d.missingMeansRemoved(now) &&
-		(d.repeatable(s.packet.Key) || !d.suspendedHolder(now, s)) && (!s.wide || d.agentsQualifyDenials())
+		(d.repeatable(s.packet.Key) || !d.suspendedHolder(now, s)) &&
+		(!s.wide && d.hints.idle <= d.config.IdleTimeout || d.agentsQualifyDenials())
 }
 
-// agentsQualifyDenials reports whether no agent is known to run an earlier version, which denies the flows of a search of
-// all services also if it can't know whether its server holds them. Such agents do not state their server.
+// agentsQualifyDenials reports whether no agent is known to run an earlier version. Such an agent does not state its server.
+// It denies flows of which it can't know in a search of all services, and those that were idle for longer than IdleTimeout
+// although the configuration states a longer time.
 func (d *Director) agentsQualifyDenials() bool {
 	return !slices.ContainsFunc(d.sortedAgents, func(a *agent) bool {
 		return a.present && a.status.process != 0 && a.status.serverPort == 0
