Compare unused entries for the log only after they were assigned again

Found on reading the change: a balancer built a map of all unused entries with every batch of packets and every tick, although they change only with the view or a contradicting status. SetView reports whether it has assigned entries again, and only then are they compared.

Two copies of the question whether a search asks a service share a method, and two comments are wrapped. No decision changes.

Checked: lint, and the tests of flow (those of searches, entries and idle flows), registry, platform, nodecodec and flowbalancer.

--- a/flow/agents.go
+++ b/flow/agents.go
@@ -182,15 +182,16 @@
 	return r.services[len(r.services)-1]
 }
 
-// SetView puts a view into force.
-func (d *Director) SetView(now time.Duration, view *registry.View) {
+// SetView puts a view into force and reports whether it has assigned the entries of servers to agents again.
+func (d *Director) SetView(now time.Duration, view *registry.View) (assigned bool) {
 	previous := d.view
 	d.view = view
 	if view == nil || previous != nil && previous.Content == view.Content && !d.reassignmentDue(now) {
-		return
+		return false
 	}
 	d.reassignAt = 0
 	d.putContent(now, view.Content)
+	return true
 }
 
 // putContent puts the content of the view into force.
--- a/flow/proof.go
+++ b/flow/proof.go
@@ -11,6 +11,11 @@
 	return now-d.view.RoutesKnownSince >= d.config.MaxFlowAge
 }
 
+// asks reports whether the search asks the agents of a service, given by its hash, as one that the address directs flows to.
+func (s *search) asks(hash uint64) bool {
+	return slices.ContainsFunc(s.asked, func(asked *service) bool { return asked.hash == hash })
+}
+
 // servicesExcept returns the services that are not in a list, in the order of their names.
 func (d *Director) servicesExcept(list []*service) []*service {
 	var others []*service
@@ -43,7 +48,7 @@
 // be suspended.
 func (d *Director) suspendedHolder(now time.Duration, s *search) bool {
 	for _, a := range d.sortedAgents {
-		if d.maybeSuspended(now, a) && slices.ContainsFunc(s.asked, func(asked *service) bool { return asked.hash == a.service }) {
+		if d.maybeSuspended(now, a) && s.asks(a.service) {
 			return true
 		}
 	}
@@ -55,7 +60,7 @@
 func (d *Director) unlistedHolders(now time.Duration, s *search) (agents []holder) {
 	for _, a := range d.unlisted {
 		if now-a.unlistedSince <= d.config.Registry.LapsedRetention && !a.draining && a.ip != s.excluded && d.answers(now, a) &&
-			slices.ContainsFunc(s.asked, func(asked *service) bool { return asked.hash == a.service }) {
+			s.asks(a.service) {
 			agents = append(agents, holder{ip: a.ip, service: a.service})
 		}
 	}
--- a/internal/flowbalancer/loop.go
+++ b/internal/flowbalancer/loop.go
@@ -101,14 +101,16 @@
 // updateView puts the current view into force and logs a change of its content.
 func (l *loop) updateView(now time.Duration) {
 	view := l.config.View.Current()
-	l.director.SetView(now, view)
+	assigned := l.director.SetView(now, view)
 	if view != nil && view.Content != l.content {
 		l.content = view.Content
 		l.config.Event("routes_in_force", "version", view.Version(), "revision", view.Revision,
 			"upstreams", len(view.Upstreams), "age", now-view.Confirmed)
 		l.evacuations.Update(now, view.Evacuations, l.config.Event)
 	}
-	l.logUnusedEntries()
+	if assigned {
+		l.logUnusedEntries()
+	}
 }
 
 // logUnusedEntries logs the entries of servers that are not used any more, or for another reason than before.
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -241,9 +241,10 @@
 	r.putUpstream(u, revision)
 }
 
-// putUpstream adds or replaces an entry, unless the store was restored and a later one of the same run of the server is known.
-// A store that was not restored states the writes in their order, and its sequence numbers may come from another writer. An entry without a
-// difference still counts as a change, because a peer may have seen a different state in between.
+// putUpstream adds or replaces an entry, unless the store was restored and a later one of the same run of the server
+// is known. A store that was not restored states the writes in their order, and its sequence numbers may come from
+// another writer. An entry without a difference still counts as a change, because a peer may have seen a different
+// state in between.
 func (r *Registry) putUpstream(u *Upstream, revision Revision) {
 	restored := revision.Era() > 0
 	if gone, ok := r.removed[u.ID]; ok && restored && u.staleAfter(gone.incarnation, gone.sequence) {
