--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -130,7 +131,7 @@
 	p := &process{deployment: d, class: "side", zone: zone, command: agentProgram, bootstrap: true, ip: d.addr(3, n)}
 	p.name = fmt.Sprintf("side-%s-%d", zone, n)
 	p.server = &server{
-		deployment: d, id: fmt.Sprintf("i-%d", n), service: service, zone: zone, slots: slots, work: work,
+		deployment: d, id: fmt.Sprintf("i-%d", n), service: service, zone: zone, slots: slots, work: work, ackDelay: ackDelay(),
 		app: netip.AddrPortFrom(p.ip, d.ports.app), outbound: netip.AddrPortFrom(p.ip, d.ports.outbound),
 	}
 	d.mu.Lock()
@@ -140,6 +141,12 @@
 	return p
 }
 
+// ackDelay returns the time of ACK_MS, for trials with servers that acknowledge a single packet.
+func ackDelay() time.Duration {
+	ms, _ := strconv.Atoi(os.Getenv("ACK_MS"))
+	return time.Duration(ms) * time.Millisecond
+}
+
 func (d *deployment) addClient(zone string) (*client, error) {
 	d.clients++
 	return newClient(d, zone, d.addr(7, byte(d.clients)))
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -32,6 +32,9 @@
 	app, outbound netip.AddrPort
 	// work returns how long the request with an id takes.
 	work func(id string) time.Duration
+	// ackDelay is the time after which the server acknowledges a single packet. Zero means that it acknowledges only every
+	// second packet and with its answers.
+	ackDelay time.Duration
 
 	mu       sync.Mutex
 	running  bool
@@ -221,9 +224,18 @@
 		f.input = append(f.input, data...)
 		f.received += uint32(len(data))
 	}
-	if f.unacknowledged >= 2 {
-		f.unacknowledged = 0
-		s.transmit(packet{src: f.key.service, dst: f.key.client, flags: flagAck, seq: f.seq, ack: f.received})
+	switch {
+	case f.unacknowledged >= 2:
+		s.acknowledge(f)
+	case s.ackDelay > 0:
+		born := s.born
+		time.AfterFunc(s.ackDelay, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.running && s.born == born && !f.ended && f.unacknowledged > 0 {
+				s.acknowledge(f)
+			}
+		})
 	}
 	for {
 		id, rest, ok := nextRequest(f.input)
@@ -235,6 +247,11 @@
 	}
 }
 
+func (s *server) acknowledge(f *serverFlow) {
+	f.unacknowledged = 0
+	s.transmit(packet{src: f.key.service, dst: f.key.client, flags: flagAck, seq: f.seq, ack: f.received})
+}
+
 // nextRequest cuts the first complete request without a body from the input.
 func nextRequest(input []byte) (id string, rest []byte, ok bool) {
 	head, rest, ok := bytes.Cut(input, []byte("\r\n\r\n"))
