--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -81,6 +81,8 @@
 	// seq is the number of the next byte to send, and ack that of the next byte expected.
 	seq, ack       uint32
 	unacknowledged int
+	// transmitted holds when the packets of the latest request were sent.
+	transmitted []time.Time
 }
 
 // open opens a flow from a new port.
@@ -144,8 +146,10 @@
 	deadline := time.Now().Add(budget)
 	var input []byte
 	acknowledged := false
+	f.transmitted = nil
 	for wait := firstRetry; time.Now().Before(deadline); wait = min(2*wait, longestRetry) {
 		if !acknowledged {
+			f.transmitted = append(f.transmitted, time.Now())
 			f.send(packet{flags: flagAck, seq: f.seq, ack: f.ack, data: request})
 		}
 		retry := time.Now().Add(wait)
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -44,6 +44,8 @@
 	clients int
 	sentIDs map[string]bool
 	runs    map[string]int
+	// arrivals holds the packets of clients that reached servers, by flow.
+	arrivals map[flowKey][]arrival
 }
 
 // process is one process of the system. The platform starts it again when it ends.
@@ -74,7 +76,7 @@
 func newDeployment(r *record, root, dir string, bounds map[string]any) (*deployment, error) {
 	d := &deployment{
 		record: r, root: root, dir: dir, bounds: bounds, subnet: byte(20 + os.Getpid()%200), done: make(chan struct{}),
-		sentIDs: map[string]bool{}, runs: map[string]int{},
+		sentIDs: map[string]bool{}, runs: map[string]int{}, arrivals: map[flowKey][]arrival{},
 	}
 	if err := d.choosePorts(); err != nil {
 		return nil, err
@@ -378,3 +380,16 @@
 		d.record.breaks("request %s was run, and no client sent it", id)
 	}
 }
+
+// arrived records that a packet of a client has reached a server.
+func (d *deployment) arrived(key flowKey, server string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.arrivals[key] = append(d.arrivals[key], arrival{server, time.Now()})
+}
+
+func (d *deployment) arrivalsOf(key flowKey) []arrival {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.arrivals[key]
+}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -28,7 +28,15 @@
 }
 
 var cases = map[string]plan{
-	"idle-flow": {grownBounds, playIdleFlow},
+	"idle-flow":   {grownBounds, playIdleFlow},
+	"moved-route": {smallBounds, playMovedRoute},
+}
+
+// smallBounds are those of the small deployments.
+var smallBounds = map[string]any{
+	"seed_lag_s": 3, "addr_reuse_s": 2, "contact_ms": 4000, "ack_ms": 5000, "catchup_s": 4, "drain_ms": 3000, "grace_s": 6,
+	"loss_slack_ms": 200, "config_apply_ms": 3000, "downgrade_slack_ms": 250, "max_stretch_ms": 12000, "recovery_s": 12,
+	"flow_reorder_ms": 2000, "max_flow_s": 60,
 }
 
 // grownBounds are those of the grown deployments.
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -152,6 +152,7 @@
 		case !ok || p.sum != senderSum || p.flags&flagBounced != 0:
 			s.deployment.record.breaks("server %s got a packet that its sender did not write so", s.id)
 		default:
+			s.deployment.arrived(flowKey{p.src, p.dst}, s.id)
 			s.handle(p)
 		}
 		s.mu.Unlock()
