--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/standin-2 ] || { echo "run review/build-2.sh first"; exit 2; }
-exec timeout -k 5 110 target/review-2/standin-2 idle-flow . review/7/record.txt
+exec timeout --preserve-status -k 5 110 target/review-2/standin-2 idle-flow . review/7/record.txt
