--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -58,63 +58,6 @@
 // copyTimes are the times at which a client sends the copies of an opening packet. It gives up after the last one.
 var copyTimes = []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond}
 
-// request makes one attempt at a request over a flow of its own and returns its result.
-func (c *client) request() string {
-	c.mu.Lock()
-	c.port++
-	port := c.port
-	packets := make(chan packet, 32)
-	c.flows[port] = packets
-	c.mu.Unlock()
-	key := flowKey{client: netip.AddrPortFrom(c.ip, port), service: c.d.service}
-	defer func() {
-		c.mu.Lock()
-		delete(c.flows, port)
-		c.mu.Unlock()
-	}()
-	seq := uint32(1000)
-	start := time.Now()
-	var opened packet
-	for i, at := range copyTimes[:3] {
-		c.d.noteSent(key, uint32(i))
-		c.send(key, packet{flags: syn, seq: seq, ack: uint32(i)})
-		p, ok := next(packets, start.Add(copyTimes[i+1]))
-		_ = at
-		if !ok {
-			continue
-		}
-		if p.flags&rst != 0 {
-			return "refused"
-		}
-		opened = p
-		break
-	}
-	if opened.flags == 0 {
-		return "not opened"
-	}
-	seq++
-	payload := fmt.Appendf(nil, "ask %s-%d", c.ip, port)
-	deadline := start.Add(timeBudget)
-	for wait := 200 * time.Millisecond; time.Now().Before(deadline); wait = min(2*wait, 1600*time.Millisecond) {
-		c.send(key, packet{flags: ack, seq: seq, ack: opened.seq + 1, payload: payload})
-		again := time.Now().Add(wait)
-		for {
-			p, ok := next(packets, again)
-			if !ok {
-				break
-			}
-			if p.flags&rst != 0 && (p.checksum != 0 || p.seq-(opened.seq+1)+76800 <= 2*76800) {
-				return "reset"
-			}
-			if len(p.payload) > 0 {
-				c.send(key, packet{flags: ack | fin, seq: seq + uint32(len(payload)), ack: p.seq + uint32(len(p.payload))})
-				return "answered"
-			}
-		}
-	}
-	return "timed out"
-}
-
 func next(packets <-chan packet, deadline time.Time) (packet, bool) {
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
--- a/review/standin-3/feeds.go
+++ b/review/standin-3/feeds.go
@@ -110,7 +110,6 @@
 	c.mu.Unlock()
 	start := time.Now()
 	for i := range 3 {
-		c.d.noteSent(f.key, uint32(i))
 		c.send(f.key, packet{flags: syn, seq: f.seq, ack: uint32(i)})
 		p, ok := next(f.packets, start.Add(copyTimes[i+1]))
 		switch {
@@ -156,6 +155,9 @@
 				return "reset by the server"
 			case p.flags&rst != 0 && p.seq-f.ack+76800 <= 2*76800:
 				return "reset by the system"
+			case string(p.payload) == "busy":
+				f.seq += uint32(len(payload))
+				return "rejected"
 			case string(p.payload) == want:
 				f.seq += uint32(len(payload))
 				return "answered"
@@ -176,7 +178,7 @@
 	defer end()
 	d.serverZones = []string{"south", "south", "south"}
 	d.record("seed %d, disruption: %v", seed, trouble)
-	if err := d.build(rand.New(rand.NewSource(seed + 1))); err != nil {
+	if err := d.build(); err != nil {
 		d.record("could not run: %v", err)
 		return 2
 	}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"flag"
 	"fmt"
-	"math/rand"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -27,11 +26,8 @@
 	slots                                          = 5
 	serviceName                                    = "orders"
 	clientZone                                     = "north"
-	serversPerZone, balancersPerZone               = 6, 2
+	balancersPerZone                               = 2
 	coldStart                                      = 2 * time.Second
-	coldPerSecond                                  = 6.0
-	coldOvershoot                                  = 1.5
-	coldSlack                                      = 5.0
 	leadTime                                       = 10 * time.Second
 )
 
@@ -46,16 +42,14 @@
 	agents    []*process
 	servers   []*server
 	clients   []*client
-	// serverZones holds the zone of each server, and coldRate the cold_per_s of the service.
+	// serverZones holds the zone of each server.
 	serverZones []string
-	coldRate    float64
 	// traffic is when the traffic begins.
 	traffic time.Time
 
 	mu     sync.Mutex
 	log    *os.File
 	began  time.Time
-	sent   map[flowKey][]time.Time
 	counts map[string]int
 	owners map[flowKey]owner
 }
@@ -88,23 +82,6 @@
 	fmt.Fprintf(d.log, "%8.3f %s\n", time.Since(d.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// noteSent notes when a client sent a copy of an opening packet.
-func (d *deployment) noteSent(key flowKey, _ uint32) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.sent[key] = append(d.sent[key], time.Now())
-}
-
-func (d *deployment) sentAt(key flowKey, copies uint32) (time.Time, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	times := d.sent[key]
-	if int(copies) >= len(times) {
-		return time.Time{}, false
-	}
-	return times[copies], true
-}
-
 func (d *deployment) count(what string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -123,7 +100,7 @@
 		"node_name": p.name, "zone": p.zone, "ip": p.ip.String(), "bind_addrs": bind,
 		"internal_port_range": []int{internalPort, internalPort + 15}, "seeds": seeds, "bootstrap": time.Now().Before(p.d.traffic),
 		"heartbeat_ms": heartbeat.Milliseconds(), "limits": map[string]any{"link_mbps": 1000},
-		"bounds":   map[string]any{"max_flow_s": 60, "cold_overshoot": coldOvershoot, "cold_slack": coldSlack},
+		"bounds":   map[string]any{"max_flow_s": 60},
 		"platform": map[string]any{"address": netip.AddrPortFrom(p.d.addr(5, 1), storePort).String()},
 	}
 	if p.server != nil {
@@ -180,9 +157,9 @@
 }
 
 // build starts the deployment and waits until it is ready.
-func (d *deployment) build(rnd *rand.Rand) error {
+func (d *deployment) build() error {
 	var err error
-	if d.store, err = startStore(netip.AddrPortFrom(d.addr(5, 1), storePort).String(), rnd, d.record); err != nil {
+	if d.store, err = startStore(netip.AddrPortFrom(d.addr(5, 1), storePort).String(), d.record); err != nil {
 		return err
 	}
 	d.store.put("op/config", map[string]any{
@@ -191,7 +168,7 @@
 			"name": "r-orders", "host": d.service.Addr().String(), "prefix": fmt.Sprintf("/%d/", d.service.Port()), "type": "idempotent",
 			"timeout_ms": timeBudget.Milliseconds(), "target_latency_ms": 250, "priority": 1, "service": serviceName, "max_attempts": 2,
 		}},
-		"services": []any{map[string]any{"name": serviceName, "cold_start_s": coldStart.Seconds(), "cold_per_s": d.coldRate}},
+		"services": []any{map[string]any{"name": serviceName, "cold_start_s": coldStart.Seconds(), "cold_per_s": 0}},
 		"limits":   map[string]any{"idle_timeout_ms": 15000},
 	})
 	for i := range 2 * balancersPerZone {
@@ -232,115 +209,6 @@
 	}
 }
 
-// load sends requests at a steady rate until stop is closed. A client repeats a failed one twice.
-func (d *deployment) load(perSecond int, stop <-chan struct{}, group *sync.WaitGroup) {
-	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
-	defer ticker.Stop()
-	for n := 0; ; n++ {
-		select {
-		case <-stop:
-			return
-		case <-ticker.C:
-		}
-		c := d.clients[n%len(d.clients)]
-		group.Go(func() {
-			for range 3 {
-				result := c.request()
-				d.count(result)
-				if result == "answered" {
-					return
-				}
-			}
-		})
-	}
-}
-
-// loseZone cuts the power of the clients' zone: its balancers, agents and servers end, and come back together.
-func (d *deployment) loseZone(dark time.Duration, rnd *rand.Rand) error {
-	d.record("zone %s loses power for %v", clientZone, dark)
-	var group sync.WaitGroup
-	var lost []*process
-	for _, p := range append(slices.Clone(d.balancers), d.agents...) {
-		if p.zone == clientZone {
-			lost = append(lost, p)
-			group.Go(p.kill)
-		}
-	}
-	for _, s := range d.servers {
-		if s.zone == clientZone {
-			s.crash()
-		}
-	}
-	group.Wait()
-	time.Sleep(dark)
-	d.record("zone %s has power again", clientZone)
-	var failed error
-	var mu sync.Mutex
-	for _, p := range lost {
-		delay := time.Duration(rnd.Int63n(int64(maxReturn)))
-		group.Go(func() {
-			time.Sleep(delay)
-			var err error
-			if p.server != nil {
-				err = p.server.start()
-			}
-			if err == nil {
-				err = p.start()
-			}
-			if err != nil {
-				mu.Lock()
-				failed = err
-				mu.Unlock()
-			}
-		})
-	}
-	group.Wait()
-	return failed
-}
-
-// maxReturn is the time within which all machines of a zone are back. The pages allow 1.5 s.
-const maxReturn = 200 * time.Millisecond
-
-// checkCold reports, for each run of a server that was cold, the most requests that it took in one second, of those sent
-// and arrived within that second, and whether that breaks the rule.
-func (d *deployment) checkCold() (broken bool) {
-	limit := coldPerSecond*coldOvershoot + coldSlack
-	for _, s := range d.servers {
-		s.mu.Lock()
-		births, taken := slices.Clone(s.birth), slices.Clone(s.taken)
-		s.mu.Unlock()
-		for _, born := range births {
-			if born.Before(d.traffic) {
-				continue
-			}
-			most, at := 0, born
-			for _, first := range taken {
-				from := first.sent
-				to := from.Add(time.Second)
-				if from.Before(born) || to.After(born.Add(coldStart)) {
-					continue
-				}
-				n := 0
-				for _, o := range taken {
-					if !o.sent.Before(from) && !o.arrived.After(to) {
-						n++
-					}
-				}
-				if n > most {
-					most, at = n, from
-				}
-			}
-			verdict := "held"
-			if float64(most) > limit {
-				verdict, broken = "BROKEN", true
-			}
-			d.record("FAILBACK %s: server %s, cold since its start at %.3f s, took at most %d requests in one second (from %.3f s); limit %.0f",
-				verdict, s.id, born.Sub(d.began).Seconds(), most, at.Sub(d.began).Seconds(), limit)
-		}
-	}
-	return broken
-}
-
 func (d *deployment) stop() {
 	for _, p := range append(slices.Clone(d.balancers), d.agents...) {
 		p.kill()
@@ -356,16 +224,8 @@
 	logs := flag.String("logs", "", "directory for the logs of the processes; a temporary one if empty")
 	seed := flag.Int64("seed", time.Now().UnixNano(), "seed of the stand-ins")
 	trouble := flag.Bool("trouble", true, "bring about the disruption")
-	lateShare := flag.Float64("late", 0.35, "share of the writes of servers that are done late and not answered")
-	dark := flag.Duration("dark", 600*time.Millisecond, "how long the zone is without power")
-	feeds := flag.Bool("feeds", false, "play the case of long flows")
-	perSecond := flag.Int("rate", 360, "requests a second")
-	rounds := flag.Int("rounds", 6, "how often the disruption comes")
 	flag.Parse()
-	if *feeds {
-		os.Exit(playFeeds(*recordPath, *programs, *logs, *seed, *trouble))
-	}
-	os.Exit(playCold(*recordPath, *programs, *logs, *seed, *trouble, *lateShare, *dark, *perSecond, *rounds))
+	os.Exit(playFeeds(*recordPath, *programs, *logs, *seed, *trouble))
 }
 
 // newDeployment returns a deployment that has not been started, and a function that ends it.
@@ -382,7 +242,7 @@
 	}
 	d = &deployment{
 		subnet: byte(10 + os.Getpid()%200), dir: dir, programs: programs, log: log, began: time.Now(),
-		sent: map[flowKey][]time.Time{}, counts: map[string]int{}, traffic: time.Now().Add(time.Hour),
+		counts: map[string]int{}, traffic: time.Now().Add(time.Hour),
 	}
 	d.service = netip.AddrPortFrom(d.addr(9, 1), 443)
 	end = func() {
@@ -401,63 +261,3 @@
 	}()
 	return d, end, nil
 }
-
-// playCold plays the case of cold servers and returns the exit status: 0 if the rule held, 1 if it was broken, 2 if it
-// could not run.
-func playCold(recordPath, programs, logs string, seed int64, trouble bool, lateShare float64, dark time.Duration, perSecond, rounds int) int {
-	d, end, err := newDeployment(recordPath, programs, logs)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 2
-	}
-	defer end()
-	rnd := rand.New(rand.NewSource(seed))
-	d.coldRate = coldPerSecond
-	for i := range 2 * serversPerZone {
-		d.serverZones = append(d.serverZones, []string{"north", "south"}[i%2])
-	}
-	d.record("seed %d, disruption: %v", seed, trouble)
-	if err := d.build(rand.New(rand.NewSource(seed + 1))); err != nil {
-		d.record("could not run: %v", err)
-		return 2
-	}
-	d.traffic = time.Now()
-	d.record("traffic begins: %d requests a second from zone %s", perSecond, clientZone)
-	stop := make(chan struct{})
-	var group sync.WaitGroup
-	group.Go(func() { d.load(perSecond, stop, &group) })
-	for range rounds {
-		time.Sleep(8*time.Second + time.Duration(rnd.Int63n(int64(heartbeat))))
-		if !trouble {
-			continue
-		}
-		d.store.setLate(lateShare)
-		d.record("the store does %.0f%% of the servers' writes late", 100*lateShare)
-		if err := d.loseZone(dark, rnd); err != nil {
-			d.record("could not run: %v", err)
-			return 2
-		}
-		time.Sleep(3600 * time.Millisecond)
-		d.store.setLate(0)
-	}
-	time.Sleep(4 * time.Second)
-	close(stop)
-	group.Wait()
-	d.mu.Lock()
-	counts := fmt.Sprint(d.counts)
-	d.mu.Unlock()
-	d.record("attempts: %s", counts)
-	for _, s := range d.servers {
-		s.mu.Lock()
-		d.record("server %s in zone %s took %d flows", s.id, s.zone, len(s.taken))
-		s.mu.Unlock()
-	}
-	if d.counts["answered"] == 0 {
-		d.record("could not run: nothing was served")
-		return 2
-	}
-	if d.checkCold() {
-		return 1
-	}
-	return 0
-}
--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -15,15 +15,10 @@
 	id, zone      string
 	app, outbound netip.AddrPort
 
-	mu    sync.Mutex
-	run   *serverRun
-	birth []time.Time
-	taken []opening
-}
-
-// opening is an opening packet that the server took: when its client sent it, and when it arrived.
-type opening struct {
-	sent, arrived time.Time
+	mu  sync.Mutex
+	run *serverRun
+	// runs holds all incarnations.
+	runs []*serverRun
 }
 
 // serverRun is one incarnation of a server. Nothing of it remains after a crash.
@@ -65,12 +60,12 @@
 		return err
 	}
 	s.mu.Lock()
-	id := fmt.Sprint(s.id, "-", len(s.birth)+1)
+	id := fmt.Sprint(s.id, "-", len(s.runs)+1)
 	s.mu.Unlock()
 	r := &serverRun{s: s, id: id, born: time.Now(), udp: udp, tcp: tcp, stopped: make(chan struct{}), flows: map[flowKey]*serverFlow{}}
 	s.mu.Lock()
 	s.run = r
-	s.birth = append(s.birth, r.born)
+	s.runs = append(s.runs, r)
 	s.mu.Unlock()
 	go r.receive()
 	go func() {
@@ -155,7 +150,6 @@
 		if f == nil {
 			f = &serverFlow{seq: rand.Uint32(), answers: map[uint32][]byte{}}
 			r.flows[key] = f
-			r.s.take(key, p.ack)
 		}
 		r.send(packet{src: key.service, dst: key.client, flags: syn | ack, seq: f.seq, ack: p.seq + 1})
 	case f == nil || !f.open && p.ack != f.seq+1:
@@ -172,17 +166,6 @@
 	}
 }
 
-// take records an opening packet that the server took. copies is the number of copies that were sent before it.
-func (s *server) take(key flowKey, copies uint32) {
-	sent, ok := s.d.sentAt(key, copies)
-	if !ok {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.taken = append(s.taken, opening{sent: sent, arrived: time.Now()})
-}
-
 func (r *serverRun) handleFlow(key flowKey, f *serverFlow, p packet) {
 	if p.flags&fin != 0 {
 		r.send(packet{src: key.service, dst: key.client, flags: ack, seq: f.seq + 1, ack: p.seq + 1})
@@ -201,6 +184,11 @@
 		r.send(packet{src: key.service, dst: key.client, flags: ack, seq: f.seq + 1, ack: p.seq + uint32(len(p.payload))})
 		return
 	}
+	if r.busy >= slots && len(r.waiting) >= queueLimit {
+		f.answers[p.seq] = []byte("busy")
+		r.answer(key, f, p, f.answers[p.seq])
+		return
+	}
 	f.answers[p.seq] = nil
 	r.execute(func() {
 		f.answers[p.seq] = append([]byte("done "), p.payload...)
@@ -208,6 +196,9 @@
 	})
 }
 
+// queueLimit is how many requests wait at a server. It rejects those beyond that without running them.
+const queueLimit = 8
+
 // execute runs a request in a slot, or queues it until one is free.
 func (r *serverRun) execute(done func()) {
 	if r.busy >= slots {
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"maps"
-	"math/rand"
 	"net"
 	"net/http"
 	"reflect"
@@ -36,17 +35,14 @@
 	changed  chan struct{}
 	// written is when each server last wrote, by key.
 	written map[string]time.Time
-	// late is the share of the writes of servers that are done only after 1 to 6 s and not answered.
-	late float64
 	// down is set while the store answers nobody.
 	down bool
-	rnd  *rand.Rand
 	// record notes what the store does.
 	record func(format string, args ...any)
 }
 
-func startStore(address string, rnd *rand.Rand, record func(string, ...any)) (*store, error) {
-	s := &store{revision: 1, items: map[string]item{}, changed: make(chan struct{}), written: map[string]time.Time{}, rnd: rnd, record: record}
+func startStore(address string, record func(string, ...any)) (*store, error) {
+	s := &store{revision: 1, items: map[string]item{}, changed: make(chan struct{}), written: map[string]time.Time{}, record: record}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -86,27 +82,11 @@
 	return s.down
 }
 
-// setLate sets the share of the writes of servers that are done late and not answered.
-func (s *store) setLate(share float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.late = share
-}
-
 // writeEntry is the write of a server. The server does not wait for the answer.
 func (s *store) writeEntry(key string, value map[string]any) {
 	if s.isDown() {
 		return
 	}
-	s.mu.Lock()
-	late := s.rnd.Float64() < s.late
-	delay := time.Second + time.Duration(s.rnd.Int63n(int64(5*time.Second)))
-	s.mu.Unlock()
-	if late {
-		s.record("store: write of %s (born %v) is done %v late and not answered", key, value["born"], delay.Round(time.Millisecond))
-		time.AfterFunc(delay, func() { s.putEntry(key, value) })
-		return
-	}
 	s.putEntry(key, value)
 }
 
@@ -120,10 +100,6 @@
 		var next map[string]any
 		encoded, _ := json.Marshal(value)
 		_ = json.Unmarshal(encoded, &next)
-		if next["born"].(float64) < known["born"].(float64) {
-			// A write of an earlier run that was late.
-			return
-		}
 		delete(known, "seq")
 		delete(next, "seq")
 		if reflect.DeepEqual(known, next) {
