Log why the hint of a flow was not used, and whom its search leaves out

The reasons of flow_searched did not tell a search without a hint from one whose hint was taken for that of a server that is gone.

--- a/flow/director.go
+++ b/flow/director.go
@@ -166,8 +166,10 @@
 	// Branches holds further agents to which the same packet is sent.
 	Branches []Branch
 	// Seq is the sequence number of a reset.
-	Seq    uint32
-	Reason string
+	Seq uint32
+	// Excluded is the agent that a search does not ask, if any.
+	Excluded IP
+	Reason   string
 }
 
 // Branch is an additional agent to which a packet is sent, and the request for it.
@@ -295,7 +297,7 @@
 	if h := d.hints.get(now, p.Key); h != nil {
 		return d.forwardToOwner(now, p, raw, h)
 	}
-	return d.search(now, p, raw, IP{})
+	return d.search(now, p, raw, clues{})
 }
 
 // openFlow selects the agents for a new flow.
@@ -346,14 +348,14 @@
 			// A later run of the server can't hold the flow.
 			excluded = h.owner
 		}
-		return d.search(now, p, raw, excluded)
+		return d.search(now, p, raw, clues{excluded: excluded, reason: "hint names a server that is gone or was replaced"})
 	}
 	if h.firstUsed == 0 {
 		h.firstUsed = now
 	}
 	h.confirmed = h.confirmed || a.lastHeard > h.firstUsed+d.config.HedgeAfter
 	if !h.confirmed && a.unresponsive(now, d.config.UnresponsiveAfter) {
-		return d.search(now, p, raw, IP{})
+		return d.search(now, p, raw, clues{reason: "hint was never confirmed, and its agent does not answer"})
 	}
 	return Decision{Action: Forward, To: h.owner, Request: Request{
 		Purpose: PurposeDeliver,
@@ -436,5 +438,5 @@
 		return d.forwardToOwner(now, p, raw, h)
 	}
 	d.hints.remove(p.Key)
-	return d.search(now, p, raw, from)
+	return d.search(now, p, raw, clues{excluded: from, reason: "agent returned the packet"})
 }
--- a/flow/search.go
+++ b/flow/search.go
@@ -29,9 +29,9 @@
 	raw     []byte
 	// remaining holds the agents of the second round.
 	remaining []holder
-	// asked holds the services whose agents were asked, and excluded is an agent that denied the flow before.
-	asked    []*service
-	excluded IP
+	clues
+	// asked holds the services whose agents were asked.
+	asked []*service
 	// wide is set once the agents of all services were asked, and unlisted once those were whose servers the view does not
 	// name although they answer.
 	wide, unlisted bool
@@ -84,9 +84,16 @@
 	return searches{lru: lru}
 }
 
-// search starts a search for the owner of a flow, or queues the packet if one is in progress. It skips the
-// excluded agent, which has already denied the flow.
-func (d *Director) search(now time.Duration, p *Packet, raw []byte, excluded IP) Decision {
+// clues is what a balancer knows about the owner of a flow when it starts a search.
+type clues struct {
+	// excluded is an agent that is not asked, because it has already denied the flow.
+	excluded IP
+	// reason says why the flow's hint was not used, or is empty if there was none.
+	reason string
+}
+
+// search starts a search for the owner of a flow, or queues the packet if one is in progress.
+func (d *Director) search(now time.Duration, p *Packet, raw []byte, known clues) Decision {
 	if p.Kind == Resetting {
 		return Decision{Reason: "reset of an unknown flow"}
 	}
@@ -104,7 +111,7 @@
 	d.searches.lastNumber++
 	s := &search{
 		number: d.searches.lastNumber, started: now, since: now, packet: *p, raw: slices.Clone(raw), changed: d.view.Changed,
-		asked: r.holders(), excluded: excluded,
+		asked: r.holders(), clues: known,
 	}
 	if repeated {
 		s.attempt, s.waiting = previous.attempt+1, previous.waiting
@@ -112,19 +119,23 @@
 	if s.attempt < maxAttempts {
 		d.searches.running[s.attempt] = append(d.searches.running[s.attempt], s)
 	}
-	first, rest := d.searchOrder(now, s.asked, p.Key, excluded)
+	first, rest := d.searchOrder(now, s.asked, p.Key, s.excluded)
 	if len(first)+len(rest) == 0 {
 		return d.searchWidely(now, s)
 	}
 	d.searches.lru.Add(p.Key, s)
+	reason := "owner of the flow is not known"
+	if s.reason != "" {
+		reason = s.reason
+	}
 	switch {
 	case s.attempt > 0:
 		return d.startChains(now, s, append(first, rest...), "earlier search found no owner in time")
 	case d.searches.lost >= lostSearches:
-		return d.startChains(now, s, append(first, rest...), "owner of the flow is not known, and recent searches found none")
+		return d.startChains(now, s, append(first, rest...), reason+", and recent searches found none")
 	}
 	s.remaining = rest
-	return d.startChains(now, s, first, "owner of the flow is not known")
+	return d.startChains(now, s, first, reason)
 }
 
 // The parts of the burst of search bytes that searches with short chains leave to others. After the loss of many servers
@@ -197,7 +208,7 @@
 		}})
 	}
 	s.chains = len(branches)
-	return Decision{Action: Forward, To: branches[0].To, Request: branches[0].Request, Branches: branches[1:], Reason: reason}
+	return Decision{Action: Forward, To: branches[0].To, Request: branches[0].Request, Branches: branches[1:], Excluded: s.excluded, Reason: reason}
 }
 
 // searchOverhead is the approximate number of bytes that a datagram takes in addition to the packet that it carries.
@@ -330,7 +341,7 @@
 func (d *Director) NextResumedSearch(now time.Duration) (Decision, *Packet, []byte) {
 	if s := d.overdueSearch(now); s != nil {
 		s.packet.addWait(now - s.started)
-		return d.search(now, &s.packet, s.raw, s.excluded), &s.packet, s.raw
+		return d.search(now, &s.packet, s.raw, s.clues), &s.packet, s.raw
 	}
 	for i := 0; i < len(d.searches.inconclusive); i++ {
 		s := d.searches.inconclusive[i]
@@ -347,7 +358,7 @@
 			return s.reset(), &s.packet, s.raw
 		default:
 			s.packet.addWait(now - s.started)
-			decision := d.search(now, &s.packet, s.raw, IP{})
+			decision := d.search(now, &s.packet, s.raw, clues{})
 			if next, ok := d.searches.lru.Peek(s.packet.Key); ok {
 				next.since = s.since
 			}
--- a/internal/flowbalancer/loop.go
+++ b/internal/flowbalancer/loop.go
@@ -213,7 +213,7 @@
 	case d.Action == flow.Forward && d.Request.Purpose == flow.PurposeSearch:
 		l.balancer.counts.searched.Add(1)
 		l.config.Event("flow_searched", "flow", p.Key, "first", d.To, "more", len(d.Request.Remaining),
-			"search", d.Request.SearchID, "chains", 1+len(d.Branches), "version", d.Request.Version, "view_age", age,
+			"search", d.Request.SearchID, "chains", 1+len(d.Branches), "excluded", d.Excluded, "version", d.Request.Version, "view_age", age,
 			"routes_known", now-view.RoutesKnownSince, "reason", d.Reason)
 	case d.Action == flow.Reset:
 		l.config.Event("flow_reset", "flow", p.Key, "seq", d.Seq, "search", d.Request.SearchID, "reason", d.Reason, "version", view.Version(), "view_age", age)
