Ask the owner of a hint whatever run of its server the view names

What callers saw: a server restarted while the store was silent and took new flows. After the outage these flows were reset with their next request, up to 20 s later, although the server lived and held them; the outcome of the requests was unknown.

Cause: a hint counted as one to an earlier run of the server if it was created more than MaxViewLag before the view first named the present run. The search that followed left the owner out, and all others denied the flow.

Change: a server that the view names is never taken for gone because of its run. The packet goes to its agent, which returns it if the server does not hold the flow. An owner at whose address the view names another service is asked in the search, under the service of the hint. Only an agent that has returned a packet of the flow is left out of a search.

Why it works: the agent or its server knows which run holds the flow, and answers at once. No time of the view is compared.

--- a/flow/director.go
+++ b/flow/director.go
@@ -43,7 +43,8 @@
 	StatusTTL time.Duration
 	// Registry determines when a missing entry proves that its server is gone.
 	Registry registry.Config
-	// MaxViewLag bounds the delay until the view shows a new run of a server.
+	// MaxViewLag bounds the delay until the view shows a new run of a server while the store answers. Since the store may
+	// be silent for longer, it decides only whom to ask first, never that a flow is lost.
 	MaxViewLag time.Duration
 	// MaxViewAge is the maximum age of a view on which a client may be refused.
 	MaxViewAge time.Duration
@@ -339,23 +340,22 @@
 // forwardToOwner forwards a packet of a flow that has a hint.
 func (d *Director) forwardToOwner(now time.Duration, p *Packet, raw []byte, h *hint) Decision {
 	a := d.agents[h.owner]
-	if a == nil || d.ownerGone(now, p.Key, a, h) {
+	switch {
+	case a == nil || a.service == h.service && d.ownerGone(now, p.Key, a):
 		// A hint does not prove that the flow is lost with its owner: another server may have taken a copy of the
 		// opening packet.
 		d.hints.remove(p.Key)
-		excluded := IP{}
-		if a != nil && a.present && a.service == h.service {
-			// A later run of the server can't hold the flow.
-			excluded = h.owner
-		}
-		return d.search(now, p, raw, clues{excluded: excluded, reason: "hint names a server that is gone or was replaced"})
+		return d.search(now, p, raw, clues{reason: "hint names a server that is gone"})
+	case a.service != h.service && h.created+d.config.MaxViewLag < a.runSince:
+		d.hints.remove(p.Key)
+		return d.search(now, p, raw, clues{hinted: holder{ip: h.owner, service: h.service}, reason: "another service uses the address of the hint"})
 	}
 	if h.firstUsed == 0 {
 		h.firstUsed = now
 	}
 	h.confirmed = h.confirmed || a.lastHeard > h.firstUsed+d.config.HedgeAfter
 	if !h.confirmed && a.unresponsive(now, d.config.UnresponsiveAfter) {
-		return d.search(now, p, raw, clues{reason: "hint was never confirmed, and its agent does not answer"})
+		return d.search(now, p, raw, clues{hinted: holder{ip: h.owner, service: h.service}, reason: "hint was never confirmed, and its agent does not answer"})
 	}
 	return Decision{Action: Forward, To: h.owner, Request: Request{
 		Purpose: PurposeDeliver,
@@ -364,22 +364,17 @@
 	}}
 }
 
-// ownerGone reports whether the owner of a flow is known to be gone: its address now belongs to another service, or
-// its agent is silent and the store either does not list the server any more or has listed a later run of it for
-// long enough.
-func (d *Director) ownerGone(now time.Duration, key Key, a *agent, h *hint) bool {
-	replaced := h.created+d.config.MaxViewLag < a.runSince
+// ownerGone reports whether the owner of a flow is known to be gone: its agent is silent, and the store does not list the
+// server any more. An entry of a later run proves nothing, since the view may show that run long after it has taken flows,
+// for example after an outage of the store. Only the owner's agent or its server can tell which run a hint belongs to.
+func (d *Director) ownerGone(now time.Duration, key Key, a *agent) bool {
 	switch {
-	case a.service != h.service:
-		return replaced
-	case now-a.lastHeard <= d.config.StatusTTL, !a.present && d.answers(now, a):
+	case a.present, now-a.lastHeard <= d.config.StatusTTL, d.answers(now, a):
 		return false
-	case !a.present && !d.repeatable(key) && d.maybeSuspended(now, a):
+	case !d.repeatable(key) && d.maybeSuspended(now, a):
 		return false
-	case !a.present:
-		return d.missingMeansRemoved(now)
 	}
-	return replaced
+	return d.missingMeansRemoved(now)
 }
 
 // answers reports whether an agent has answered the latest heartbeat. It then knows better than the store whether its server
--- a/flow/property_test.go
+++ b/flow/property_test.go
@@ -82,7 +82,7 @@
 	func(sim *simulation) {
 		b := sim.balancers[sim.rnd.Intn(len(sim.balancers))]
 		b.cutOffUntil = sim.now + 4*time.Second
-		sim.after(4*time.Second, func() { sim.setBalancerView(b, sim.snapshot()) })
+		sim.after(4*time.Second, func() { sim.setBalancerView(b, sim.published) })
 	},
 }
 
@@ -192,6 +192,20 @@
 	})
 }
 
+// restartServerInOutage lets the store be silent for some seconds, in which a server restarts and takes flows again. The
+// view can't show the new run before the store is back.
+func restartServerInOutage(sim *simulation) {
+	if sim.silentStore {
+		return
+	}
+	sim.silentStore = true
+	sim.after(time.Duration(sim.rnd.Intn(2000))*time.Millisecond, func() { crashServer(sim) })
+	sim.after(time.Duration(4000+sim.rnd.Intn(3000))*time.Millisecond, func() {
+		sim.silentStore = false
+		sim.publish()
+	})
+}
+
 // failures are unplanned changes.
 var failures = []func(sim *simulation){
 	crashServer,
@@ -315,6 +329,23 @@
 	}
 }
 
+// TestRestartsInOutagesOfTheStoreBreakNoFlow lets servers restart while the store is silent, with agents in other places than
+// the balancers, which send their status only once a second. Times of the view say nothing about such flows.
+func TestRestartsInOutagesOfTheStoreBreakNoFlow(t *testing.T) {
+	resets := 0
+	changes := slices.Concat(plannedChanges, []func(sim *simulation){restartServerInOutage, restartServerInOutage, restartServerInOutage, restartServerInOutage})
+	for seed := range int64(*propertySeeds) {
+		sim := simulateWith(t, seed, simOptions{slots: 50, places: 2, routesKnown: time.Hour}, changes)
+		for _, violation := range sim.violations {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+		resets += sim.counts["resets"]
+	}
+	if resets == 0 {
+		t.Fatal("no flow of a crashed server was reset")
+	}
+}
+
 func TestFailuresResetNoLiveFlow(t *testing.T) {
 	resets := 0
 	for seed := range int64(*propertySeeds) {
--- a/flow/search.go
+++ b/flow/search.go
@@ -88,6 +88,9 @@
 type clues struct {
 	// excluded is an agent that is not asked, because it has already denied the flow.
 	excluded IP
+	// hinted is the owner that the flow's hint named. It is asked even if its service is not one of those to which the
+	// address directs flows, or if the view names a server of another service there.
+	hinted holder
 	// reason says why the flow's hint was not used, or is empty if there was none.
 	reason string
 }
@@ -120,6 +123,7 @@
 		d.searches.running[s.attempt] = append(d.searches.running[s.attempt], s)
 	}
 	first, rest := d.searchOrder(now, s.asked, p.Key, s.excluded)
+	rest = s.withHinted(first, rest)
 	if len(first)+len(rest) == 0 {
 		return d.searchWidely(now, s)
 	}
@@ -258,6 +262,14 @@
 	return first, rest
 }
 
+// withHinted adds the owner that the flow's hint named to the agents of the second round, unless it is asked anyway.
+func (s *search) withHinted(first, rest []holder) []holder {
+	if s.hinted == (holder{}) || slices.Contains(first, s.hinted) || slices.Contains(rest, s.hinted) {
+		return rest
+	}
+	return append(rest, s.hinted)
+}
+
 // searchWidely continues or ends a search that no agent of the asked services has ended. Former routes of which this
 // process does not know may have directed the flow to any other service.
 func (d *Director) searchWidely(now time.Duration, s *search) Decision {
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -140,6 +140,9 @@
 	onOpening func(*simServer)
 	// evacuations are the requests in the store.
 	evacuations []registry.Evacuation
+	// silentStore is set while no process can read the store, and published is what the processes read last.
+	silentStore bool
+	published   registry.Snapshot
 }
 
 type publishedConfiguration struct {
@@ -154,6 +157,8 @@
 	priority int
 	// places is the number of availability zones.
 	places int
+	// maxWork is the maximum time, without any packet, until a server answers a request; 60 ms if zero.
+	maxWork time.Duration
 	// routesKnown is the length of the period before the start whose routes the balancers know.
 	routesKnown time.Duration
 	services    map[string]registry.Service
@@ -278,12 +283,20 @@
 	return v
 }
 
-// publish distributes the state of the store to every process, each with a random delay.
+// publish changes the state of the store and distributes it to every process, each with a random delay. While the store is
+// silent, the processes receive nothing.
 func (sim *simulation) publish() {
 	sim.revision++
 	sim.version++
 	s := sim.snapshot()
 	sim.configurations = append(sim.configurations, publishedConfiguration{s.Configuration, s.Revision})
+	if !sim.silentStore {
+		sim.distribute(s)
+	}
+}
+
+func (sim *simulation) distribute(s registry.Snapshot) {
+	sim.published = s
 	for _, b := range sim.balancers {
 		sim.after(time.Duration(sim.rnd.Int63n(int64(sim.maxLag))), func() { sim.setBalancerView(b, s) })
 	}
@@ -343,7 +356,7 @@
 // confirm repeatedly confirms the current state of the store to the balancers that have it, and sweeps the agents.
 func (sim *simulation) confirm() {
 	for _, b := range sim.balancers {
-		if b.snapshot.Revision == sim.revision {
+		if b.snapshot.Revision == sim.revision && !sim.silentStore {
 			sim.setBalancerView(b, b.snapshot)
 		}
 	}
@@ -395,7 +408,7 @@
 	server.tracker = flow.NewTracker(config, sim.now)
 	sim.revisions[server.ip] = 0
 	if sim.revision > 0 {
-		sim.setAgentView(server, sim.snapshot())
+		sim.setAgentView(server, sim.published)
 	}
 }
 
@@ -405,7 +418,7 @@
 	b.registry = nil
 	sim.revisions[b.ip] = 0
 	if sim.revision > 0 {
-		sim.setBalancerView(b, sim.snapshot())
+		sim.setBalancerView(b, sim.published)
 	}
 }
 
@@ -493,7 +506,7 @@
 	b.director.UpdateStatus(sim.now, status)
 	if revision > sim.revisions[b.ip] {
 		b.cutOffUntil = 0
-		sim.after(3*time.Millisecond, func() { sim.setBalancerView(b, sim.snapshot()) })
+		sim.after(3*time.Millisecond, func() { sim.setBalancerView(b, sim.published) })
 	}
 }
 
@@ -658,7 +671,11 @@
 		sim.options.serve(server, p, answer)
 		return
 	}
-	sim.after(time.Duration(1+sim.rnd.Intn(60))*time.Millisecond, answer)
+	maxWork := 60 * time.Millisecond
+	if sim.options.maxWork > 0 {
+		maxWork = sim.options.maxWork
+	}
+	sim.after(time.Duration(1+sim.rnd.Intn(int(maxWork.Milliseconds())))*time.Millisecond, answer)
 }
 
 func (sim *simulation) serverOpens(server *simServer, p flow.Packet) {
