Ask every server that may hold a flow whose former service nobody knows

What callers saw: a route moved, and 4 s later all processes were killed. The requests on the old flows, and all copies of them, reached the servers of the present service and never their own; they were not answered.

Cause: nobody knew the former service, so a search asked the agents of all other services in its second round. An agent that had restarted denied the flow, marked as no proof, without asking its server. So the owner was never asked.

Change: an agent that can't know whether its server holds a flow asks it, of whatever service. It denies without asking only if it has followed the server's present run since its begin or for the maximum age of a flow, no longer for the idle time-out. Related paths: a search that starts again because an agent did not answer asks all services at once; a search that may not send that many messages yet waits, and so do further packets of the flow, instead of asking the present service again; a report from an agent that only an unused entry names ends the search; suspended and unlisted agents of all services count in a search of all services; ended flows that an agent drops don't make its knowledge incomplete.

Why it works: a server returns at once a packet of a flow that it does not hold, so asking it is both safe and proof. Opening packets still go only to servers of services that the address directs flows to.

Simulation and soak reported any packet at a server of another service. They report opening packets, and packets of a flow that such a server holds.

--- a/flow/idle_test.go
+++ b/flow/idle_test.go
@@ -47,8 +47,23 @@
 	tracker.SetView(withIdleTimeout(6, 30*time.Second))
 	sweepUntil(tracker, raised, opened+25*time.Second)
 	wantAction(t, tracker.FromNode(opened+25*time.Second, dataPacket(1), nil, request(flow.PurposeSearch)), flow.ToServer, flow.NoNote)
-	sweepUntil(tracker, raised, opened+31*time.Second)
-	wantAction(t, tracker.FromNode(opened+31*time.Second, dataPacket(2), nil, request(flow.PurposeSearch)), flow.Drop, flow.NoteDenied)
+	// A client may have used the flow since then without any packet that reached this agent.
+	sweepUntil(tracker, raised, opened+84*time.Second)
+	wantAction(t, tracker.FromNode(opened+84*time.Second, dataPacket(2), nil, request(flow.PurposeSearch)), flow.ToServer, flow.NoNote)
+	wantAction(t, tracker.FromNode(opened+86*time.Second, dataPacket(3), nil, request(flow.PurposeSearch)), flow.Drop, flow.NoteDenied)
+}
+
+// TestEndedFlowsLeaveTheAgentsKnowledgeComplete covers an agent that drops flows which have ended. It must go on denying lost
+// flows without asking its server, or every search would reach every server for good.
+func TestEndedFlowsLeaveTheAgentsKnowledgeComplete(t *testing.T) {
+	tracker := newTracker(withIdleTimeout(5, 15*time.Second))
+	now := start + 50*time.Second
+	acceptFlow(t, tracker, now, 1)
+	sendRequest(tracker, now, 1)
+	tracker.FromServer(now, &flow.Packet{Key: opening(1).Key, Kind: flow.Closing})
+	end := start + time.Minute + 10*time.Second
+	sweepUntil(tracker, now, end)
+	wantAction(t, tracker.FromNode(end, dataPacket(1), nil, request(flow.PurposeSearch)), flow.Drop, flow.NoteDenied)
 }
 
 // TestAgentAsksForEvictedFlows covers a server with more flows than the agent tracks: an agent must not deny a flow that it
--- a/flow/known_flows.go
+++ b/flow/known_flows.go
@@ -34,27 +34,19 @@
 		(replaced || c.Revision > 0 && entry.Created > c.Revision)
 }
 
-// knowsAllFlows reports whether the agent tracks every flow of its server that has not been idle for too long. It does not
-// shortly after its start, after it had to drop a flow, and after a configuration has raised the idle time-out.
+// knowsAllFlows reports whether the agent tracks every flow that its server may hold, so that it can deny a flow without
+// asking: it has followed the server's present run since that began, or for as long as a flow can live. A shorter time
+// proves nothing, since a client may have used its flow meanwhile without any packet that reached this agent. The agent
+// knows less after it had to drop a flow, and nothing without a configuration.
 func (t *Tracker) knowsAllFlows(now time.Duration) bool {
-	return t.routes != nil && now-t.completeSince > t.idleTimeout
+	return t.routes != nil && (t.run.whole || now-t.completeSince > t.config.MaxFlowAge)
 }
 
-// forget removes a flow that the server may still hold.
+// forget removes a flow, which the server may still hold unless it has ended.
 func (t *Tracker) forget(key Key, f *trackedFlow) {
-	t.completeSince = max(t.completeSince, f.lastSeen)
-	t.run.whole = false
-	t.flows.Remove(key)
-}
-
-// denyWide handles a packet of a search of all services whose flow the agent does not track. The server may hold the flow
-// if the agent has not tracked all flows of it, but it must not get packets of services that may not be its own. After the
-// loss of all processes, the packets of such a flow reach no agent, so an agent that has restarted does not learn of it while
-// its client uses it. The agent then knows that only once the flow is older than MaxFlowAge.
-func (t *Tracker) denyWide(now time.Duration, request Request) Verdict {
-	if t.run.whole || t.knowsAllFlows(now) && now-t.started > t.config.MaxFlowAge {
-		return t.deny(request, "server is not known to hold the flow")
+	if f.state != ended {
+		t.completeSince = max(t.completeSince, f.lastSeen)
+		t.run.whole = false
 	}
-	request.Changed = outdated
-	return t.deny(request, "agent does not know all flows of its server")
+	t.flows.Remove(key)
 }
--- a/flow/moved_route_test.go
+++ b/flow/moved_route_test.go
@@ -41,15 +41,29 @@
 	wantAction(t, tracker.FromNode(start, dataPacket(1), nil, r), flow.Drop, flow.NoteDenied)
 }
 
-// TestRestartedAgentAsksItsServerOnlyForItsOwnService covers a search of all services, which must not let a packet reach a
-// server of a service that never got flows of the address.
-func TestRestartedAgentAsksItsServerOnlyForItsOwnService(t *testing.T) {
-	tracker := newTracker(orderView(5))
-	r := request(flow.PurposeSearch)
-	r.Wide = true
-	wantAction(t, tracker.FromNode(start, dataPacket(1), nil, r), flow.Drop, flow.NoteDenied)
-	acceptFlow(t, tracker, start, 1)
-	wantAction(t, tracker.FromNode(start, dataPacket(1), nil, r), flow.ToServer, flow.NoteHeld)
+// TestRestartedAgentAsksItsServerInASearchOfAllServices covers the loss of all processes after a route has moved. Nobody knows
+// that the server's service got flows of the address, so only the server can tell whether it holds one of them. An agent that
+// did not ask kept the packets from the owner while all servers of the present service got them.
+func TestRestartedAgentAsksItsServerInASearchOfAllServices(t *testing.T) {
+	for name, service := range map[string]string{"as the view has it": "orders", "with another service in the view": "photos"} {
+		tracker := newTracker(orderView(5))
+		r := request(flow.PurposeSearch)
+		r.Service, r.Wide = flow.ServiceHash(service), true
+		wantAction(t, tracker.FromNode(start, dataPacket(1), nil, r), flow.ToServer, flow.NoNote)
+		p := *dataPacket(1)
+		p.Returned = true
+		v := tracker.FromServer(start, &p)
+		wantAction(t, v, flow.Drop, flow.NoteDenied)
+		if v.Request.Outdated() {
+			t.Errorf("%s: the denial of the server proves nothing", name)
+		}
+		wantAction(t, tracker.FromNode(start, dataPacket(2), nil, r), flow.ToServer, flow.NoNote)
+		wantAction(t, tracker.FromServer(start, &flow.Packet{Key: dataPacket(2).Key, Kind: flow.Other, Length: 10}), flow.ToClient, flow.NoteHeld)
+		r.Purpose = flow.PurposeOpen
+		if v := tracker.FromNode(start, opening(3), nil, r); service == "photos" && v.Action == flow.ToServer {
+			t.Errorf("%s: an opening packet reached the server", name)
+		}
+	}
 }
 
 // requestsByAgent returns the request with which a decision asks each agent.
@@ -109,24 +123,16 @@
 	}
 }
 
-// TestRestartedAgentProvesNoLoss covers the loss of all processes after a route has moved. An agent that has restarted must
-// not ask its server for a flow of another service, so its denial was taken as proof and the flow was reset.
+// TestRestartedAgentProvesNoLoss covers the loss of all processes after a route has moved. The denial of an agent that has
+// restarted and did not ask its server was taken as proof, and the flow was reset.
 func TestRestartedAgentProvesNoLoss(t *testing.T) {
-	tracker := newTracker(orderView(5))
+	config := flow.DefaultTrackerConfig("", flow.Endpoint{})
 	r := request(flow.PurposeSearch)
 	r.Wide = true
-	if v := tracker.FromNode(start, dataPacket(1), nil, r); v.Note != flow.NoteDenied || !v.Request.Outdated() {
-		t.Fatalf("got note %d, outdated %v, want a denial that proves nothing", v.Note, v.Request.Outdated())
-	}
-	r.Remaining = []flow.IP{agentIP(3)}
-	if v := tracker.FromNode(start, dataPacket(1), nil, r); v.Action != flow.Forward || !v.Request.Outdated() {
-		t.Fatalf("got %v, outdated %v, want the mark to be passed on", v.Action, v.Request.Outdated())
-	}
-	r.Remaining = nil
-	config := flow.DefaultTrackerConfig("", flow.Endpoint{})
-	for after, outdated := range map[time.Duration]bool{config.IdleTimeout + time.Second: true, config.MaxFlowAge + time.Second: false} {
-		if v := tracker.FromNode(start+after, dataPacket(1), nil, r); v.Note != flow.NoteDenied || v.Request.Outdated() != outdated {
-			t.Errorf("after %v: got note %d, outdated %v", after, v.Note, v.Request.Outdated())
+	for after, asks := range map[time.Duration]bool{0: true, config.IdleTimeout + time.Second: true, config.MaxFlowAge + time.Second: false} {
+		v := newTracker(orderView(5)).FromNode(start+after, dataPacket(1), nil, r)
+		if (v.Action == flow.ToServer) != asks || !asks && (v.Note != flow.NoteDenied || v.Request.Outdated()) {
+			t.Errorf("after %v: got %v with note %d, outdated %v", after, v.Action, v.Note, v.Request.Outdated())
 		}
 	}
 }
@@ -165,8 +171,9 @@
 			tracker.SetView(view(5, c.born))
 			r := request(flow.PurposeSearch)
 			r.Wide = true
-			if v := tracker.FromNode(start, dataPacket(1), nil, r); v.Note != flow.NoteDenied || v.Request.Outdated() == c.provides {
-				t.Fatalf("got note %d, outdated %v", v.Note, v.Request.Outdated())
+			v := tracker.FromNode(start, dataPacket(1), nil, r)
+			if c.provides && (v.Note != flow.NoteDenied || v.Request.Outdated()) || !c.provides && v.Action != flow.ToServer {
+				t.Fatalf("got %v with note %d, outdated %v", v.Action, v.Note, v.Request.Outdated())
 			}
 		})
 	}
@@ -289,6 +296,61 @@
 	}
 }
 
+// TestFlowWaitsForASearchOfAllServices covers a balancer that has used up its messages for searches of all services. The
+// packets of a flow must not go to the servers of the present service again and again while the owner is never asked. The
+// search goes on as soon as it may.
+func TestFlowWaitsForASearchOfAllServices(t *testing.T) {
+	config := flow.DefaultDirectorConfig("here")
+	config.MaxWideMessages = 10
+	d := flow.NewDirector(config, start)
+	servers := []registry.Upstream{upstreamOf(1, "photos")}
+	for n := range 8 {
+		servers = append(servers, upstreamOf(n+2, "orders"))
+	}
+	d.SetView(start, movedView(5, time.Second, nil, servers...))
+	deny := func(now time.Duration, n int) flow.Decision {
+		got := d.FromClient(now, dataPacket(n), []byte("raw"))
+		wantForward(t, got, flow.PurposeSearch)
+		next, _, _ := d.HandleDenial(now, flow.Denial{Key: dataPacket(n).Key, SearchID: got.Request.SearchID})
+		return next
+	}
+	wantForward(t, deny(start, 1), flow.PurposeSearch)
+	if got := deny(start, 2); got.Action != flow.Drop {
+		t.Fatalf("got %v although the messages are used up", got.Action)
+	}
+	for _, later := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond} {
+		if got := d.FromClient(start+later, dataPacket(2), nil); got.Action != flow.Drop {
+			t.Fatalf("a later packet of the flow was sent to %v, without its owner", agentsAsked(got))
+		}
+		if got, p, _ := d.NextResumedSearch(start + later); p != nil && p.Key == dataPacket(2).Key {
+			t.Fatalf("got %v before the messages allow it: %s", got.Action, got.Reason)
+		}
+	}
+	for now := start + 500*time.Millisecond; now < start+1100*time.Millisecond; now += 20 * time.Millisecond {
+		got, p, raw := d.NextResumedSearch(now)
+		if p == nil || p.Key != dataPacket(2).Key {
+			continue
+		}
+		if wantForward(t, got, flow.PurposeSearch); len(agentsAsked(got)) != 8 || string(raw) != "raw" {
+			t.Fatalf("asked %v", agentsAsked(got))
+		}
+		return
+	}
+	t.Fatal("the search was not resumed")
+}
+
+// TestAgentThatDoesNotAnswerDelaysNoSearchOfAllServices covers an agent of the present service that is dead: it keeps the first
+// round from ending, and the owner, which belongs to a former service, must be asked all the same.
+func TestAgentThatDoesNotAnswerDelaysNoSearchOfAllServices(t *testing.T) {
+	d := flow.NewDirector(flow.DefaultDirectorConfig("here"), start)
+	d.SetView(start, movedView(5, time.Second, nil, upstreamOf(1, "orders"), upstreamOf(3, "photos")))
+	wantForward(t, d.FromClient(start, dataPacket(1), nil), flow.PurposeSearch)
+	got, p, _ := d.NextResumedSearch(start + 160*time.Millisecond)
+	if p == nil || len(agentsAsked(got)) != 2 || !requestsByAgent(got)[agentIP(1)].Wide {
+		t.Fatalf("asked %v, want the agents of both services", requestsByAgent(got))
+	}
+}
+
 // TestSearchStormLeavesLinkCapacity covers a balancer on a slow link after a mass restart: 2,000 flows without a hint
 // retransmit every 200 ms, and no agent answers. Searches must stay within their share of the link, or the messages
 // that end them are lost too.
--- a/flow/openings.go
+++ b/flow/openings.go
@@ -132,10 +132,13 @@
 // HandleReport handles an agent's report on a flow and returns the packets that waited for the owner.
 func (d *Director) HandleReport(now time.Duration, r Report) []QueuedPacket {
 	d.openings.remove(r.Key)
-	if !r.Held || d.agents[r.From] == nil {
+	if !r.Held {
 		return nil
 	}
-	d.hints.put(r.Key, hint{owner: r.From, service: r.Service, created: now, seen: now})
+	// Only an entry that is not used may name the agent. It has no state then, but the search has found the owner.
+	if d.agents[r.From] != nil {
+		d.hints.put(r.Key, hint{owner: r.From, service: r.Service, created: now, seen: now})
+	}
 	d.noteFormer(now, r.Key.Service, r.Service)
 	return d.finishSearch(now, r.Key)
 }
--- a/flow/proof.go
+++ b/flow/proof.go
@@ -16,6 +16,11 @@
 	return slices.ContainsFunc(s.asked, func(asked *service) bool { return asked.hash == hash })
 }
 
+// mayBeHeldAt reports whether the flow of a search may be held by a server of a service, given by its hash.
+func (s *search) mayBeHeldAt(hash uint64) bool {
+	return s.wide || s.asks(hash)
+}
+
 // servicesExcept returns the services that are not in a list, in the order of their names.
 func (d *Director) servicesExcept(list []*service) []*service {
 	var others []*service
@@ -48,20 +53,20 @@
 // be suspended.
 func (d *Director) suspendedHolder(now time.Duration, s *search) bool {
 	for _, a := range d.sortedAgents {
-		if d.maybeSuspended(now, a) && s.asks(a.service) {
+		if d.maybeSuspended(now, a) && s.mayBeHeldAt(a.service) {
 			return true
 		}
 	}
 	return false
 }
 
-// unlistedHolders returns the agents of the asked services that answer although the view does not name their servers any
+// unlistedHolders returns the agents of the services of a search that answer although the view does not name their servers any
 // more. Such a server may have lost its entry to another writer; it writes the entry again soon, unless it is gone.
 func (d *Director) unlistedHolders(now time.Duration, s *search) (agents []holder) {
 	for _, a := range d.unlisted {
 		if now-a.unlistedSince <= d.config.Registry.LapsedRetention && !a.draining && a.ip != s.excluded && d.answers(now, a) &&
-			s.asks(a.service) {
-			agents = append(agents, holder{ip: a.ip, service: a.service})
+			s.mayBeHeldAt(a.service) {
+			agents = append(agents, holder{ip: a.ip, service: a.service, wide: !s.asks(a.service)})
 		}
 	}
 	return agents
--- a/flow/property_test.go
+++ b/flow/property_test.go
@@ -313,15 +313,19 @@
 }
 
 // TestLossOfAllProcessesBreaksNoFlow lets all balancers and agents restart at once after routes have moved. No process knows
-// the former routes, and no agent which flows its server holds, so denials prove nothing.
+// the former routes, and no agent which flows its server holds, so that all servers must be asked. Every packet of a flow must
+// reach its server.
 func TestLossOfAllProcessesBreaksNoFlow(t *testing.T) {
 	changes := slices.Concat(routeChanges, []func(sim *simulation){restartAllProcesses, reuseAddress, crashServer})
 	answered := 0
 	for seed := range int64(*propertySeeds) {
-		sim := simulateWith(t, seed, simOptions{slots: 50, places: 1, unfindable: true}, changes)
+		sim := simulateWith(t, seed, simOptions{slots: 50, places: 1}, changes)
 		for _, violation := range sim.violations {
 			t.Errorf("seed %d: %s", seed, violation)
 		}
+		if unnotified := sim.counts["lost flows not reset"]; unnotified > 0 {
+			t.Errorf("seed %d: %d lost flows were not reset", seed, unnotified)
+		}
 		answered += sim.counts["flows opened"]
 	}
 	if answered < 200*(*propertySeeds) {
--- a/flow/search.go
+++ b/flow/search.go
@@ -35,6 +35,10 @@
 	// wide is set once the agents of all services were asked, and unlisted once those were whose servers the view does not
 	// name although they answer.
 	wide, unlisted bool
+	// deferred is set while the search waits until the balancer may ask the agents of all other services, which takes the
+	// given number of messages.
+	deferred bool
+	messages int
 	// chains is the number of chains that have not reported a denial yet.
 	chains int
 	// changed is the revision of the last change in the view when the search began. outdated is set if an agent
@@ -74,6 +78,8 @@
 	// inconclusive holds the searches that all agents have denied although a server that the view did not name may
 	// hold the flow, the earliest first.
 	inconclusive []*search
+	// deferred holds the searches that wait until the balancer may ask the agents of all services, the earliest first.
+	deferred []*search
 }
 
 func newSearches(config DirectorConfig) searches {
@@ -105,7 +111,7 @@
 		return d.refuse(now, p, "no route")
 	}
 	previous, repeated := d.searches.lru.Get(p.Key)
-	if repeated && now-previous.started < d.searchTimeout(previous) {
+	if repeated && (previous.deferred || now-previous.started < d.searchTimeout(previous)) {
 		if len(previous.waiting) < maxWaiting {
 			previous.waiting = append(previous.waiting, QueuedPacket{Packet: *p, Raw: slices.Clone(raw), since: now})
 		}
@@ -134,7 +140,9 @@
 	}
 	switch {
 	case s.attempt > 0:
-		return d.startChains(now, s, append(first, rest...), "earlier search found no owner in time")
+		// An agent that does not answer must not keep the flow from being asked for elsewhere.
+		others, _ := d.takeOthers(now, s)
+		return d.startChains(now, s, slices.Concat(first, rest, others), "earlier search found no owner in time")
 	case d.searches.lost >= lostSearches:
 		return d.startChains(now, s, append(first, rest...), reason+", and recent searches found none")
 	}
@@ -189,7 +197,7 @@
 	var chains []chain
 	for _, a := range agents {
 		last := len(chains) - 1
-		if last < 0 || chains[last].service != a.service || len(chains[last].agents) >= length {
+		if last < 0 || chains[last].service != a.service || chains[last].wide != a.wide || len(chains[last].agents) >= length {
 			chains = append(chains, chain{service: a.service, wide: a.wide})
 			last++
 		}
@@ -270,21 +278,35 @@
 	return append(rest, s.hinted)
 }
 
+// takeOthers returns the agents of all other services, unless all former routes are known or the agents were asked before.
+// It reports whether the balancer may send that many messages now; the search then counts as one of all services.
+func (d *Director) takeOthers(now time.Duration, s *search) (agents []holder, allowed bool) {
+	if s.wide || d.historyComplete(now) {
+		return nil, true
+	}
+	first, rest := d.searchOrder(now, d.servicesExcept(s.asked), s.packet.Key, s.excluded)
+	agents = append(first, rest...)
+	if !d.wideMessages.takeAllowed(now, len(agents)) {
+		s.messages = len(agents)
+		return nil, false
+	}
+	s.wide = true
+	for i := range agents {
+		agents[i].wide = true
+	}
+	return agents, true
+}
+
 // searchWidely continues or ends a search that no agent of the asked services has ended. Former routes of which this
 // process does not know may have directed the flow to any other service.
 func (d *Director) searchWidely(now time.Duration, s *search) Decision {
-	if !s.wide && !d.historyComplete(now) {
-		first, rest := d.searchOrder(now, d.servicesExcept(s.asked), s.packet.Key, s.excluded)
-		if agents := append(first, rest...); d.wideMessages.take(now, len(agents)) {
-			s.wide = true
-			if len(agents) > 0 {
-				for i := range agents {
-					agents[i].wide = true
-				}
-				d.searches.lru.Add(s.packet.Key, s)
-				return d.startChains(now, s, agents, "former routes are not all known")
-			}
-		}
+	others, allowed := d.takeOthers(now, s)
+	switch {
+	case !allowed:
+		return d.deferSearch(s)
+	case len(others) > 0:
+		d.searches.lru.Add(s.packet.Key, s)
+		return d.startChains(now, s, others, "former routes are not all known")
 	}
 	if !s.unlisted {
 		s.unlisted = true
@@ -351,6 +373,11 @@
 // inconclusive search. That one starts again once the view has changed, and the flow is reset once the view is known to
 // be complete. The packet is nil if there is no decision.
 func (d *Director) NextResumedSearch(now time.Duration) (Decision, *Packet, []byte) {
+	if s := d.resumeDeferred(now); s != nil {
+		s.packet.addWait(now - s.started)
+		s.started = now
+		return d.searchWidely(now, s), &s.packet, s.raw
+	}
 	if s := d.overdueSearch(now); s != nil {
 		s.packet.addWait(now - s.started)
 		return d.search(now, &s.packet, s.raw, s.clues), &s.packet, s.raw
@@ -394,6 +421,41 @@
 	return d.config.SearchTimeout << min(s.attempt, maxAttempts)
 }
 
+// maxDeferral is how long a search waits at most until the balancer may ask the agents of all other services. While it waits,
+// further packets of the flow are not sent to the servers that have denied it: a flow must not send several packets within
+// seconds to other servers and none to its own.
+const maxDeferral = 1500 * time.Millisecond
+
+// deferSearch lets a search wait until the balancer may ask the agents of all other services.
+func (d *Director) deferSearch(s *search) Decision {
+	s.deferred = true
+	d.searches.lru.Add(s.packet.Key, s)
+	d.searches.deferred = append(d.searches.deferred, s)
+	return Decision{Reason: "too many searches of all services"}
+}
+
+// resumeDeferred removes and returns the next deferred search that may ask the agents of all other services, or nil. It
+// gives up those that have waited for too long.
+func (d *Director) resumeDeferred(now time.Duration) *search {
+	for len(d.searches.deferred) > 0 {
+		s := d.searches.deferred[0]
+		current, _ := d.searches.lru.Peek(s.packet.Key)
+		switch {
+		case current != s:
+		case now-s.started > maxDeferral:
+			d.searches.lru.Remove(s.packet.Key)
+		case !d.wideMessages.allows(now, s.messages):
+			return nil
+		default:
+			d.searches.deferred = d.searches.deferred[1:]
+			s.deferred = false
+			return s
+		}
+		d.searches.deferred = d.searches.deferred[1:]
+	}
+	return nil
+}
+
 // overdueSearch removes and returns the next search that found no owner in time and may start again, or nil.
 func (d *Director) overdueSearch(now time.Duration) *search {
 	for attempt := range d.searches.running {
@@ -401,7 +463,7 @@
 		for len(*running) > 0 && now-(*running)[0].started >= d.searchTimeout((*running)[0]) {
 			s := (*running)[0]
 			*running = (*running)[1:]
-			if current, _ := d.searches.lru.Peek(s.packet.Key); current == s && attempt+1 < maxAttempts {
+			if current, _ := d.searches.lru.Peek(s.packet.Key); current == s && !s.deferred && attempt+1 < maxAttempts {
 				return s
 			}
 		}
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -162,9 +162,6 @@
 	// routesKnown is the length of the period before the start whose routes the balancers know.
 	routesKnown time.Duration
 	services    map[string]registry.Service
-	// unfindable is set if all processes may lose what they know of former routes, so that nobody may find a flow. It must
-	// not be reset then.
-	unfindable bool
 	// serve, if set, replaces the default request processing; each flow then carries only one request.
 	serve func(server *simServer, p flow.Packet, answer func())
 	// reset, if set, is called for every flow that was reset.
@@ -621,13 +618,14 @@
 
 // toServer delivers a packet of a client to the server beside an agent.
 func (sim *simulation) toServer(server *simServer, p flow.Packet, hops int) {
-	if !sim.allowed[p.Key.Service][server.service] {
-		sim.violate("packet of flow %v reached server %s of service %s", p.Key, server.id, server.service)
+	f := server.flows[p.Key]
+	// A server of a service that never got flows of the address may be asked whether it holds one, but must take none.
+	if !sim.allowed[p.Key.Service][server.service] && (p.Kind == flow.Opening || f != nil) {
+		sim.violate("packet %d of flow %v reached server %s of service %s", p.Seq, p.Key, server.id, server.service)
 	}
 	if !server.running {
 		return
 	}
-	f := server.flows[p.Key]
 	switch {
 	case p.Kind == flow.Opening:
 		sim.serverOpens(server, p)
@@ -786,10 +784,6 @@
 			sim.counts["lost flows not reset"]++
 			c.closed = true
 			return
-		case overdue && sim.options.unfindable:
-			sim.counts["packets not delivered"]++
-			c.closed = true
-			return
 		case overdue:
 			sim.violate("packet %d of flow %v did not reach server %s in %v", p.Seq, c.key, c.server.id, sim.now-started)
 			c.closed = true
--- a/flow/token_bucket.go
+++ b/flow/token_bucket.go
@@ -22,6 +22,21 @@
 	return true
 }
 
+// allows reports whether a number of tokens may be taken. More than the burst may be taken from a full bucket, which then is
+// in debt.
+func (b *tokenBucket) allows(now time.Duration, tokens int) bool {
+	return b.available(now) >= min(float64(tokens), b.burst)
+}
+
+// takeAllowed takes a number of tokens, if allows permits it, and reports whether it did.
+func (b *tokenBucket) takeAllowed(now time.Duration, tokens int) bool {
+	if !b.allows(now, tokens) {
+		return false
+	}
+	b.tokens -= float64(tokens)
+	return true
+}
+
 // available returns the number of tokens, which is negative after an overdraft.
 func (b *tokenBucket) available(now time.Duration) float64 {
 	b.tokens = min(b.burst, b.tokens+(now-b.refilled).Seconds()*b.perSecond)
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -191,10 +191,8 @@
 	switch {
 	case otherService && request.Purpose == PurposeOpen:
 		return t.pass(request, nil, "server belongs to another service")
-	case otherService && !t.holds(p.Key):
+	case otherService && !request.Wide && !t.holds(p.Key):
 		return t.deny(request, "server belongs to another service")
-	case request.Wide && !t.holds(p.Key):
-		return t.denyWide(now, request)
 	case request.Purpose == PurposeOpen && t.holdsOpening(p.Key):
 		return Verdict{Decision: Decision{Reason: "a copy of the opening packet waits for a free slot"}, Note: NoteWaiting, Balancer: request.Balancer}
 	case request.Purpose == PurposeOpen:
@@ -240,7 +238,10 @@
 // fromOpenFlow decides on a packet of a flow that its client considers open.
 func (t *Tracker) fromOpenFlow(now time.Duration, p *Packet, raw []byte, request Request) Verdict {
 	f, known := t.flows.Peek(p.Key)
-	if !known && t.knowsAllFlows(now) {
+	switch {
+	case !known && t.server.down:
+		return t.deny(request, "server is not running")
+	case !known && t.knowsAllFlows(now):
 		return t.deny(request, "server does not hold the flow")
 	}
 	silent := !t.server.responsive() && !t.server.allowTrial(now)
--- a/flow/tracker_test.go
+++ b/flow/tracker_test.go
@@ -682,7 +682,7 @@
 
 func TestLongRunningAgentDeniesUnknownFlows(t *testing.T) {
 	tracker := newTracker(orderView(5))
-	now := start + time.Minute
+	now := start + time.Minute + time.Second
 	acceptFlow(t, tracker, now, 1)
 	wantAction(t, tracker.FromNode(now, dataPacket(1), nil, request(flow.PurposeSearch)), flow.ToServer, flow.NoteHeld)
 	wantAction(t, tracker.FromNode(now, dataPacket(2), nil, request(flow.PurposeSearch)), flow.Drop, flow.NoteDenied)
