Take the silence of a server as unknown, never as a denial

What callers saw: an agent was stopped and started. The next request on an idle flow of its server was reset after about 150 ms, while the server worked on it for 300 ms; the answer was lost.

Cause: a restarted agent asks its server for a flow that it does not know. It denied the flow if the server sent nothing within 100 ms. A server returns at once what it does not hold, but one that holds the flow sends nothing before its answer to a request of a single packet.

Change: after 100 ms the search goes on to the other agents, marked as proving nothing, and a packet that came by a hint goes back to the balancer with the same mark, which then does not leave the agent out of its search. Whether the server process refuses connections is checked after 60 ms without an answer; only that denies the flow for it. Related paths: flows of repeatable routes at a server that was silent for 500 ms were reset, and are kept now; new flows still avoid it. The result of a process check no longer counts if the server has sent something since the check began.

Why it works: a flow is denied only by a returned packet, a refused connection, or an agent that knows all flows of its server.

--- a/flow/property_test.go
+++ b/flow/property_test.go
@@ -350,6 +350,23 @@
 	}
 }
 
+// TestQuietServersBreakNoFlow lets servers work for up to 330 ms on a request without sending anything, as one that acknowledges
+// only every second packet does, while flows are idle for seconds and agents, balancers or all processes restart. The silence of
+// a server shows nothing about its flows.
+func TestQuietServersBreakNoFlow(t *testing.T) {
+	changes := slices.Concat(plannedChanges, routeChanges, []func(sim *simulation){restartAllProcesses, restartAllBalancers, restartServerInOutage})
+	options := simOptions{slots: 50, places: 2, maxWork: 330 * time.Millisecond, maxPause: 9 * time.Second}
+	for seed := range int64(*propertySeeds) {
+		sim := simulateWith(t, seed, options, changes)
+		for _, violation := range sim.violations {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+		if sim.counts["flows opened"] < 150 {
+			t.Errorf("seed %d: %d flows opened", seed, sim.counts["flows opened"])
+		}
+	}
+}
+
 func TestFailuresResetNoLiveFlow(t *testing.T) {
 	resets := 0
 	for seed := range int64(*propertySeeds) {
--- a/flow/server_health.go
+++ b/flow/server_health.go
@@ -94,14 +94,22 @@
 	s.down, s.silent = false, false
 }
 
-// NeedsProcessCheck reports whether the caller should check if the server process is running. It does so while the server
-// is down, because nothing else may show that it is up again: balancers send no flows to a server that takes none, and its
+// NeedsProcessCheck reports whether the caller should check if the server process is running. It does so if the server has not
+// answered, since only the check can show that its flows are lost. It also does so while the server is down, because nothing else may show that it is up again: balancers send no flows to a server that takes none, and its
 // entry may be that of the run that was over when the server was found to be down.
 func (t *Tracker) NeedsProcessCheck(now time.Duration) bool {
 	s := &t.server
+	if asked := t.oldestUnanswered(); asked > 0 && now-asked > s.config.AnswerTimeout {
+		return true
+	}
 	return s.down || s.waitingSince > 0 && now-s.waitingSince > s.config.AnswerTimeout || s.silent
 }
 
+// HeardSince reports whether the server has sent anything since a time. An earlier finding that it does not run is then wrong.
+func (t *Tracker) HeardSince(since time.Duration) bool {
+	return t.server.lastHeard >= since
+}
+
 // IsServerDown reports whether the server was found not to be running and has not been found to be up since.
 func (t *Tracker) IsServerDown() bool {
 	return t.server.down
@@ -126,17 +134,3 @@
 	t.held.recheck = true
 	return t.server.check(now, t.load.held)
 }
-
-// EndStalled ends the open flows of repeatable routes to which a silent server owes an answer. It returns them with the
-// sequence number that each reset must carry.
-func (t *Tracker) EndStalled() map[Key]uint32 {
-	stalled := map[Key]uint32{}
-	for _, key := range t.flows.Keys() {
-		if f, _ := t.flows.Peek(key); f.state == open && f.confirmed && f.answerOwed && t.repeatable(key) {
-			stalled[key] = f.clientAck
-			t.held.remove(key)
-			t.end(f)
-		}
-	}
-	return stalled
-}
--- a/flow/tracked_flow.go
+++ b/flow/tracked_flow.go
@@ -38,6 +38,8 @@
 	// confirmed is set once the server has sent more than its answer to the opening packet. The client has then
 	// opened the flow here and not at another server that received a copy of the opening packet.
 	confirmed bool
+	// passedOn is set once the latest packet was passed on to other agents because the server had not answered it.
+	passedOn bool
 	// counted is set if the opening packet was counted against the cold rate for the first request as well.
 	counted bool
 	// arrived is when the opening packet arrived, and waited is set if it has waited for a slot. began is when its client
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -32,6 +32,8 @@
 	Decision
 	Note     Note
 	Balancer IP
+	// Doubtful is set if the server may hold the flow of a packet that is sent back to the balancer.
+	Doubtful bool
 	// Refusal is set if a new flow was refused although servers exist that take new flows, and Part is the part of its
 	// waiting budget that the flow could use at this agent's server.
 	Refusal Refusal
@@ -226,6 +228,15 @@
 	return Verdict{Decision: Decision{Request: request, Reason: reason}, Note: NoteDenied, Balancer: request.Balancer}
 }
 
+// doubt handles a packet of a flow of which the agent can't tell whether its server holds it. Other agents are asked, but no
+// denial proves anything.
+func (t *Tracker) doubt(request Request, reason string) Verdict {
+	request.Changed = outdated
+	v := t.deny(request, reason)
+	v.Doubtful = v.Action == Return
+	return v
+}
+
 // outdated replaces the revision in a search request once an agent knew of a later change, or could not know whether its
 // server holds the flow.
 const outdated = 0
@@ -237,32 +248,17 @@
 
 // fromOpenFlow decides on a packet of a flow that its client considers open.
 func (t *Tracker) fromOpenFlow(now time.Duration, p *Packet, raw []byte, request Request) Verdict {
-	f, known := t.flows.Peek(p.Key)
+	_, known := t.flows.Peek(p.Key)
 	switch {
-	case !known && t.server.down:
+	case known:
+	case t.server.down:
 		return t.deny(request, "server is not running")
-	case !known && t.knowsAllFlows(now):
+	case t.knowsAllFlows(now):
 		return t.deny(request, "server does not hold the flow")
 	}
-	silent := !t.server.responsive() && !t.server.allowTrial(now)
-	switch {
-	case silent && (!known || !f.confirmed):
-		t.flows.Remove(p.Key)
-		return t.deny(request, "server does not answer")
-	case silent && f.state == open && p.requiresAnswer() && t.repeatable(p.Key):
-		t.end(f)
-		return Verdict{Decision: resetFlow(p, "server does not answer")}
-	}
 	return t.deliver(now, p, raw, request)
 }
 
-// repeatable reports whether the requests of a flow may run twice. A silent server may still answer, so only such flows
-// are reset before it is known to be gone.
-func (t *Tracker) repeatable(key Key) bool {
-	route := t.routes[key.Service]
-	return route != nil && route.Repeatable
-}
-
 // deliver forwards to the server a packet of a flow that the server may hold.
 func (t *Tracker) deliver(now time.Duration, p *Packet, raw []byte, request Request) Verdict {
 	if known, _ := t.flows.Peek(p.Key); t.requestOver(now, p, known) && (known == nil || !known.hasReceived(p)) {
@@ -270,7 +266,7 @@
 	}
 	f := t.track(now, p, searchDelivered)
 	f.clientAck = p.Ack
-	f.request = cloneRequest(request)
+	f.request, f.passedOn = cloneRequest(request), false
 	if p.Kind == Resetting {
 		t.abandon(p.Key)
 		t.end(f)
@@ -289,7 +285,7 @@
 		return t.fromOpenFlow(now, p, raw, request)
 	}
 	f := t.track(now, p, searchDelivered)
-	f.request = request
+	f.request, f.passedOn = request, false
 	return t.toServer(now, p, raw, f)
 }
 
@@ -310,7 +306,8 @@
 	switch {
 	case f.request.Purpose == PurposeSearch && f.state == open:
 		v.Note, v.Balancer = NoteHeld, f.request.Balancer
-	case f.state == openingSent || f.state == searchDelivered:
+	case f.state == openingSent || f.state == searchDelivered || t.server.silent && !f.confirmed:
+		// A silent server that has only answered the opening packet may not be the one that the client has chosen.
 		t.addProbe(now, p, raw, f.request)
 	}
 	return v
@@ -401,6 +398,8 @@
 	request, arrived, waited := f.request, f.arrived, f.waited
 	t.flows.Remove(p.Key)
 	switch {
+	case f.passedOn && p.Kind != Opening:
+		return Verdict{Decision: Decision{Reason: "server returned a packet after it was passed on"}}
 	case p.Kind == Opening:
 		if request.Best.Agent == t.config.Address.IP {
 			// The agent can't keep its offer and would send the packet to itself.
--- a/flow/tracker_config.go
+++ b/flow/tracker_config.go
@@ -26,14 +26,14 @@
 	MaxUnanswered int
 	// TrialInterval is the time between two packets that an unhealthy server is given as a trial.
 	TrialInterval time.Duration
-	// DenyAfter is how long a server may send nothing after it was given a packet of a search before it counts as
-	// not holding the flow.
-	DenyAfter time.Duration
+	// ContinueAfter is how long a server may send nothing after it was given a packet of a search before the search goes on
+	// to other agents. It must exceed the time in which a server returns a packet of a flow that it does not hold.
+	ContinueAfter time.Duration
 	// SilentAfter is how long a server may send nothing at all while it is given at least SilentPackets packets,
-	// before its flows count as lost. A working server acknowledges every second packet immediately.
+	// before new flows avoid it. Its flows are kept: a server that works on long requests may send nothing for longer.
 	SilentAfter   time.Duration
 	SilentPackets int
-	// MinChecks is how often the agent must have checked for an answer during DenyAfter or SilentAfter, so that its
+	// MinChecks is how often the agent must have checked for an answer during ContinueAfter or SilentAfter, so that its
 	// own pause is not mistaken for one of the server.
 	MinChecks int
 	// RequestTimeout is how long an unanswered request counts as running.
@@ -92,7 +92,7 @@
 		AnswerTimeout:      60 * time.Millisecond,
 		MaxUnanswered:      2,
 		TrialInterval:      200 * time.Millisecond,
-		DenyAfter:          100 * time.Millisecond,
+		ContinueAfter:      100 * time.Millisecond,
 		SilentAfter:        500 * time.Millisecond,
 		SilentPackets:      6,
 		MinChecks:          3,
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -81,8 +81,8 @@
 			l.tick(ctx)
 		case q := <-l.agent.questions:
 			l.answer(q)
-		case state := <-l.checker.results:
-			l.handleProcessCheck(state)
+		case check := <-l.checker.results:
+			l.handleProcessCheck(check)
 		case <-stopped:
 			stopped = nil
 			lingerEnd = l.announceLeave()
@@ -266,6 +266,7 @@
 	case flow.Return:
 		nodecodec.Clear(&l.outHeader)
 		l.outHeader.Kind = nodev1.Kind_KIND_RETURN
+		l.outHeader.Outdated = v.Doubtful
 		nodecodec.PutAge(&l.outHeader, p.Age)
 		l.putStatus(now)
 		l.send(v.To, raw)
--- a/internal/flowagent/tick.go
+++ b/internal/flowagent/tick.go
@@ -35,11 +35,11 @@
 	}
 }
 
-// checkServer resets the flows to which a silent server owes an answer, so that their clients can retry, and continues
-// the searches without it.
+// checkServer logs when the server becomes silent, and continues the searches that it has not answered.
 func (l *loop) checkServer(now time.Duration) {
 	if l.tracker.Check(now) {
-		l.resetLostFlows("server_silent", l.tracker.EndStalled())
+		l.config.Event("server_silent", "flows", l.tracker.Status(now).Flows)
+		l.logAccepting(now)
 	}
 	for {
 		v, p, raw := l.tracker.NextUnanswered(now)
@@ -50,10 +50,11 @@
 	}
 }
 
-// resetLostFlows logs and counts lost flows and resets each with its sequence number.
-func (l *loop) resetLostFlows(event string, lost map[flow.Key]uint32) {
+// resetLostFlows logs and counts the flows that are lost because the server does not run, and resets each with its sequence
+// number.
+func (l *loop) resetLostFlows(lost map[flow.Key]uint32) {
 	l.agent.counts.lost.Add(uint64(len(lost)))
-	l.config.Event(event, "flows_reset", len(lost))
+	l.config.Event("server_down", "flows_reset", len(lost))
 	for key, seq := range lost {
 		l.sendReset(key, seq)
 	}
@@ -79,16 +80,17 @@
 }
 
 // handleProcessCheck handles the state of the server process. If the process is not running, it resets the server's flows,
-// so that their clients can retry immediately.
-func (l *loop) handleProcessCheck(state processState) {
+// so that their clients can retry immediately. A finding is out of date if the server has sent something since the check began.
+func (l *loop) handleProcessCheck(c processCheck) {
 	now := l.config.Clock.Now()
 	switch {
-	case state == processRunning && l.tracker.IsServerDown():
+	case c.state == processRunning && l.tracker.IsServerDown():
 		l.tracker.ServerUp(now)
 		l.config.Event("server_up")
 		l.logAccepting(now)
-	case state == processNotRunning && !l.tracker.IsServerDown():
-		l.resetLostFlows("server_down", l.tracker.ServerDown())
+	case c.state == processNotRunning && !l.tracker.IsServerDown() && !l.tracker.HeardSince(c.startedAt):
+		l.resetLostFlows(l.tracker.ServerDown())
+		l.checkServer(now)
 		l.handleHeld(now)
 	}
 }
@@ -105,15 +107,21 @@
 	processNotRunning
 )
 
+// processCheck is the result of a check.
+type processCheck struct {
+	state     processState
+	startedAt time.Duration
+}
+
 // processChecker checks in a separate goroutine whether the server process is running.
 type processChecker struct {
 	address   string
-	results   chan processState
+	results   chan processCheck
 	lastStart time.Duration
 }
 
 func newProcessChecker(server netip.AddrPort) processChecker {
-	return processChecker{address: server.String(), results: make(chan processState, 1)}
+	return processChecker{address: server.String(), results: make(chan processCheck, 1)}
 }
 
 // start opens a TCP connection to the server, unless the last attempt was less than interval ago.
@@ -137,7 +145,7 @@
 			state = processNotRunning
 		}
 		select {
-		case results <- state:
+		case results <- processCheck{state, now}:
 		default:
 		}
 	}()
--- a/internal/flowbalancer/nodes.go
+++ b/internal/flowbalancer/nodes.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// handleReturned redirects a packet that an agent has sent back because its server does not hold the flow.
+// handleReturned redirects a packet that an agent has sent back because its server may not hold the flow.
 func (l *loop) handleReturned(now time.Duration, from flow.IP, packet []byte) {
 	p, err := l.config.Codec.Parse(packet)
 	if err != nil {
@@ -82,7 +82,7 @@
 		return
 	}
 	p.Age = nodecodec.Age(&l.inHeader) + l.age
-	l.apply(now, &p, packet, l.director.HandleReturned(now, &p, packet, from))
+	l.apply(now, &p, packet, l.director.HandleReturned(now, &p, packet, from, l.inHeader.Outdated))
 }
 
 func (l *loop) answerHeartbeat(now time.Duration, from flow.IP) {
