Drop packets of open flows whose route the view does not show

A balancer whose view does not show a new route yet answered the packets of flows that were opened through another balancer with a reset with number zero. For all others it meant nothing, so the packet is dropped now. Opening packets are refused as before. TestFlowWithoutRouteIsNotReset failed before.

--- a/flow/director_test.go
+++ b/flow/director_test.go
@@ -224,6 +224,17 @@
 	}
 }
 
+// TestFlowWithoutRouteIsNotReset covers a balancer whose view does not show a new route yet, while the flow was opened through
+// another one. A client takes a reset with number zero if its own numbers happen to be near zero.
+func TestFlowWithoutRouteIsNotReset(t *testing.T) {
+	d := newDirector(upstreamOf(1, "orders"))
+	p := dataPacket(1)
+	p.Key.Service.Port++
+	if got := d.FromClient(start, p, nil); got.Action != flow.Drop {
+		t.Fatalf("got %v: %s", got.Action, got.Reason)
+	}
+}
+
 func TestFlowsAreSplitByRouteWeights(t *testing.T) {
 	view := viewAt(start, 5, upstreamOf(1, "orders"), upstreamOf(3, "photos"))
 	view.Configuration.Routes[0].Shares = []registry.Share{{Service: "orders", Weight: 90}, {Service: "photos", Weight: 10}}
--- a/flow/search.go
+++ b/flow/search.go
@@ -108,7 +108,8 @@
 	}
 	r := d.routes[p.Key.Service]
 	if r == nil {
-		return d.refuse(now, p, "no route")
+		// The view may not show the route yet, and the flow may be open.
+		return Decision{Reason: "no route for a flow that may be open"}
 	}
 	previous, repeated := d.searches.lru.Get(p.Key)
 	if repeated && (previous.deferred || now-previous.started < d.searchTimeout(previous)) {
