Learn of a restored store from peers before their changes are fetched

Found by the simulation of flow, which draws stores that come back older and entries of other writers now. What callers would see: a balancer that starts within 2 s after a restore knows only the copy, and resets flows of a server that the copy lacks.

Cause: the agents report the restore, but Observe returned early if they also know a later configuration, and did not evaluate the report before the fetch of their changes had ended. A missing entry counted as proof after 300 ms.

Change: the report counts at once. Why it works: the view proves nothing then before the store has confirmed it for 2.2 s, in which servers write again.

Tests: registry TestNewcomerLearnsOfARestoreBeforeItsFetch failed before.

--- a/flow/property_test.go
+++ b/flow/property_test.go
@@ -153,6 +153,7 @@
 
 // restartAllProcesses restarts all balancers and agents at once. The servers keep running.
 func restartAllProcesses(sim *simulation) {
+	sim.allRestartedAt = sim.now
 	for _, server := range sim.servers {
 		if server.running && server.tracker != nil {
 			sim.startAgent(server)
@@ -367,6 +368,34 @@
 	}
 }
 
+// TestRestoredStoresAndForeignEntriesBreakNoFlow lets the store come back older and other writers state the addresses of servers,
+// together with restarts, outages and moved routes. All balancers restart at once only if none knows the former routes anyway.
+func TestRestoredStoresAndForeignEntriesBreakNoFlow(t *testing.T) {
+	changes := slices.Concat(plannedChanges, routeChanges, []func(sim *simulation){
+		restoreStore, restoreStore, restoreStore, writeForeignEntry, writeForeignEntry, writeForeignEntry,
+		restartServerInOutage, crashServer,
+	})
+	options := simOptions{slots: 50, places: 2, maxWork: 330 * time.Millisecond, maxPause: 9 * time.Second}
+	restores, foreign := 0, 0
+	run := func(seed int64, options simOptions, changes []func(sim *simulation)) {
+		sim := simulateWith(t, seed, options, changes)
+		for _, violation := range sim.violations {
+			t.Errorf("seed %d, routes known for %v: %s", seed, options.routesKnown, violation)
+		}
+		restores += sim.counts["restores"]
+		foreign += sim.counts["foreign entries"]
+	}
+	for seed := range int64(*propertySeeds) {
+		run(seed, options, append(changes, restartAllBalancers, restartAllProcesses))
+		known := options
+		known.routesKnown = time.Hour
+		run(seed, known, changes)
+	}
+	if restores < *propertySeeds || foreign < *propertySeeds {
+		t.Fatalf("%d restores and %d foreign entries in %d seeds", restores, foreign, *propertySeeds)
+	}
+}
+
 func TestFailuresResetNoLiveFlow(t *testing.T) {
 	resets := 0
 	for seed := range int64(*propertySeeds) {
--- a/registry/delta.go
+++ b/registry/delta.go
@@ -58,6 +58,8 @@
 	older := f.Revision < r.freshness.Revision
 	if older {
 		r.observeOlder(f)
+	} else {
+		r.observeInterruption(f)
 	}
 	if f.ConfigurationVersion > r.configuration.version() {
 		// This holds for an older revision too: the store may have been restored with an older configuration.
@@ -81,6 +83,15 @@
 	own.Interrupted = own.Interrupted || f.Revision.Era() < own.Revision.Era() || own.ContinuousSince-f.Confirmed > r.config.InterruptedAfter
 }
 
+// observeInterruption evaluates the freshness of a peer that knows of an interruption of the store, after which entries of live
+// servers may still be missing. That holds at once, although the changes of the peer may have to be fetched first.
+func (r *Registry) observeInterruption(f Freshness) {
+	own := &r.freshness
+	if own.Revision > 0 && f.Interrupted && !f.MissingMeansRemoved(r.config) {
+		own.Interrupted = true
+	}
+}
+
 // adoptConfirmation merges the confirmation of a peer that has the same content.
 func (r *Registry) adoptConfirmation(f Freshness) {
 	own := &r.freshness
--- a/registry/era_test.go
+++ b/registry/era_test.go
@@ -290,3 +290,23 @@
 	newcomer.Replace(s)
 	wantStates(t, newcomer, "")
 }
+
+// TestNewcomerLearnsOfARestoreBeforeItsFetch guards against a process that starts shortly after a restore. It knows only the
+// copy, which lacks the entries of servers that were added later. A peer knows more and has told so, but its changes were
+// not fetched yet. The process took the missing entries for those of servers that are gone, and reset their flows.
+func TestNewcomerLearnsOfARestoreBeforeItsFetch(t *testing.T) {
+	peer := lastKnown(t, written("a", 5, 9, false))
+	apply(t, peer, registry.Changes{Revision: first(101), Configuration: configuration(2), Upstreams: []registry.Upstream{written("b", 5, 1, false)}})
+	peer.Replace(restored(written("a", 5, 9, false)))
+	newcomer := registry.New(registry.DefaultConfig(3))
+	s := restored(written("a", 5, 9, false))
+	s.Configuration = configuration(1)
+	newcomer.Replace(s)
+	if !newcomer.Observe(peer.Freshness()) {
+		t.Fatal("the peer has nothing to fetch")
+	}
+	confirmUntil(t, newcomer, time.Minute+1500*time.Millisecond)
+	if newcomer.Freshness().MissingMeansRemoved(registry.DefaultConfig(3)) {
+		t.Fatal("entries that the copy lacks count as removed")
+	}
+}
