Let a search go on past a silent server that has only answered the opening packet

Two servers may answer the copies of one opening packet. If the search for the flow asked the one that the client has not chosen, and that one was silent, its agent reported the flow as held, which ended the search before the other one was asked. Such a packet waits for an answer of the server now, and the search goes on after 100 ms. A search that starts again with a newer view keeps asking the owner that the hint named, and a denial that arrives while a search waits is ignored.

TestAgentResetsNoFlowThatMayBeOpenElsewhere (extended) and TestOwnerAtAReusedAddressIsAskedAgain failed before.

--- a/flow/outage_test.go
+++ b/flow/outage_test.go
@@ -63,6 +63,33 @@
 	now := start + 10*time.Second
 	d.SetView(now, viewAt(now, 6, upstreamOf(1, "orders"), other))
 	got := d.FromClient(now, dataPacket(1), nil)
+	wantOwnerAsked(t, d, now, got)
+}
+
+// TestOwnerAtAReusedAddressIsAskedAgain covers the same in a search that starts again with a newer view.
+func TestOwnerAtAReusedAddressIsAskedAgain(t *testing.T) {
+	d := newDirector(upstreamOf(2, "orders"), upstreamOf(1, "orders"))
+	reportHeld(d, start, opening(1).Key, 2)
+	other := upstreamOf(2, "photos")
+	other.ID = "other"
+	now := start + 10*time.Second
+	d.SetView(now, viewAt(now, 6, upstreamOf(1, "orders"), other))
+	got := d.FromClient(now, dataPacket(1), nil)
+	for got.Action == flow.Forward {
+		got, _, _ = d.HandleDenial(now, flow.Denial{Key: dataPacket(1).Key, SearchID: got.Request.SearchID, Outdated: true})
+	}
+	now += 100 * time.Millisecond
+	d.SetView(now, viewAt(now, 7, upstreamOf(1, "orders"), other))
+	got, p, _ := d.NextResumedSearch(now)
+	if p == nil {
+		t.Fatal("the search does not start again")
+	}
+	wantOwnerAsked(t, d, now, got)
+}
+
+// wantOwnerAsked follows a search until it asks agent 2 as one of the service "orders".
+func wantOwnerAsked(t *testing.T, d *flow.Director, now time.Duration, got flow.Decision) {
+	t.Helper()
 	denials := 0
 	for got.Action == flow.Forward {
 		for _, branch := range append([]flow.Branch{{To: got.To, Request: got.Request}}, got.Branches...) {
--- a/flow/search.go
+++ b/flow/search.go
@@ -257,7 +257,7 @@
 // HandleDenial handles a denial and decides how its search continues. The packet is nil if there is nothing to do.
 func (d *Director) HandleDenial(now time.Duration, denial Denial) (Decision, *Packet, []byte) {
 	s, ok := d.searches.lru.Peek(denial.Key)
-	if !ok || s.number != denial.SearchID {
+	if !ok || s.number != denial.SearchID || s.deferred {
 		return Decision{}, nil, nil
 	}
 	s.chains--
@@ -315,7 +315,7 @@
 			return s.reset(), &s.packet, s.raw
 		default:
 			s.packet.addWait(now - s.started)
-			decision := d.search(now, &s.packet, s.raw, clues{})
+			decision := d.search(now, &s.packet, s.raw, clues{hinted: s.hinted})
 			if next, ok := d.searches.lru.Peek(s.packet.Key); ok {
 				next.since = s.since
 			}
--- a/flow/server_health.go
+++ b/flow/server_health.go
@@ -94,9 +94,10 @@
 	s.down, s.silent = false, false
 }
 
-// NeedsProcessCheck reports whether the caller should check if the server process is running. It does so if the server has not
-// answered, since only the check can show that its flows are lost. It also does so while the server is down, because nothing else may show that it is up again: balancers send no flows to a server that takes none, and its
-// entry may be that of the run that was over when the server was found to be down.
+// NeedsProcessCheck reports whether the caller should check if the server process is running. It does so if the server has
+// not answered, since only the check can show that its flows are lost. It also does so while the server is down, because
+// nothing else may show that it is up again: balancers send no flows to a server that takes none, and its entry may be that
+// of the run that was over when the server was found to be down.
 func (t *Tracker) NeedsProcessCheck(now time.Duration) bool {
 	s := &t.server
 	if asked := t.oldestUnanswered(); asked > 0 && now-asked > s.config.AnswerTimeout {
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -304,11 +304,11 @@
 	}
 	v := Verdict{Decision: Decision{Action: ToServer}}
 	switch {
-	case f.request.Purpose == PurposeSearch && f.state == open:
-		v.Note, v.Balancer = NoteHeld, f.request.Balancer
 	case f.state == openingSent || f.state == searchDelivered || t.server.silent && !f.confirmed:
 		// A silent server that has only answered the opening packet may not be the one that the client has chosen.
 		t.addProbe(now, p, raw, f.request)
+	case f.request.Purpose == PurposeSearch && f.state == open:
+		v.Note, v.Balancer = NoteHeld, f.request.Balancer
 	}
 	return v
 }
--- a/flow/tracker_test.go
+++ b/flow/tracker_test.go
@@ -709,6 +709,14 @@
 	if wantAction(t, v, flow.Return, flow.NoNote); p.Key != opening(1).Key || !v.Doubtful {
 		t.Fatalf("got a packet of %v, doubtful %v", p.Key, v.Doubtful)
 	}
+	// A search must go on as well. A report that the server holds the flow would end it.
+	wantAction(t, tracker.FromNode(now, nextData(2), nil, request(flow.PurposeSearch, agentIP(3))), flow.ToServer, flow.NoNote)
+	now += config.ContinueAfter
+	check(tracker, now)
+	v, p, _ = tracker.NextUnanswered(now)
+	if wantAction(t, v, flow.Forward, flow.NoNote); p.Key != opening(2).Key || v.To != agentIP(3) || !v.Request.Outdated() {
+		t.Fatalf("got a packet of %v to %v, outdated %v", p.Key, v.To, v.Request.Outdated())
+	}
 	if lost := tracker.ServerDown(); len(lost) != 0 {
 		t.Fatalf("got lost flows %v", lost)
 	}
