Remove what only the resets of stalled flows read

answerOwed was read by EndStalled, which is gone. Two tests share their view of a reused address. No behaviour changes; go test ./flow passes.

--- a/flow/outage_test.go
+++ b/flow/outage_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bramleyrack/bramleyrack/flow"
+	"github.com/bramleyrack/bramleyrack/registry"
 )
 
 // TestFlowOpenedDuringAnOutageReachesItsServer covers a server that restarts while the store is silent, and takes flows
@@ -56,30 +57,35 @@
 // older than the flow, for example if the store was restored from a copy. No time of the view proves that the owner is gone,
 // so its agent must be asked before the flow is reset.
 func TestOwnerAtAReusedAddressIsAsked(t *testing.T) {
+	d, now := directorWithReusedAddress()
+	wantOwnerAsked(t, d, now, d.FromClient(now, dataPacket(1), nil))
+}
+
+// directorWithReusedAddress returns a Director with a hint of flow 1 to server 2 of "orders", at the time when its view first names
+// a server of "photos" at that address.
+func directorWithReusedAddress() (*flow.Director, time.Duration) {
 	d := newDirector(upstreamOf(2, "orders"), upstreamOf(1, "orders"))
 	reportHeld(d, start, opening(1).Key, 2)
+	now := start + 10*time.Second
+	d.SetView(now, viewWithReusedAddress(now, 6))
+	return d, now
+}
+
+func viewWithReusedAddress(now time.Duration, version uint64) *registry.View {
 	other := upstreamOf(2, "photos")
 	other.ID = "other"
-	now := start + 10*time.Second
-	d.SetView(now, viewAt(now, 6, upstreamOf(1, "orders"), other))
-	got := d.FromClient(now, dataPacket(1), nil)
-	wantOwnerAsked(t, d, now, got)
+	return viewAt(now, version, upstreamOf(1, "orders"), other)
 }
 
 // TestOwnerAtAReusedAddressIsAskedAgain covers the same in a search that starts again with a newer view.
 func TestOwnerAtAReusedAddressIsAskedAgain(t *testing.T) {
-	d := newDirector(upstreamOf(2, "orders"), upstreamOf(1, "orders"))
-	reportHeld(d, start, opening(1).Key, 2)
-	other := upstreamOf(2, "photos")
-	other.ID = "other"
-	now := start + 10*time.Second
-	d.SetView(now, viewAt(now, 6, upstreamOf(1, "orders"), other))
+	d, now := directorWithReusedAddress()
 	got := d.FromClient(now, dataPacket(1), nil)
 	for got.Action == flow.Forward {
 		got, _, _ = d.HandleDenial(now, flow.Denial{Key: dataPacket(1).Key, SearchID: got.Request.SearchID, Outdated: true})
 	}
 	now += 100 * time.Millisecond
-	d.SetView(now, viewAt(now, 7, upstreamOf(1, "orders"), other))
+	d.SetView(now, viewWithReusedAddress(now, 7))
 	got, p, _ := d.NextResumedSearch(now)
 	if p == nil {
 		t.Fatal("the search does not start again")
--- a/flow/tracked_flow.go
+++ b/flow/tracked_flow.go
@@ -29,9 +29,8 @@
 	workSince, processingSince time.Duration
 	// late is set once the running request has been counted as failed because it has been running for too long.
 	late bool
-	// hasRequested is set once the client has sent a request. answerOwed is set if the server was given a packet of
-	// the flow that requires an answer and has sent nothing on the flow since then.
-	hasRequested, answerOwed bool
+	// hasRequested is set once the client has sent a request.
+	hasRequested bool
 	// receivedTo is the sequence number up to which the server was given the client's data, if receivedKnown is set.
 	receivedTo    uint32
 	receivedKnown bool
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -299,7 +299,6 @@
 		}
 	}
 	if p.requiresAnswer() {
-		f.answerOwed = true
 		t.server.sent(now)
 	}
 	v := Verdict{Decision: Decision{Action: ToServer}}
@@ -354,7 +353,6 @@
 	t.observeAnswer(p)
 	t.server.received(now)
 	f := t.track(now, p, open)
-	f.answerOwed = false
 	f.confirmed = f.confirmed || p.Kind != Accepting
 	v := Verdict{Decision: Decision{Action: ToClient}}
 	if (f.state == openingSent || f.state == searchDelivered) && p.Kind != Resetting {
