Return unanswered packets with a message that earlier balancers ignore

The agent returned a packet that its server had not answered with the usual message and a mark. A balancer of the earlier version ignores the mark, leaves the agent out of its search, and takes the denials of the others as proof.

Change: KIND_RETURN_UNANSWERED, which earlier versions ignore; the client's next copy finds the server. TestProductionIgnoresUnansweredPackets checks that the schema of the production version has no such kind. The field Doubtful is called Unanswered, as the message.

--- a/flow/director.go
+++ b/flow/director.go
@@ -427,15 +427,15 @@
 	return Decision{Action: Reset, Seq: p.Ack, Reason: reason}
 }
 
-// HandleReturned decides on a packet that an agent sent back because its server does not hold the flow, or because the agent
-// could not tell, in which case the server may still hold it.
-func (d *Director) HandleReturned(now time.Duration, p *Packet, raw []byte, from IP, doubtful bool) Decision {
+// HandleReturned decides on a packet that an agent sent back because its server does not hold the flow, or because the server
+// has not answered, in which case it may hold the flow.
+func (d *Director) HandleReturned(now time.Duration, p *Packet, raw []byte, from IP, unanswered bool) Decision {
 	h := d.hints.get(now, p.Key)
 	if h != nil && h.owner != from {
 		return d.forwardToOwner(now, p, raw, h)
 	}
 	d.hints.remove(p.Key)
-	if !doubtful {
+	if !unanswered {
 		return d.search(now, p, raw, clues{excluded: from, reason: "agent returned the packet"})
 	}
 	known := clues{reason: "server of the hint does not answer"}
--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -619,7 +619,7 @@
 		sim.toAgent(v.To, p, copyRequest(v.Request), hops+1)
 	case flow.Return:
 		sim.toBalancer(v.To, func(b *simBalancer) {
-			sim.apply(b, p, b.director.HandleReturned(sim.now, &p, nil, server.ip, v.Doubtful))
+			sim.apply(b, p, b.director.HandleReturned(sim.now, &p, nil, server.ip, v.Unanswered))
 		})
 	case flow.Reset:
 		sim.reset(p.Key, "agent "+server.id+": "+v.Reason)
--- a/flow/tracker.go
+++ b/flow/tracker.go
@@ -32,8 +32,8 @@
 	Decision
 	Note     Note
 	Balancer IP
-	// Doubtful is set if the server may hold the flow of a packet that is sent back to the balancer.
-	Doubtful bool
+	// Unanswered is set if the server may hold the flow of a packet that is sent back to the balancer.
+	Unanswered bool
 	// Refusal is set if a new flow was refused although servers exist that take new flows, and Part is the part of its
 	// waiting budget that the flow could use at this agent's server.
 	Refusal Refusal
@@ -233,7 +233,7 @@
 func (t *Tracker) doubt(request Request, reason string) Verdict {
 	request.Changed = outdated
 	v := t.deny(request, reason)
-	v.Doubtful = v.Action == Return
+	v.Unanswered = v.Action == Return
 	return v
 }
 
--- a/flow/tracker_test.go
+++ b/flow/tracker_test.go
@@ -546,7 +546,7 @@
 		wantAction(t, tracker.FromNode(start, nextData(1), nil, request(purpose)), flow.ToServer, flow.NoNote)
 		for now := start; now < start+300*time.Millisecond; now += 20 * time.Millisecond {
 			tracker.Check(now)
-			if v, p, _ := tracker.NextUnanswered(now); p != nil && !v.Request.Outdated() && !v.Doubtful {
+			if v, p, _ := tracker.NextUnanswered(now); p != nil && !v.Request.Outdated() && !v.Unanswered {
 				t.Errorf("%s: after %v got %v with note %d as proof: %s", name, now-start, v.Action, v.Note, v.Reason)
 			}
 		}
@@ -575,7 +575,7 @@
 		t.Fatalf("got %v, outdated %v", p.Key, v.Request.Outdated())
 	}
 	v, _, _ = tracker.NextUnanswered(now)
-	if wantAction(t, v, flow.Return, flow.NoNote); v.Doubtful {
+	if wantAction(t, v, flow.Return, flow.NoNote); v.Unanswered {
 		t.Fatal("a server that does not run counts as one that may hold the flow")
 	}
 }
@@ -609,8 +609,8 @@
 	now := start + time.Second
 	check(tracker, now)
 	v, p, raw := tracker.NextUnanswered(now)
-	if p == nil || v.Action != flow.Return || v.To != balancerIP || string(raw) != "raw" || !v.Doubtful {
-		t.Fatalf("got %v to %v, doubtful %v", v.Action, v.To, v.Doubtful)
+	if p == nil || v.Action != flow.Return || v.To != balancerIP || string(raw) != "raw" || !v.Unanswered {
+		t.Fatalf("got %v to %v, unanswered %v", v.Action, v.To, v.Unanswered)
 	}
 }
 
@@ -706,8 +706,8 @@
 	now += config.ContinueAfter
 	check(tracker, now)
 	v, p, _ := tracker.NextUnanswered(now)
-	if wantAction(t, v, flow.Return, flow.NoNote); p.Key != opening(1).Key || !v.Doubtful {
-		t.Fatalf("got a packet of %v, doubtful %v", p.Key, v.Doubtful)
+	if wantAction(t, v, flow.Return, flow.NoNote); p.Key != opening(1).Key || !v.Unanswered {
+		t.Fatalf("got a packet of %v, unanswered %v", p.Key, v.Unanswered)
 	}
 	// A search must go on as well. A report that the server holds the flow would end it.
 	wantAction(t, tracker.FromNode(now, nextData(2), nil, request(flow.PurposeSearch, agentIP(3))), flow.ToServer, flow.NoNote)
--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -266,7 +266,9 @@
 	case flow.Return:
 		nodecodec.Clear(&l.outHeader)
 		l.outHeader.Kind = nodev1.Kind_KIND_RETURN
-		l.outHeader.Outdated = v.Doubtful
+		if v.Unanswered {
+			l.outHeader.Kind = nodev1.Kind_KIND_RETURN_UNANSWERED
+		}
 		nodecodec.PutAge(&l.outHeader, p.Age)
 		l.putStatus(now)
 		l.send(v.To, raw)
--- a/internal/flowbalancer/nodes.go
+++ b/internal/flowbalancer/nodes.go
@@ -27,7 +27,7 @@
 	case nodev1.Kind_KIND_LEAVE:
 		l.director.HandleLeave(now, from, h.Process)
 		l.config.Event("agent_leaving", "agent", from)
-	case nodev1.Kind_KIND_RETURN:
+	case nodev1.Kind_KIND_RETURN, nodev1.Kind_KIND_RETURN_UNANSWERED:
 		l.handleReturned(now, from, packet)
 	case nodev1.Kind_KIND_HEARTBEAT:
 		l.answerHeartbeat(now, from)
@@ -82,7 +82,7 @@
 		return
 	}
 	p.Age = nodecodec.Age(&l.inHeader) + l.age
-	l.apply(now, &p, packet, l.director.HandleReturned(now, &p, packet, from, l.inHeader.Outdated))
+	l.apply(now, &p, packet, l.director.HandleReturned(now, &p, packet, from, l.inHeader.Kind == nodev1.Kind_KIND_RETURN_UNANSWERED))
 }
 
 func (l *loop) answerHeartbeat(now time.Duration, from flow.IP) {
--- a/internal/nodecodec/compat_test.go
+++ b/internal/nodecodec/compat_test.go
@@ -199,6 +199,17 @@
 	}
 }
 
+// TestProductionIgnoresUnansweredPackets covers a balancer of the production version and a packet that an agent returns because
+// its server has not answered. That version must not take it for one that the server does not hold: it would search for the flow
+// everywhere else, and reset it.
+func TestProductionIgnoresUnansweredPackets(t *testing.T) {
+	m := headerInProduction(t, &nodev1.Header{Kind: nodev1.Kind_KIND_RETURN_UNANSWERED})
+	kind := m.Descriptor().Fields().ByName("kind")
+	if known := kind.Enum().Values().ByNumber(m.Get(kind).Enum()); known != nil {
+		t.Fatalf("the production version takes it for %s", known.Name())
+	}
+}
+
 // TestStatusOfProductionStatesNoServer covers an agent of the production version, whose status must not count as that of the
 // server at port 0 or of a service without a name.
 func TestStatusOfProductionStatesNoServer(t *testing.T) {
