Simulation: a flow whose server restarted before its client took the answer is lost

The trace: the server accepted the flow, crashed 1 ms later, and returned the first packet, since its new run does not hold the flow; the system rightly left it out of its search. The simulation took the run of the server at the time when the client got the answer, which was the new one. It takes such a flow for a lost one now, which must be reset.

--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand"
 	"net/netip"
 	"testing"
@@ -86,6 +87,9 @@
 	registry *registry.Registry
 }
 
+// lostRun stands for a run of a server that was over when a client took its answer.
+const lostRun = math.MaxUint64
+
 // simClient is one flow of a client.
 type simClient struct {
 	key flow.Key
@@ -761,6 +765,10 @@
 	}
 	if c.server == nil {
 		c.server, c.incarnation, c.seq, c.openedAt = server, server.incarnation, p.Seq, sim.now
+		if server.flows[p.Key] == nil {
+			// The server has restarted since it sent the packet.
+			c.incarnation = lostRun
+		}
 		sim.counts["flows opened"]++
 		sim.sendNext(c)
 	}
