Count packets as fresh if their socket was empty after a pause

In calm, with all servers idle, an opening packet was reset.

Cause: after a pause of its event loop of more than 200 ms, a process counts the datagrams of its sockets as old until it has read a batch that is not full. On a quiet socket that state never ended, so the first packet seconds later counted as one from before the pause. A balancer refuses an opening packet that is older than the client's attempt. Processes that start together are late like that.

Change: a backlog that has not been read within 200 ms after the process runs again does not exist. flow_reset and packet_dropped state the age.

--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -351,11 +351,11 @@
 		l.config.Event("flow_reset", "flow", p.Key, "seq", v.Seq, "reason", v.Reason, "refusal", v.Refusal.String(), "share", v.Part,
 			"busy", status.Busy, "slots", status.Slots, "version", l.tracker.Version())
 	case v.Action == flow.Reset:
-		l.config.Event("flow_reset", "flow", p.Key, "seq", v.Seq, "reason", v.Reason, "version", l.tracker.Version())
+		l.config.Event("flow_reset", "flow", p.Key, "seq", v.Seq, "waited", p.Age, "reason", v.Reason, "version", l.tracker.Version())
 	case v.Note == flow.NoteDenied:
 		l.config.Event("flow_denied", "flow", p.Key, "search", v.Request.SearchID, "outdated", v.Request.Outdated(), "reason", v.Reason)
 	case v.Action == flow.Drop:
-		l.config.Event("packet_dropped", "flow", p.Key, "reason", v.Reason)
+		l.config.Event("packet_dropped", "flow", p.Key, "waited", p.Age, "reason", v.Reason)
 	}
 }
 
--- a/internal/flowbalancer/loop.go
+++ b/internal/flowbalancer/loop.go
@@ -216,9 +216,10 @@
 			"search", d.Request.SearchID, "chains", 1+len(d.Branches), "excluded", d.Excluded, "version", d.Request.Version, "view_age", age,
 			"routes_known", now-view.RoutesKnownSince, "reason", d.Reason)
 	case d.Action == flow.Reset:
-		l.config.Event("flow_reset", "flow", p.Key, "seq", d.Seq, "search", d.Request.SearchID, "reason", d.Reason, "version", view.Version(), "view_age", age)
+		l.config.Event("flow_reset", "flow", p.Key, "seq", d.Seq, "search", d.Request.SearchID, "waited", p.Age, "reason", d.Reason,
+			"version", view.Version(), "view_age", age)
 	case d.Action == flow.Drop:
-		l.config.Event("packet_dropped", "flow", p.Key, "reason", d.Reason, "version", view.Version(), "view_age", age)
+		l.config.Event("packet_dropped", "flow", p.Key, "waited", p.Age, "reason", d.Reason, "version", view.Version(), "view_age", age)
 	}
 }
 
--- a/internal/packetreader/ages.go
+++ b/internal/packetreader/ages.go
@@ -24,6 +24,9 @@
 	waiting bool
 	// resumed is when the process was found to run again. Batches that were read before say nothing about the socket.
 	resumed time.Duration
+	// readOn is when the reader could read on at the latest: when the pause was found to be over, or when the latest full
+	// batch was handled.
+	readOn time.Duration
 }
 
 // Turn records that the loop runs at the given time. It returns how long the process has not run before, or zero if it has
@@ -35,30 +38,44 @@
 	}
 	if paused > 0 {
 		for i := range a.backlogs {
-			a.backlogs[i].pause(a.last)
+			a.backlogs[i].pause(a.last, now)
 		}
 	}
 	a.last = now
 	return paused
 }
 
-// pause records that the process did not run from the given time on.
-func (b *backlog) pause(from time.Duration) {
+// pause records that the process did not run between two times.
+func (b *backlog) pause(from, to time.Duration) {
+	b.expire(from)
 	if !b.waiting {
 		b.since, b.waiting = from, true
 	}
-	b.resumed = from + maxTurn
+	b.resumed, b.readOn = from+maxTurn, to
+}
+
+// expire forgets the backlog if the reader has had enough time until now to read it. If no batch came of that, there was none,
+// and what arrived later is fresh.
+func (b *backlog) expire(now time.Duration) {
+	if now-b.readOn > maxTurn {
+		b.waiting = false
+	}
 }
 
 // Age returns the longest time for which the datagrams of a batch may have waited until now. Waits of maxTurn or less count
 // as none. Call Turn before, and Age once for each batch of a source, in the order in which they were read.
 func (a *Ages) Age(now time.Duration, batch *Batch) time.Duration {
 	b := &a.backlogs[batch.Source]
+	b.expire(batch.ReadAt)
 	since := batch.ReadAt
 	if b.waiting {
 		since = min(since, b.since)
 	}
-	switch full := len(batch.Messages) == BatchSize; {
+	full := len(batch.Messages) == BatchSize
+	if full {
+		b.readOn = now
+	}
+	switch {
 	case full && !b.waiting:
 		// The rest of the datagrams arrived after those of this batch.
 		b.since, b.waiting = batch.ReadAt, true
--- a/internal/packetreader/ages_test.go
+++ b/internal/packetreader/ages_test.go
@@ -60,6 +60,56 @@
 	wantAge(t, &a, 3020*ms, batchAt(0, 2, 3019*ms), 0)
 }
 
+// TestSocketThatWasQuietAfterAPauseHasNoBacklog guards against a fresh packet that counts as one from before a pause, because
+// it is the first on its socket since then. A balancer refused the opening packet of such a flow.
+func TestSocketThatWasQuietAfterAPauseHasNoBacklog(t *testing.T) {
+	var a Ages
+	turns(&a, 10*ms, 1010*ms)
+	turns(&a, 1310*ms, 3310*ms)
+	wantAge(t, &a, 3320*ms, batchAt(0, 1, 3320*ms), 0)
+	wantAge(t, &a, 3321*ms, batchAt(1, BatchSize, 3321*ms), 0)
+}
+
+// TestBacklogOfASecondPauseIsAsOldAsThatPause guards against packets that count as older than the latest pause, because nothing
+// arrived between that and an earlier one.
+func TestBacklogOfASecondPauseIsAsOldAsThatPause(t *testing.T) {
+	var a Ages
+	turns(&a, 10*ms, 1010*ms)
+	turns(&a, 1310*ms, 3310*ms)
+	wantAge(t, &a, 3530*ms, batchAt(0, 2, 3530*ms), 220*ms)
+	wantAge(t, &a, 3540*ms, batchAt(0, 1, 3540*ms), 0)
+}
+
+// TestBacklogOfPausesInARowIsAsOldAsTheFirst guards against a backlog that counts as younger than it is, because the process did
+// not run for long enough to read it between two pauses.
+func TestBacklogOfPausesInARowIsAsOldAsTheFirst(t *testing.T) {
+	var a Ages
+	turns(&a, 10*ms, 1010*ms)
+	turns(&a, 2010*ms, 2090*ms)
+	wantAge(t, &a, 3090*ms, batchAt(0, 2, 3090*ms), 2080*ms)
+}
+
+// TestBacklogOfAPauseIsOldUntilTheSocketWasEmpty guards against a backlog that counts as fresh because it was read some time
+// after the pause, or handled long after it was read.
+func TestBacklogOfAPauseIsOldUntilTheSocketWasEmpty(t *testing.T) {
+	var a Ages
+	turns(&a, 10*ms, 1010*ms)
+	turns(&a, 1510*ms, 1690*ms)
+	wantAge(t, &a, 1700*ms, batchAt(0, 3, 1700*ms), 690*ms)
+	turns(&a, 1710*ms, 2010*ms)
+	wantAge(t, &a, 2020*ms, batchAt(1, 3, 1650*ms), 1010*ms)
+}
+
+// TestSocketThatWasQuietAfterAFullBatchHasNoBacklog guards against a fresh packet that counts as one from the time of a full
+// batch, because the batch has emptied the socket and nothing arrived since.
+func TestSocketThatWasQuietAfterAFullBatchHasNoBacklog(t *testing.T) {
+	var a Ages
+	turns(&a, 10*ms, 1010*ms)
+	wantAge(t, &a, 1011*ms, batchAt(0, BatchSize, 1011*ms), 0)
+	turns(&a, 1030*ms, 4010*ms)
+	wantAge(t, &a, 4011*ms, batchAt(0, 1, 4011*ms), 0)
+}
+
 // TestShortStallsAreUsual covers VMs that get no processor time for the rest of a tenth of a second.
 func TestShortStallsAreUsual(t *testing.T) {
 	var a Ages
