Prove no loss from a first view that is older than the packet

In calm beside load, open flows of live servers were reset and opening packets refused.

Cause: balancers that read the store before the servers had written their entries have a view without servers, for up to 1.5 s. The check that every known agent confirms the view was true without any agent, and the time of the view was not compared with that of the packet.

Change: such a search waits until the view is confirmed after the search began. While the view is new and shows no server of a service at all, its opening packets are dropped rather than refused, so that their copies are served.

--- a/flow/director_test.go
+++ b/flow/director_test.go
@@ -815,3 +815,74 @@
 		t.Fatalf("flows by agent: %v", got)
 	}
 }
+
+// firstView returns a view that was first read and confirmed at the given time.
+func firstView(read, confirmed time.Duration, version uint64, upstreams ...registry.Upstream) *registry.View {
+	view := viewAt(confirmed, version, upstreams...)
+	view.ContinuousSince = read
+	return view
+}
+
+// TestFirstViewProvesNoLossBeforeItIsConfirmedAgain guards against the reset of an open flow by a balancer whose first view is
+// older than the entry of the flow's server. When all processes and servers start together, that view has no servers at all, or
+// only those whose agents are as late.
+func TestFirstViewProvesNoLossBeforeItIsConfirmedAgain(t *testing.T) {
+	for name, first := range map[string][]registry.Upstream{"no servers": nil, "some servers": {upstreamOf(1, "orders")}} {
+		t.Run(name, func(t *testing.T) {
+			d := flow.NewDirector(flow.DefaultDirectorConfig("here"), start)
+			d.SetView(start, firstView(start, start, 5, first...))
+			receive(d, start, statusOf(1, 0, 0))
+			now := start + 400*time.Millisecond
+			got := d.FromClient(now, dataPacket(1), nil)
+			if got.Action == flow.Forward {
+				got, _, _ = d.HandleDenial(now, flow.Denial{Key: dataPacket(1).Key, SearchID: got.Request.SearchID})
+			}
+			if got.Action == flow.Reset {
+				t.Fatalf("the flow was reset: %s", got.Reason)
+			}
+			if resumed, p, _ := d.NextResumedSearch(now + 20*time.Millisecond); p != nil {
+				t.Fatalf("got %v before the view has changed: %s", resumed.Action, resumed.Reason)
+			}
+			d.SetView(now+100*time.Millisecond, firstView(start, now+50*time.Millisecond, 6, append(first, upstreamOf(3, "orders"))...))
+			resumed, p, _ := d.NextResumedSearch(now + 100*time.Millisecond)
+			if p == nil || !slices.Contains(agentsAsked(resumed), agentIP(3)) {
+				t.Fatalf("got %v to %v, want a search that asks the new server", resumed.Action, agentsAsked(resumed))
+			}
+		})
+	}
+}
+
+// TestFirstViewProvesALossOnceItIsConfirmedAgain covers the same balancer while no server appears: the flow is lost.
+func TestFirstViewProvesALossOnceItIsConfirmedAgain(t *testing.T) {
+	d := flow.NewDirector(flow.DefaultDirectorConfig("here"), start)
+	d.SetView(start, firstView(start, start, 5))
+	now := start + 400*time.Millisecond
+	if got := d.FromClient(now, dataPacket(1), nil); got.Action != flow.Drop {
+		t.Fatalf("got %v", got.Action)
+	}
+	d.SetView(now+100*time.Millisecond, firstView(start, now+50*time.Millisecond, 5))
+	if got, p, _ := d.NextResumedSearch(now + 100*time.Millisecond); p == nil || got.Action != flow.Reset {
+		t.Fatalf("got %v, want a reset", got.Action)
+	}
+}
+
+// TestFirstViewWithoutServersRefusesNoFlow guards against opening packets that are refused because their balancer has read the
+// configuration just before the servers wrote their entries.
+func TestFirstViewWithoutServersRefusesNoFlow(t *testing.T) {
+	d := flow.NewDirector(flow.DefaultDirectorConfig("here"), start)
+	d.SetView(start, firstView(start, start, 5))
+	now := start + 700*time.Millisecond
+	if got := d.FromClient(now, opening(1), nil); got.Action != flow.Drop {
+		t.Fatalf("got %v: %s", got.Action, got.Reason)
+	}
+	d.SetView(now, firstView(start, now, 5))
+	if got := d.FromClient(now, opening(1), nil); got.Action != flow.Reset {
+		t.Fatalf("got %v although the view has been confirmed without a server: %s", got.Action, got.Reason)
+	}
+	draining := upstreamOf(1, "orders")
+	draining.Draining = true
+	d.SetView(now, firstView(now, now, 6, draining))
+	if got := d.FromClient(now, opening(1), nil); got.Action != flow.Reset {
+		t.Fatalf("got %v although the only server drains: %s", got.Action, got.Reason)
+	}
+}
--- a/flow/proof.go
+++ b/flow/proof.go
@@ -35,11 +35,19 @@
 // provesLoss reports whether the denials of a search prove that its flow is lost, which requires that all servers that
 // may hold it were asked.
 func (d *Director) provesLoss(now time.Duration, s *search) bool {
-	return (s.wide || d.historyComplete(now)) && !s.outdated && s.changed == d.view.Changed && d.missingMeansRemoved(now) &&
+	return (s.wide || d.historyComplete(now)) && !s.outdated && s.changed == d.view.Changed && d.showsNewServers(s) && d.missingMeansRemoved(now) &&
 		(d.repeatable(s.packet.Key) || !d.suspendedHolder(now, s)) &&
 		(!s.wide && d.hints.idle <= d.config.IdleTimeout || d.agentsQualifyDenials())
 }
 
+// showsNewServers reports whether the view shows the server of the flow even if that has written its entry and taken the flow,
+// by another balancer, just before the search began. The view was confirmed since then, or the store has confirmed it for a
+// while and an agent that was asked knows of no later change. In a view that has just been read for the first time, all servers
+// and agents may be missing, since they start as well.
+func (d *Director) showsNewServers(s *search) bool {
+	return d.view.Confirmed >= s.started || s.denied && d.view.MissingMeansRemoved(d.config.Registry)
+}
+
 // agentsQualifyDenials reports whether no agent is known to run an earlier version. Such an agent does not state its server.
 // It denies flows of which it can't know in a search of all services, and those that were idle for longer than IdleTimeout
 // although the configuration states a longer time.
--- a/flow/search.go
+++ b/flow/search.go
@@ -44,6 +44,8 @@
 	// knew of a later one, so that a newer server may hold the flow, or could not know whether its server holds it.
 	changed  registry.Revision
 	outdated bool
+	// denied is set once a chain of agents has denied the flow.
+	denied bool
 	// waiting holds further packets of the flow.
 	waiting []QueuedPacket
 }
@@ -261,6 +263,7 @@
 		return Decision{}, nil, nil
 	}
 	s.chains--
+	s.denied = true
 	s.outdated = s.outdated || denial.Outdated
 	switch {
 	case s.chains > 0:
--- a/flow/turned_away.go
+++ b/flow/turned_away.go
@@ -69,5 +69,9 @@
 			return Decision{Action: Reset, Reason: "every server left is in an evacuated availability zone"}
 		}
 	}
+	if len(s.candidates) == 0 && !d.view.MissingMeansRemoved(d.config.Registry) {
+		// All processes and servers may just have started. The client's next copy finds a server that has written its entry.
+		return Decision{Reason: "no upstream is known, but the view has not been confirmed for long enough to refuse the flow"}
+	}
 	return d.refuse(now, p, "no upstream accepts new flows")
 }
