Write the first log line after a pause at once

Cause: lines were collected for 50 ms before they were written.

Change: a line is written at once if the last write was more than 50 ms ago. The number of writes per second stays bounded as before.

Evidence: the new test fails without the change.

--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -10,7 +10,8 @@
 const (
 	// asyncQueueLines is the capacity of the queue, in lines. Lines beyond it are dropped and counted.
 	asyncQueueLines = 4096
-	// asyncBatchDelay is how long lines are collected before they are written in one system call.
+	// asyncBatchDelay is the least time between two system calls. Lines are collected meanwhile. The first line after a longer
+	// time without any is written at once, so that the last decisions of a process that is killed are not lost.
 	asyncBatchDelay = 50 * time.Millisecond
 	// asyncBatchBytes is the size at which a batch is full. The last line may exceed it.
 	asyncBatchBytes = 32 << 10
@@ -25,15 +26,19 @@
 	dropped atomic.Int64
 }
 
-// LogAsync sends all events to w like LogTo, but in batches and from another goroutine. Lines that arrive while the
-// queue is full are dropped and counted in the gauge log_lines_dropped. The returned function writes the queued lines.
-func LogAsync(w io.Writer) (flush func()) {
-	a := &asyncWriter{
+func newAsyncWriter(w io.Writer) *asyncWriter {
+	return &asyncWriter{
 		out:   w,
 		lines: make(chan *[]byte, asyncQueueLines),
 		flush: make(chan chan struct{}),
 		pool:  sync.Pool{New: func() any { return &[]byte{} }},
 	}
+}
+
+// LogAsync sends all events to w like LogTo, but in batches and from another goroutine. Lines that arrive while the
+// queue is full are dropped and counted in the gauge log_lines_dropped. The returned function writes the queued lines.
+func LogAsync(w io.Writer) (flush func()) {
+	a := newAsyncWriter(w)
 	go a.run()
 	LogTo(a)
 	Gauge("log_lines_dropped", func() any { return a.dropped.Load() })
@@ -60,14 +65,16 @@
 	timer := time.NewTimer(asyncBatchDelay)
 	timer.Stop()
 	var batch []byte
+	var written time.Time
 	for {
 		select {
 		case line := <-a.lines:
 			batch = a.appendLine(batch[:0], line)
-			timer.Reset(asyncBatchDelay)
+			timer.Reset(asyncBatchDelay - time.Since(written))
 			select {
 			case <-timer.C:
 				a.write(a.drain(batch))
+				written = time.Now()
 			case done := <-a.flush:
 				a.writeAll(batch)
 				close(done)
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -5,12 +5,15 @@
 	"encoding/json"
 	"errors"
 	"expvar"
+	"fmt"
 	"io"
 	"log"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"os"
+	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -134,6 +137,44 @@
 	}
 }
 
+// endingWriter records the writes and their times, and ends the goroutine that writes once it is told to.
+type endingWriter struct {
+	start  time.Time
+	writes []string
+	ends   bool
+}
+
+func (w *endingWriter) Write(b []byte) (int, error) {
+	if w.ends {
+		runtime.Goexit()
+	}
+	w.writes = append(w.writes, fmt.Sprintf("%v %s", time.Since(w.start), b))
+	return len(b), nil
+}
+
+// TestFirstLineAfterAPauseIsWrittenAtOnce guards against the loss of the line that explains a decision, because the process is
+// killed within milliseconds of it.
+func TestFirstLineAfterAPauseIsWrittenAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &endingWriter{start: time.Now()}
+		a := newAsyncWriter(w)
+		go a.run()
+		for _, line := range []string{"a", "b", "c"} {
+			_, _ = a.Write([]byte(line))
+			synctest.Wait()
+		}
+		time.Sleep(time.Second)
+		_, _ = a.Write([]byte("d"))
+		synctest.Wait()
+		if want := []string{"0s a", "50ms bc", "1s d"}; !slices.Equal(w.writes, want) {
+			t.Errorf("got the writes %q, want %q", w.writes, want)
+		}
+		w.ends = true
+		_, _ = a.Write([]byte("e"))
+		time.Sleep(time.Second)
+	})
+}
+
 func TestHistogramIsPublished(t *testing.T) {
 	h := NewHistogram("test_histogram")
 	for n := range 100 {
