Count no pause of a balancer as silence of its agents

Cause: after a pause of its own, a balancer compared the time since it had heard of its agents with its clock before it read their answers. It took them for unresponsive, itself for isolated, hedged waiting openings, and took a live server whose entry was overwritten for gone: its repeatable flows were reset.

Change: what was sent before the pause counts as sent at its end, and silence counts from there.

--- a/flow/director.go
+++ b/flow/director.go
@@ -259,7 +259,9 @@
 	// searchBytes limits the bytes that searches send, and wideMessages the messages of searches of all services.
 	searchBytes, wideMessages tokenBucket
 	started                   time.Duration
-	turnedAway                TurnedAway
+	// resumed is when the balancer last continued after a pause of its own, or zero.
+	resumed    time.Duration
+	turnedAway TurnedAway
 	// stale counts the opening packets that were refused because their clients may have given up.
 	stale uint64
 }
@@ -369,7 +371,7 @@
 // for example after an outage of the store. Only the owner's agent or its server can tell which run a hint belongs to.
 func (d *Director) ownerGone(now time.Duration, key Key, a *agent) bool {
 	switch {
-	case a.present, now-a.lastHeard <= d.config.StatusTTL, d.answers(now, a):
+	case a.present, d.silence(now, a) <= d.config.StatusTTL, d.answers(now, a):
 		return false
 	case !d.repeatable(key) && d.maybeSuspended(now, a):
 		return false
@@ -380,7 +382,7 @@
 // answers reports whether an agent has answered the latest heartbeat. It then knows better than the store whether its server
 // is gone: another writer may have written over the entry.
 func (d *Director) answers(now time.Duration, a *agent) bool {
-	return now-a.lastHeard <= d.config.RemoteInterval+d.config.UnresponsiveAfter && !a.unresponsive(now, d.config.UnresponsiveAfter)
+	return d.silence(now, a) <= d.config.RemoteInterval+d.config.UnresponsiveAfter && !a.unresponsive(now, d.config.UnresponsiveAfter)
 }
 
 // repeatable reports whether the requests of a flow may run twice.
--- a/internal/flowbalancer/loop.go
+++ b/internal/flowbalancer/loop.go
@@ -136,6 +136,7 @@
 	now := l.config.Clock.Now()
 	if paused := l.ages.Turn(now); paused > 0 {
 		l.config.Event("resumed", "paused", paused, "suspended", suspended)
+		l.director.Resumed(now)
 	}
 	return now
 }
