Ask an agent without an entry also if it has announced that it stops

What callers saw: in the simulation, live flows were reset while the agent of their server restarted and another writer had overwritten the server's entry.

Cause: of the agents without an entry, a search asks those that have answered the latest heartbeat. One that has announced its stop counted as one that does not answer.

Change: such an agent is asked too. If it does not answer, the search proves nothing.

Evidence: the new test fails without the change.

--- a/flow/director_test.go
+++ b/flow/director_test.go
@@ -886,3 +886,19 @@
 		t.Fatalf("got %v although the only server drains: %s", got.Action, got.Reason)
 	}
 }
+
+// TestOwnerWithoutEntryIsAskedWhileItsAgentRestarts guards against the reset of a live flow by a balancer that has no hint of it,
+// while the agent of its server restarts and another writer has overwritten the server's entry.
+func TestOwnerWithoutEntryIsAskedWhileItsAgentRestarts(t *testing.T) {
+	d := newDirector(upstreamOf(1, "orders"), upstreamOf(3, "orders"))
+	receive(d, start, statusOf(1, 0, 0), statusOf(3, 0, 0))
+	now := start + 300*time.Millisecond
+	d.SetView(now, viewAt(now, 6, upstreamOf(3, "orders")))
+	d.HandleLeave(now, agentIP(1), 1)
+	got := d.FromClient(now, dataPacket(1), nil)
+	wantForward(t, got, flow.PurposeSearch)
+	got, _, _ = d.HandleDenial(now, flow.Denial{Key: dataPacket(1).Key, SearchID: got.Request.SearchID})
+	if asked := agentsAsked(got); !slices.Equal(asked, []flow.IP{agentIP(1)}) {
+		t.Fatalf("got %v to %v, want the packet at the agent that restarts: %s", got.Action, asked, got.Reason)
+	}
+}
--- a/flow/proof.go
+++ b/flow/proof.go
@@ -68,11 +68,17 @@
 	return false
 }
 
+// lives reports whether an agent has answered the latest heartbeat, or would have done so if it had not announced that it stops.
+// It starts again soon, and its server keeps running.
+func (d *Director) lives(now time.Duration, a *agent) bool {
+	return d.answers(now, a) || a.leaving && d.silence(now, a) <= d.config.RemoteInterval+d.config.UnresponsiveAfter
+}
+
 // unlistedHolders returns the agents of the services of a search that answer although the view does not name their servers any
 // more. Such a server may have lost its entry to another writer; it writes the entry again soon, unless it is gone.
 func (d *Director) unlistedHolders(now time.Duration, s *search) (agents []holder) {
 	for _, a := range d.unlisted {
-		if now-a.unlistedSince <= d.config.Registry.LapsedRetention && !a.draining && a.ip != s.excluded && d.answers(now, a) &&
+		if now-a.unlistedSince <= d.config.Registry.LapsedRetention && !a.draining && a.ip != s.excluded && d.lives(now, a) &&
 			s.mayBeHeldAt(a.service) {
 			agents = append(agents, holder{ip: a.ip, service: a.service, wide: !s.asks(a.service)})
 		}
--- a/flow/property_test.go
+++ b/flow/property_test.go
@@ -451,9 +451,12 @@
 // TestPausesOfBalancersResetNoLiveFlow lets balancers not run for a while, so that they hear nothing of the agents, while entries of
 // live servers are missing for less than a heartbeat. Their own delay shows nothing about the agents.
 func TestPausesOfBalancersResetNoLiveFlow(t *testing.T) {
-	changes := slices.Concat(changesBesideBalancers, []func(sim *simulation){
-		pauseBalancer, pauseBalancer, pauseBalancer, pauseBalancer, overwriteEntry, overwriteEntry, overwriteEntry, overwriteEntry,
-	})
+	// The entry is missing when the pause ends.
+	pauseBesideOverwrittenEntry := func(sim *simulation) {
+		pauseBalancer(sim)
+		sim.after(time.Duration(sim.rnd.Intn(1400))*time.Millisecond, func() { overwriteEntry(sim) })
+	}
+	changes := slices.Concat(changesBesideBalancers, slices.Repeat([]func(sim *simulation){pauseBesideOverwrittenEntry}, 15))
 	pauses := 0
 	for seed := range int64(*propertySeeds) {
 		sim := simulate(t, seed, changes)
