--- a/flow/tracker_config.go
+++ b/flow/tracker_config.go
@@ -16,7 +16,7 @@
 	// checked with the server again.
 	MaxFlows int
 	// MaxDisclaimed bounds the flows of which it is known that the server does not hold them because it has returned a packet
-	// that was given to it to find the flow. One takes about 150 bytes; a packet of a flow beyond them is given to the server
+	// that was given to it to find the flow. One takes about 130 bytes; a packet of a flow beyond them is given to the server
 	// again.
 	MaxDisclaimed int
 	// IdleTimeout is how long an idle flow is tracked at least. A configuration may state a longer time, of which at most
