Count a confirmation as older by the time that its datagram waited

Cause: the age of a peer's confirmation counted from when the datagram was read. After a pause of the process, a first view without servers seemed to be confirmed after the servers had written their entries.

Change: the time for which the datagram may have waited is added.

Evidence: the new test fails without the change.

--- a/internal/flowagent/loop.go
+++ b/internal/flowagent/loop.go
@@ -197,13 +197,16 @@
 	}
 }
 
-// observeFreshness passes the freshness of a peer's view to this process's view.
+// observeFreshness passes the freshness of a peer's view to this process's view. Its confirmation is as much older as the
+// datagram may have waited here.
 func (l *loop) observeFreshness(now time.Duration, from flow.IP) {
 	if l.inHeader.Revision == 0 {
 		return
 	}
 	peer := netip.AddrPortFrom(netip.AddrFrom4(from), l.config.PeerAddress.Port())
-	l.config.View.Observe(nodecodec.Freshness(&l.inHeader, now), peer)
+	f := nodecodec.Freshness(&l.inHeader, now)
+	f.Confirmed -= l.age
+	l.config.View.Observe(f, peer)
 }
 
 // handleClientPacket handles a packet of a client. A balancer does not put its own address into the request: the first
--- a/internal/flowbalancer/nodes.go
+++ b/internal/flowbalancer/nodes.go
@@ -23,7 +23,7 @@
 	case nodev1.Kind_KIND_REPORT:
 		l.handleReport(now, from)
 	case nodev1.Kind_KIND_ANSWER:
-		l.director.UpdateStatus(now, nodecodec.Status(h, now, from))
+		l.director.UpdateStatus(now, l.status(now, from))
 	case nodev1.Kind_KIND_LEAVE:
 		l.director.HandleLeave(now, from, h.Process)
 		l.config.Event("agent_leaving", "agent", from)
@@ -34,13 +34,23 @@
 	}
 }
 
-// observeFreshness passes the freshness of a peer's view to this process's view.
+// observeFreshness passes the freshness of a peer's view to this process's view. Its confirmation is as much older as the
+// datagram may have waited here.
 func (l *loop) observeFreshness(now time.Duration, from flow.IP) {
 	if l.inHeader.Revision == 0 {
 		return
 	}
 	peer := netip.AddrPortFrom(netip.AddrFrom4(from), l.config.PeerAddress.Port())
-	l.config.View.Observe(nodecodec.Freshness(&l.inHeader, now), peer)
+	f := nodecodec.Freshness(&l.inHeader, now)
+	f.Confirmed -= l.age
+	l.config.View.Observe(f, peer)
+}
+
+// status returns the status in inHeader. The confirmation of its view is as much older as the datagram may have waited here.
+func (l *loop) status(now time.Duration, from flow.IP) flow.AgentStatus {
+	s := nodecodec.Status(&l.inHeader, now, from)
+	s.View.Confirmed -= l.age
+	return s
 }
 
 // handleReport handles an agent's report on a flow and forwards the packets that waited for it.
@@ -48,7 +58,7 @@
 	h := &l.inHeader
 	key := nodecodec.Key(h)
 	held := h.Verdict == nodev1.Verdict_VERDICT_HELD
-	l.director.UpdateStatus(now, nodecodec.Status(h, now, from))
+	l.director.UpdateStatus(now, l.status(now, from))
 	l.balancer.counts.reported.Add(1)
 	if h.Verdict == nodev1.Verdict_VERDICT_DENIED {
 		l.handleDenial(now, key)
--- a/internal/flowbalancer/nodes_test.go
+++ b/internal/flowbalancer/nodes_test.go
@@ -14,6 +14,37 @@
 	"github.com/bramleyrack/bramleyrack/registry"
 )
 
+// observingView is a View that keeps what it observed last.
+type observingView struct {
+	testView
+	observed registry.Freshness
+}
+
+func (v *observingView) Observe(f registry.Freshness, _ netip.AddrPort) { v.observed = f }
+
+// TestConfirmationThatWaitedIsNotFresh guards against a balancer that was late itself and takes the confirmation of a view, which
+// waited in its socket, for one from after a server has written its entry.
+func TestConfirmationThatWaitedIsNotFresh(t *testing.T) {
+	view := &observingView{}
+	l := newLoop(&Balancer{config: Config{
+		View: view, Clock: clock.New(), Director: flow.DefaultDirectorConfig("a"), Rand: rand.New(rand.NewSource(1)), Event: func(string, ...any) {},
+	}})
+	now := time.Hour
+	h := &nodev1.Header{Kind: nodev1.Kind_KIND_ANSWER, Process: 7, Revision: 9}
+	nodecodec.PutFreshness(h, now, registry.Freshness{Revision: 9, Confirmed: now - 20*time.Millisecond, ContinuousSince: now - time.Second})
+	l.age = 300 * time.Millisecond
+	l.handleNodeDatagram(now, flow.IP{10, 0, 0, 1}, nodecodec.Encode(nil, h, nil))
+	if got := now - view.observed.Confirmed; got != 320*time.Millisecond {
+		t.Errorf("the view counts as confirmed %v ago, want 320ms", got)
+	}
+	if got := now - l.status(now, flow.IP{10, 0, 0, 1}).View.Confirmed; got != 320*time.Millisecond {
+		t.Errorf("the view of the agent counts as confirmed %v ago, want 320ms", got)
+	}
+	if got := now - view.observed.ContinuousSince; got != time.Second {
+		t.Errorf("the store counts as not interrupted for %v, want 1s", got)
+	}
+}
+
 // TestReportEndsHedging guards against further copies of an opening packet that waits at an agent, and against a waiting
 // flow that is logged as refused or for which the balancer assumes an owner.
 func TestReportEndsHedging(t *testing.T) {
