--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -623,7 +623,7 @@
 			sim.toAgent(branch.To, p, request, 0)
 		}
 	case flow.Reset:
-		sim.resetAfter(p, "balancer: "+d.Reason)
+		sim.resetAfter(p, d.Seq, "balancer: "+d.Reason)
 	}
 }
 
@@ -663,7 +663,7 @@
 			sim.apply(b, p, b.director.HandleReturned(sim.now, &p, nil, server.ip, v.Unanswered))
 		})
 	case flow.Reset:
-		sim.resetAfter(p, "agent "+server.id+": "+v.Reason)
+		sim.resetAfter(p, v.Seq, "agent "+server.id+": "+v.Reason)
 	}
 }
 
@@ -835,10 +835,10 @@
 	}
 }
 
-// resetAfter delivers the reset that follows a packet. Its number is that which the packet acknowledges, so a client whose flow has
-// opened ignores the reset that refuses a late copy of its opening packet.
-func (sim *simulation) resetAfter(p flow.Packet, reason string) {
-	if c := sim.clients[p.Key]; p.Kind == flow.Opening && c != nil && c.server != nil {
+// resetAfter delivers the reset that follows a packet. A client whose flow has opened ignores the one that refuses a late copy of its
+// opening packet, since that has the number zero.
+func (sim *simulation) resetAfter(p flow.Packet, number uint32, reason string) {
+	if c := sim.clients[p.Key]; p.Kind == flow.Opening && number == 0 && c != nil && c.server != nil {
 		return
 	}
 	sim.reset(p.Key, reason)
